--- /dev/null
+++ b/libs/base/include/base/prompt_blocks.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace carawaylink {
+
+/// Number of tokens in one block of a prefix cache.
+inline constexpr std::int64_t tokensPerBlock = 64;
+
+/// A prompt as the prefix cache sees it.
+struct prompt_blocks {
+    tokens count;
+    /// Chained hash of each full block: two prompts share n leading blocks exactly where their first n hashes agree.
+    std::vector<std::uint64_t> hashes;
+};
+
+/// Splits a prompt into whitespace-separated tokens and hashes its full blocks; at most maxBlocks hashes are returned.
+/// Words stand for tokens, since the engines' tokenizers are not available on the entry vms.
+prompt_blocks splitPrompt(std::string_view prompt, std::size_t maxBlocks = 256);
+
+/// Number of leading blocks that both lists share.
+std::size_t sharedBlocks(const std::vector<std::uint64_t>& left, const std::vector<std::uint64_t>& right);
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/include/scheduling/types.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "base/enum_table.h"
+#include "base/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carawaylink {
+
+/// A request as a pool owner sees it.
+struct scheduling_request {
+    request_id id;
+    node_id home;
+    team_id team;
+    tier level;
+    tokens promptTokens;
+    /// Upper bound from the caller; the cost model learns how much of it is used.
+    tokens maxOutputTokens;
+    monotonic_time arrival;
+    monotonic_time deadline;
+    /// A non-idempotent request is never preempted.
+    bool nonIdempotent = false;
+    std::vector<std::uint64_t> prefixBlocks;
+};
+
+/// An endpoint that may receive work.
+struct endpoint_description {
+    endpoint_id id;
+    /// Hardware generation; paces are compared inside one generation only.
+    std::string generation;
+    failure_domain domain;
+    /// Requests that the endpoint runs at the same time.
+    std::size_t maxRunning = 1;
+    /// Capacity of the prefix cache, in tokens.
+    tokens cacheCapacity;
+};
+
+struct team_share {
+    team_id team;
+    double weight = 1.0;
+    std::size_t maxWaiting = 2000;
+};
+
+enum class refusal_reason {
+    deadline_unreachable,
+    deadline_passed,
+    queue_full,
+    team_queue_full,
+    displaced,
+    no_endpoint,
+    team_rate_limit,
+    draining,
+    unavailable,
+};
+
+inline constexpr auto refusalReasonNames = enumTable<refusal_reason>({
+    { refusal_reason::deadline_unreachable, "deadline_unreachable" },
+    { refusal_reason::deadline_passed, "deadline_passed" },
+    { refusal_reason::queue_full, "queue_full" },
+    { refusal_reason::team_queue_full, "team_queue_full" },
+    { refusal_reason::displaced, "displaced" },
+    { refusal_reason::no_endpoint, "no_endpoint" },
+    { refusal_reason::team_rate_limit, "team_rate_limit" },
+    { refusal_reason::draining, "draining" },
+    { refusal_reason::unavailable, "unavailable" },
+});
+
+/// Permission to dispatch one request to one endpoint.
+struct slot_grant {
+    request_id request;
+    node_id home;
+    endpoint_id endpoint;
+    tokens expectedCached;
+    /// Why this endpoint, for `carawaylink explain`.
+    std::string explanation;
+};
+
+/// The request will not be granted a slot; it has not run.
+struct slot_refusal {
+    request_id request;
+    node_id home;
+    refusal_reason reason;
+    std::string message;
+    duration retryAfter {};
+};
+
+/// The home must cancel the running stream; its slot is given to a higher tier.
+struct slot_preemption {
+    request_id request;
+    node_id home;
+};
+
+using scheduling_action = std::variant<slot_grant, slot_refusal, slot_preemption>;
+
+enum class release_outcome {
+    /// The whole answer was received.
+    completed,
+    /// The caller or the scheduler cancelled the stream.
+    cancelled,
+    /// The endpoint failed or broke the stream.
+    failed,
+    /// The endpoint refused the request before running it.
+    rejected,
+    /// The grant was returned without a dispatch.
+    unused,
+};
+
+inline constexpr auto releaseOutcomeNames = enumTable<release_outcome>({
+    { release_outcome::completed, "completed" },
+    { release_outcome::cancelled, "cancelled" },
+    { release_outcome::failed, "failed" },
+    { release_outcome::rejected, "rejected" },
+    { release_outcome::unused, "unused" },
+});
+
+/// What the home observed of a finished request.
+struct slot_release {
+    request_id request;
+    release_outcome outcome = release_outcome::completed;
+    tokens promptTokens;
+    tokens cachedTokens;
+    tokens outputTokens;
+    /// From dispatch to the first token; zero where none arrived.
+    duration timeToFirstToken {};
+    /// From dispatch to the end.
+    duration total {};
+    /// The endpoint said that it is leaving.
+    bool endpointLeaving = false;
+};
+
+struct slot_progress {
+    request_id request;
+    tokens outputTokens;
+    duration timeToFirstToken {};
+};
+
+/// A cache event or an inventory of an endpoint; late and possibly incomplete.
+struct cache_event {
+    endpoint_id endpoint;
+    std::uint64_t blockHash = 0;
+    bool stored = true;
+};
+
+/// An endpoint's own report of its load; lagged.
+struct load_report {
+    endpoint_id endpoint;
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    bool leaving = false;
+};
+
+} // namespace carawaylink
