Add the HTTP client and server over Boost.Beast

Cause: all programs need bounded, timed HTTP with streaming, and the dispatch rules need to know whether a request was certainly not sent. Change: callback client with kept-alive connections, pause and cancel; server with limits, typed errors, back-pressure and notice of callers that leave.

--- /dev/null
+++ b/libs/http/src/client.cpp
@@ -0,0 +1,399 @@
+#include "http/client.h"
+
+#include "base/error.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace carawaylink {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Peers close idle connections after 5 s or more; a connection that may be closing must not carry a request,
+// since its loss would leave open whether the request ran.
+constexpr auto maxIdleAge = std::chrono::seconds(2);
+constexpr std::size_t maxIdlePerAddress = 64;
+constexpr std::size_t readBufferBytes = 16384;
+constexpr std::uint32_t maxResponseHeaderBytes = 65536;
+
+struct idle_connection {
+    std::unique_ptr<tcp::socket> socket;
+    monotonic_time since;
+};
+
+// A readable idle connection was closed by the peer or holds bytes that nobody asked for.
+bool isUsable(tcp::socket& socket)
+{
+    std::array<char, 1> probe {};
+    boost::system::error_code status;
+    socket.non_blocking(true, status);
+    socket.receive(asio::buffer(probe), tcp::socket::message_peek, status);
+    return status == asio::error::would_block;
+}
+
+std::string serialize(const http_request& request, const std::string& address)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(http::field::host, address);
+    for (const auto& header : request.headers)
+        message.insert(header.name, header.value);
+    message.body() = request.body;
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+        message.prepare_payload();
+    std::string text;
+    http::request_serializer<http::string_body> serializer(message);
+    beast::error_code status;
+    while (!serializer.is_done()) {
+        serializer.next(status, [&](beast::error_code&, const auto& buffers) {
+            text += beast::buffers_to_string(buffers);
+            serializer.consume(asio::buffer_size(buffers));
+        });
+    }
+    return text;
+}
+
+} // namespace
+
+struct http_client::connection_cache {
+    explicit connection_cache(asio::io_context& loop)
+        : context(loop)
+    {
+    }
+
+    std::unique_ptr<tcp::socket> take(const std::string& address)
+    {
+        auto& list = idle[address];
+        const auto now = std::chrono::steady_clock::now();
+        while (!list.empty()) {
+            auto connection = std::move(list.back());
+            list.pop_back();
+            if (now - connection.since < maxIdleAge && isUsable(*connection.socket))
+                return std::move(connection.socket);
+        }
+        return nullptr;
+    }
+
+    void give(const std::string& address, std::unique_ptr<tcp::socket> socket)
+    {
+        auto& list = idle[address];
+        const auto now = std::chrono::steady_clock::now();
+        while (!list.empty() && (list.size() >= maxIdlePerAddress || now - list.front().since >= maxIdleAge))
+            list.pop_front();
+        list.push_back({ std::move(socket), now });
+    }
+
+    asio::io_context& context;
+    std::unordered_map<std::string, std::deque<idle_connection>> idle;
+};
+
+namespace {
+
+class running_call : public http_call, public std::enable_shared_from_this<running_call> {
+public:
+    running_call(std::shared_ptr<http_client::connection_cache> cache, std::string address, http_request request, http_call_options options,
+        http_stream_handlers handlers)
+        : m_cache(std::move(cache))
+        , m_address(std::move(address))
+        , m_options(options)
+        , m_handlers(std::move(handlers))
+        , m_timer(m_cache->context)
+        , m_text(serialize(request, m_address))
+        , m_isHead(request.method == "HEAD")
+    {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_parser->header_limit(maxResponseHeaderBytes);
+        m_parser->skip(m_isHead);
+    }
+
+    void start()
+    {
+        touch();
+        armTimer();
+        if (m_options.reuseConnection)
+            m_socket = m_cache->take(m_address);
+        if (m_socket) {
+            writeRequest();
+            return;
+        }
+        try {
+            const auto parsed = parseAddress(m_address);
+            m_socket = std::make_unique<tcp::socket>(m_cache->context);
+            m_connecting = true;
+            m_socket->async_connect({ asio::ip::make_address(parsed.ip), parsed.port },
+                [self = shared_from_this()](boost::system::error_code status) { self->connected(status); });
+        } catch (const error& failure) {
+            asio::post(m_cache->context, [self = shared_from_this(), text = failure.message()] { self->end(http_failure::connect, text); });
+        }
+    }
+
+    void cancel() override { end(http_failure::cancelled, "cancelled"); }
+    void pause() override { m_paused = true; }
+    void resume() override
+    {
+        if (!std::exchange(m_paused, false) || m_done || !m_readHeld)
+            return;
+        m_readHeld = false;
+        touch();
+        readBody();
+    }
+
+private:
+    void touch() { m_lastActivity = std::chrono::steady_clock::now(); }
+
+    // The timer is re-armed only when it expires, so that a stream of many small reads does not pay for it each time.
+    void armTimer()
+    {
+        m_timer.expires_at(m_lastActivity + (m_connecting ? m_options.connectTimeout : m_options.idleTimeout));
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code status) {
+            if (!status)
+                self->timerExpired();
+        });
+    }
+
+    void timerExpired()
+    {
+        if (m_done)
+            return;
+        const auto limit = m_connecting ? m_options.connectTimeout : m_options.idleTimeout;
+        if (m_paused)
+            touch();
+        if (std::chrono::steady_clock::now() < m_lastActivity + limit) {
+            armTimer();
+            return;
+        }
+        if (m_connecting)
+            end(http_failure::connect, "no connection to " + m_address + " within the connect timeout");
+        else
+            end(http_failure::idle, "no byte from " + m_address + " within the idle timeout");
+    }
+
+    void connected(boost::system::error_code status)
+    {
+        if (m_done)
+            return;
+        m_connecting = false;
+        if (status) {
+            end(http_failure::connect, "cannot connect to " + m_address + ": " + status.message());
+            return;
+        }
+        m_socket->set_option(tcp::no_delay(true), status);
+        touch();
+        // The idle timeout may be shorter than what is left of the connect timeout.
+        m_timer.cancel();
+        armTimer();
+        writeRequest();
+    }
+
+    void writeRequest()
+    {
+        m_sent = true;
+        asio::async_write(*m_socket, asio::buffer(m_text), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            if (self->m_done)
+                return;
+            if (status) {
+                self->end(http_failure::broken, "connection to " + self->m_address + " broke while sending: " + status.message());
+                return;
+            }
+            self->touch();
+            self->readHead();
+        });
+    }
+
+    void readHead()
+    {
+        http::async_read_header(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            if (self->m_done)
+                return;
+            if (status) {
+                self->failRead(status);
+                return;
+            }
+            self->touch();
+            self->headArrived();
+        });
+    }
+
+    void headArrived()
+    {
+        const auto& message = m_parser->get();
+        m_head.status = message.result_int();
+        for (const auto& field : message)
+            m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        if (m_handlers.onHead)
+            m_handlers.onHead(m_head);
+        if (!m_done)
+            continueBody();
+    }
+
+    void continueBody()
+    {
+        if (m_parser->is_done()) {
+            complete();
+            return;
+        }
+        if (m_paused) {
+            m_readHeld = true;
+            return;
+        }
+        readBody();
+    }
+
+    void readBody()
+    {
+        auto& body = m_parser->get().body();
+        body.data = m_chunk.data();
+        body.size = m_chunk.size();
+        body.more = true;
+        http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            if (self->m_done)
+                return;
+            if (status == http::error::need_buffer)
+                status = {};
+            self->touch();
+            const auto received = self->m_chunk.size() - self->m_parser->get().body().size;
+            if (received > 0 && self->m_handlers.onData)
+                self->m_handlers.onData({ self->m_chunk.data(), received });
+            if (self->m_done)
+                return;
+            if (status)
+                self->failRead(status);
+            else
+                self->continueBody();
+        });
+    }
+
+    void failRead(boost::system::error_code status)
+    {
+        const bool ended = status == http::error::end_of_stream || status == http::error::partial_message || status == asio::error::eof
+            || status == asio::error::connection_reset || status == asio::error::broken_pipe;
+        end(ended ? http_failure::broken : http_failure::invalid, "response of " + m_address + " failed: " + status.message());
+    }
+
+    void complete()
+    {
+        if (m_parser->keep_alive() && m_buffer.size() == 0)
+            m_cache->give(m_address, std::move(m_socket));
+        end(http_failure::none, {});
+    }
+
+    void end(http_failure failure, std::string detail)
+    {
+        if (std::exchange(m_done, true))
+            return;
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        if (m_socket)
+            m_socket->close(ignored);
+        http_result result { failure, m_sent, std::move(detail), std::move(m_head) };
+        const auto handlers = std::move(m_handlers);
+        m_handlers = {};
+        if (handlers.onDone)
+            handlers.onDone(result);
+    }
+
+    std::shared_ptr<http_client::connection_cache> m_cache;
+    std::string m_address;
+    http_call_options m_options;
+    http_stream_handlers m_handlers;
+    asio::steady_timer m_timer;
+    std::string m_text;
+    bool m_isHead;
+    std::unique_ptr<tcp::socket> m_socket;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, readBufferBytes> m_chunk {};
+    http_response m_head;
+    monotonic_time m_lastActivity;
+    bool m_connecting = false;
+    bool m_sent = false;
+    bool m_paused = false;
+    bool m_readHeld = false;
+    bool m_done = false;
+};
+
+} // namespace
+
+http_client::http_client(asio::io_context& context)
+    : m_cache(std::make_shared<connection_cache>(context))
+{
+}
+
+http_client::~http_client() = default;
+
+std::shared_ptr<http_call> http_client::stream(
+    const std::string& address, http_request request, http_call_options options, http_stream_handlers handlers)
+{
+    auto call = std::make_shared<running_call>(m_cache, address, std::move(request), options, std::move(handlers));
+    call->start();
+    return call;
+}
+
+std::shared_ptr<http_call> http_client::send(
+    const std::string& address, http_request request, http_call_options options, std::function<void(http_result)> onDone)
+{
+    struct collector {
+        std::string body;
+        bool tooLarge = false;
+        std::weak_ptr<http_call> call;
+    };
+    auto state = std::make_shared<collector>();
+    http_stream_handlers handlers;
+    handlers.onData = [state, limit = options.maxBodyBytes](std::string_view bytes) {
+        if (state->body.size() + bytes.size() <= limit) {
+            state->body += bytes;
+            return;
+        }
+        state->tooLarge = true;
+        if (const auto call = state->call.lock())
+            call->cancel();
+    };
+    handlers.onDone = [state, onDone = std::move(onDone)](const http_result& result) {
+        http_result whole = result;
+        whole.response.body = std::move(state->body);
+        if (state->tooLarge) {
+            whole.failure = http_failure::invalid;
+            whole.detail = "response body is larger than the limit";
+        }
+        onDone(std::move(whole));
+    };
+    auto call = stream(address, std::move(request), options, std::move(handlers));
+    state->call = call;
+    return call;
+}
+
+http_response blocking_http_client::send(const std::string& address, const http_request& request, duration timeout)
+{
+    asio::io_context context { 1 };
+    http_client client(context);
+    std::optional<http_result> result;
+    http_call_options options;
+    options.connectTimeout = timeout;
+    options.idleTimeout = timeout;
+    options.reuseConnection = false;
+    client.send(address, request, options, [&result](http_result value) { result = std::move(value); });
+    context.run_for(timeout);
+    if (!result)
+        throw error(error_kind::timeout, "no response from " + address + " within the time limit",
+            "check that the process at that address runs and is not overloaded");
+    if (result->failure == http_failure::idle)
+        throw error(error_kind::timeout, result->detail, "check that the process at that address runs and is not overloaded");
+    if (!result->ok())
+        throw error(error_kind::unavailable, result->detail, "check the address and that the process runs");
+    return std::move(result->response);
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/http/src/server.cpp
@@ -0,0 +1,544 @@
+#include "http/server.h"
+
+#include "base/error.h"
+#include "base/log.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+
+namespace carawaylink {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+struct http_server::shared_state {
+    shared_state(io_threads& pool, http_server_limits serverLimits, http_handler requestHandler)
+        : threads(pool)
+        , limits(serverLimits)
+        , handler(std::move(requestHandler))
+        , acceptor(pool.context(0))
+    {
+    }
+
+    io_threads& threads;
+    http_server_limits limits;
+    http_handler handler;
+    tcp::acceptor acceptor;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<bool> stopping = false;
+    std::size_t nextThread = 0;
+};
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 65536;
+
+template <typename Body> void appendMessage(std::string& out, http::response<Body>& message)
+{
+    http::response_serializer<Body> serializer(message);
+    serializer.split(std::is_same_v<Body, http::empty_body>);
+    beast::error_code status;
+    while (!serializer.is_header_done() || (!std::is_same_v<Body, http::empty_body> && !serializer.is_done())) {
+        serializer.next(status, [&](beast::error_code&, const auto& buffers) {
+            for (auto position = asio::buffer_sequence_begin(buffers); position != asio::buffer_sequence_end(buffers); ++position) {
+                const asio::const_buffer part = *position;
+                out.append(static_cast<const char*>(part.data()), part.size());
+            }
+            serializer.consume(asio::buffer_size(buffers));
+        });
+    }
+}
+
+http_response errorResponse(unsigned status, std::string_view type, std::string_view message, std::string_view remedy)
+{
+    std::string body = R"({"error":{"type":")";
+    body.append(type).append(R"(","message":")").append(message).append(R"(","ran":"no","remedy":")").append(remedy).append(R"("}})");
+    return jsonResponse(status, std::move(body));
+}
+
+class connection;
+
+// Keeps the connection alive while a request is answered; aborts the response where the handler dropped it unanswered.
+class connection_responder : public http_responder {
+public:
+    connection_responder(std::shared_ptr<connection> owner, std::uint64_t exchange)
+        : m_owner(std::move(owner))
+        , m_exchange(exchange)
+    {
+    }
+    ~connection_responder() override;
+
+    void send(http_response response) override;
+    void start(unsigned status, std::vector<http_header> headers) override;
+    void write(std::string_view bytes) override;
+    void finish() override;
+    void abort() override;
+    std::size_t pendingBytes() const override;
+    void onDrained(std::function<void()> handler) override;
+    void onClosed(std::function<void()> handler) override;
+    bool closed() const override;
+    std::size_t threadIndex() const override;
+
+private:
+    std::shared_ptr<connection> m_owner;
+    std::uint64_t m_exchange;
+};
+
+class connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(std::shared_ptr<http_server::shared_state> state, tcp::socket socket, std::size_t thread)
+        : m_state(std::move(state))
+        , m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_thread(thread)
+        , m_buffer(readBufferBytes)
+    {
+        ++m_state->connections;
+    }
+    ~connection() { --m_state->connections; }
+
+    void start()
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        readHead(m_state->limits.headerTimeout);
+    }
+
+    void sendWhole(http_response response)
+    {
+        if (m_closed || m_started)
+            return;
+        m_started = true;
+        http::response<http::string_body> message;
+        fillHead(message, response.status, response.headers);
+        message.body() = m_isHead ? std::string() : std::move(response.body);
+        message.prepare_payload();
+        appendMessage(m_pending, message);
+        m_responseDone = true;
+        flush();
+    }
+
+    void startChunked(unsigned status, const std::vector<http_header>& headers)
+    {
+        if (m_closed || m_started)
+            return;
+        m_started = true;
+        http::response<http::empty_body> message;
+        fillHead(message, status, headers);
+        message.chunked(true);
+        appendMessage(m_pending, message);
+        flush();
+    }
+
+    void writeChunk(std::string_view bytes)
+    {
+        if (m_closed || m_responseDone || bytes.empty())
+            return;
+        std::array<char, 20> size {};
+        const auto [end, status] = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+        m_pending.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
+        flush();
+    }
+
+    void finishChunked()
+    {
+        if (m_closed || m_responseDone)
+            return;
+        m_pending += "0\r\n\r\n";
+        m_responseDone = true;
+        flush();
+    }
+
+    void close()
+    {
+        if (std::exchange(m_closed, true))
+            return;
+        boost::system::error_code ignored;
+        m_timer.cancel();
+        m_socket.close(ignored);
+        const auto handler = std::move(m_onClosed);
+        m_onClosed = nullptr;
+        m_onDrained = nullptr;
+        if (handler && !m_responseDone)
+            handler();
+    }
+
+    bool isClosed() const { return m_closed; }
+    bool responseDone() const { return m_responseDone; }
+    std::uint64_t exchange() const { return m_exchange; }
+    std::size_t pendingBytes() const { return m_pending.size() + m_writing.size(); }
+    std::size_t thread() const { return m_thread; }
+    io_threads& threads() { return m_state->threads; }
+    void setOnDrained(std::function<void()> handler) { m_onDrained = std::move(handler); }
+    void setOnClosed(std::function<void()> handler) { m_onClosed = std::move(handler); }
+
+private:
+    template <typename Message> void fillHead(Message& message, unsigned status, const std::vector<http_header>& headers)
+    {
+        message.version(m_version);
+        message.result(status);
+        for (const auto& header : headers)
+            message.insert(header.name, header.value);
+        m_keepAlive = m_keepAlive && !m_state->stopping;
+        message.keep_alive(m_keepAlive);
+    }
+
+    void armTimer(duration limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait([self = weak_from_this()](boost::system::error_code status) {
+            const auto alive = self.lock();
+            if (alive && !status && std::chrono::steady_clock::now() >= alive->m_timer.expiry())
+                alive->timedOut();
+        });
+    }
+
+    void timedOut()
+    {
+        if (m_phase == phase::head && m_buffer.size() == 0) {
+            close();
+            return;
+        }
+        if (m_phase == phase::head || m_phase == phase::body) {
+            m_phase = phase::response;
+            refuse(errorResponse(408, "request_timeout", "the request did not arrive within the time limit", "send the request faster"));
+            return;
+        }
+        close();
+    }
+
+    void refuse(http_response response)
+    {
+        m_keepAlive = false;
+        m_started = false;
+        m_responseDone = false;
+        sendWhole(std::move(response));
+    }
+
+    void readHead(duration limit)
+    {
+        m_phase = phase::head;
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeaderBytes));
+        m_parser->body_limit(m_state->limits.maxBodyBytes);
+        armTimer(limit);
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            if (self->m_closed || self->m_phase != phase::head)
+                return;
+            if (status) {
+                self->failRead(status);
+                return;
+            }
+            if (beast::iequals(self->m_parser->get()[http::field::expect], "100-continue"))
+                self->sendContinue();
+            self->readBody();
+        });
+    }
+
+    void sendContinue()
+    {
+        boost::system::error_code ignored;
+        asio::write(m_socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+    }
+
+    void readBody()
+    {
+        m_phase = phase::body;
+        if (m_parser->is_done()) {
+            dispatch();
+            return;
+        }
+        armTimer(m_state->limits.bodyTimeout);
+        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            if (self->m_closed || self->m_phase != phase::body)
+                return;
+            if (status)
+                self->failRead(status);
+            else
+                self->dispatch();
+        });
+    }
+
+    void failRead(boost::system::error_code status)
+    {
+        m_phase = phase::response;
+        if (status == http::error::header_limit) {
+            refuse(errorResponse(
+                431, "header_too_large", "the request header is larger than limits.max_header_bytes", "send fewer or shorter headers"));
+        } else if (status == http::error::body_limit) {
+            refuse(errorResponse(413, "body_too_large", "the request body is larger than limits.max_body_bytes", "send a smaller body"));
+        } else if (status.category() == make_error_code(http::error::bad_method).category() && status != http::error::end_of_stream
+            && status != http::error::partial_message) {
+            refuse(errorResponse(400, "malformed_request", "the request is not valid HTTP/1.1", "check the client"));
+        } else {
+            close();
+        }
+    }
+
+    void dispatch()
+    {
+        m_phase = phase::response;
+        m_timer.cancel();
+        auto& message = m_parser->get();
+        m_version = message.version();
+        m_keepAlive = message.keep_alive();
+        m_isHead = message.method() == http::verb::head;
+        m_started = false;
+        m_responseDone = false;
+        ++m_exchange;
+        http_request request;
+        request.method = message.method_string();
+        request.target = message.target();
+        for (const auto& field : message)
+            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = std::move(message.body());
+        watchForClose();
+        auto responder = std::make_shared<connection_responder>(shared_from_this(), m_exchange);
+        try {
+            m_state->handler(std::move(request), responder);
+        } catch (const std::exception& failure) {
+            log_event("request_handler_failed", log_level::error).field("error", failure.what());
+            responder->send(
+                errorResponse(500, "internal", "the request could not be handled", "report this with the log line request_handler_failed"));
+        }
+    }
+
+    // A caller that leaves is noticed while nothing is read from it; pipelined bytes end the watch.
+    void watchForClose()
+    {
+        if (m_buffer.size() > 0 || m_watching)
+            return;
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code status) {
+            self->m_watching = false;
+            if (self->m_closed || self->m_phase != phase::response)
+                return;
+            if (status) {
+                self->close();
+                return;
+            }
+            std::array<char, 1> probe {};
+            boost::system::error_code peeked;
+            self->m_socket.non_blocking(true, peeked);
+            const auto size = self->m_socket.receive(asio::buffer(probe), tcp::socket::message_peek, peeked);
+            if (peeked && peeked != asio::error::would_block)
+                self->close();
+            else if (!peeked && size == 0)
+                self->close();
+        });
+    }
+
+    void flush()
+    {
+        if (m_writeActive || m_closed)
+            return;
+        if (m_pending.empty()) {
+            if (m_responseDone)
+                responseWritten();
+            else if (m_onDrained)
+                m_onDrained();
+            return;
+        }
+        m_writeActive = true;
+        m_writing.swap(m_pending);
+        m_pending.clear();
+        armTimerForWrite();
+        asio::async_write(m_socket, asio::buffer(m_writing), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+            self->m_writeActive = false;
+            self->m_writing.clear();
+            if (self->m_closed)
+                return;
+            if (status) {
+                self->close();
+                return;
+            }
+            self->m_writeStart.reset();
+            self->flush();
+        });
+    }
+
+    // One timer runs for the whole response and looks at the age of the write in progress, since a timer for each
+    // token would cost more than the write.
+    void armTimerForWrite()
+    {
+        m_writeStart = std::chrono::steady_clock::now();
+        if (m_writeTimerArmed)
+            return;
+        m_writeTimerArmed = true;
+        m_timer.expires_after(m_state->limits.writeTimeout);
+        m_timer.async_wait([self = weak_from_this()](boost::system::error_code status) {
+            const auto alive = self.lock();
+            if (!alive)
+                return;
+            alive->m_writeTimerArmed = false;
+            if (status || alive->m_closed || !alive->m_writeStart)
+                return;
+            if (std::chrono::steady_clock::now() - *alive->m_writeStart >= alive->m_state->limits.writeTimeout)
+                alive->close();
+            else
+                alive->armTimerForWrite();
+        });
+    }
+
+    void responseWritten()
+    {
+        m_onDrained = nullptr;
+        m_onClosed = nullptr;
+        if (!m_keepAlive || m_state->stopping) {
+            boost::system::error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            close();
+            return;
+        }
+        if (m_phase != phase::response)
+            return;
+        m_writeTimerArmed = false;
+        readHead(m_state->limits.idleTimeout);
+    }
+
+    enum class phase {
+        head,
+        body,
+        response,
+    };
+
+    std::shared_ptr<http_server::shared_state> m_state;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::size_t m_thread;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    phase m_phase = phase::head;
+    std::uint64_t m_exchange = 0;
+    unsigned m_version = 11;
+    bool m_keepAlive = false;
+    bool m_isHead = false;
+    bool m_started = false;
+    bool m_responseDone = false;
+    bool m_writeActive = false;
+    bool m_writeTimerArmed = false;
+    bool m_watching = false;
+    bool m_closed = false;
+    std::optional<monotonic_time> m_writeStart;
+    std::string m_pending;
+    std::string m_writing;
+    std::function<void()> m_onDrained;
+    std::function<void()> m_onClosed;
+};
+
+connection_responder::~connection_responder()
+{
+    if (m_owner->exchange() == m_exchange && !m_owner->responseDone() && !m_owner->isClosed())
+        m_owner->threads().post(m_owner->thread(), [owner = m_owner, exchange = m_exchange] {
+            if (owner->exchange() == exchange && !owner->responseDone())
+                owner->close();
+        });
+}
+
+void connection_responder::send(http_response response)
+{
+    m_owner->sendWhole(std::move(response));
+}
+void connection_responder::start(unsigned status, std::vector<http_header> headers)
+{
+    m_owner->startChunked(status, headers);
+}
+void connection_responder::write(std::string_view bytes)
+{
+    m_owner->writeChunk(bytes);
+}
+void connection_responder::finish()
+{
+    m_owner->finishChunked();
+}
+void connection_responder::abort()
+{
+    m_owner->close();
+}
+std::size_t connection_responder::pendingBytes() const
+{
+    return m_owner->pendingBytes();
+}
+void connection_responder::onDrained(std::function<void()> handler)
+{
+    m_owner->setOnDrained(std::move(handler));
+}
+void connection_responder::onClosed(std::function<void()> handler)
+{
+    m_owner->setOnClosed(std::move(handler));
+}
+bool connection_responder::closed() const
+{
+    return m_owner->isClosed();
+}
+std::size_t connection_responder::threadIndex() const
+{
+    return m_owner->thread();
+}
+
+void accept(const std::shared_ptr<http_server::shared_state>& state)
+{
+    const auto thread = state->nextThread++ % state->threads.size();
+    state->acceptor.async_accept(state->threads.context(thread), [state, thread](boost::system::error_code status, tcp::socket socket) {
+        if (status == asio::error::operation_aborted || !state->acceptor.is_open())
+            return;
+        if (!status && state->connections < state->limits.maxConnections) {
+            state->threads.post(thread, [client = std::make_shared<connection>(state, std::move(socket), thread)] { client->start(); });
+        }
+        accept(state);
+    });
+}
+
+} // namespace
+
+http_server::http_server(io_threads& threads, http_server_limits limits, http_handler handler)
+    : m_state(std::make_shared<shared_state>(threads, limits, std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    stopAccepting();
+}
+
+std::string http_server::listen(const std::string& address)
+{
+    const auto parsed = parseAddress(address);
+    const tcp::endpoint endpoint(asio::ip::make_address(parsed.ip), parsed.port);
+    try {
+        m_state->acceptor.open(endpoint.protocol());
+        m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_state->acceptor.bind(endpoint);
+        m_state->acceptor.listen(4096);
+    } catch (const boost::system::system_error& failure) {
+        throw error(
+            error_kind::unavailable, "cannot listen on " + address + ": " + failure.code().message(), "choose a free port or port 0");
+    }
+    const auto bound = m_state->acceptor.local_endpoint();
+    accept(m_state);
+    return bound.address().to_string() + ":" + std::to_string(bound.port());
+}
+
+void http_server::stopAccepting()
+{
+    if (m_state->stopping.exchange(true))
+        return;
+    m_state->threads.post(0, [state = m_state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+std::size_t http_server::connections() const
+{
+    return m_state->connections;
+}
+
+} // namespace carawaylink
