--- a/libs/standins/include/standins/engine_model.h
+++ b/libs/standins/include/standins/engine_model.h
@@ -84,6 +84,8 @@
     std::string user;
     std::string prompt;
     std::int64_t maxTokens = 1;
+    /// The answer has the form of chat completions.
+    bool chat = false;
 };
 
 enum class engine_event_kind {
@@ -122,6 +124,8 @@
     /// Execution or task that the event belongs to.
     std::uint64_t number = 0;
     std::string detail;
+    /// Prompt tokens that were computed rather than found in the cache.
+    std::int64_t prefilledTokens = 0;
 };
 
 enum class engine_refusal {
@@ -147,6 +151,7 @@
     std::uint64_t number = 0;
     std::string request;
     std::string user;
+    bool chat = false;
     prompt_blocks prompt;
     std::int64_t maxTokens = 0;
     std::int64_t outputTokens = 0;
--- a/libs/standins/src/engine_model.cpp
+++ b/libs/standins/src/engine_model.cpp
@@ -112,6 +112,7 @@
     execution->prompt = splitPrompt(request.prompt);
     execution->user = request.user.empty() ? request.id : std::move(request.user);
     execution->request = std::move(request.id);
+    execution->chat = request.chat;
     execution->maxTokens = std::max<std::int64_t>(1, request.maxTokens);
     execution->outputTokens
         = std::clamp<std::int64_t>(requestedOutput(request.prompt).value_or(execution->maxTokens), 1, execution->maxTokens);
@@ -400,7 +401,7 @@
 void engine_model::emit(engine_event_kind kind, monotonic_time at, const engine_execution& execution)
 {
     m_events.push_back({ kind, at, execution.request, execution.user, execution.prompt.count.value, execution.cachedTokens,
-        execution.produced, execution.number });
+        execution.produced, execution.number, {}, execution.prefilled - execution.cachedTokens });
 }
 
 std::uint64_t engine_model::addTask(monotonic_time due, task added)
--- a/libs/standins/src/fault_set.cpp
+++ b/libs/standins/src/fault_set.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
+#include <cstdint>
 #include <sstream>
 
 namespace carawaylink {
@@ -49,8 +51,8 @@
     for (const auto& member : document.get_object()) {
         const auto found = std::ranges::find(m_definitions, std::string_view(member.key()), &fault_definition::name);
         if (found == m_definitions.end())
-            throw error(
-                error_kind::invalid_argument, "switch \"" + std::string(member.key()) + "\" does not exist", "GET /faults lists all switches");
+            throw error(error_kind::invalid_argument, "switch \"" + std::string(member.key()) + "\" does not exist",
+                "GET /faults lists all switches");
         values[static_cast<std::size_t>(found - m_definitions.begin())] = readValue(*found, member.value());
     }
     m_values = std::move(values);
@@ -62,6 +64,8 @@
     for (std::size_t i = 0; i < m_definitions.size(); ++i) {
         if (m_definitions[i].kind == fault_kind::flag)
             document[m_definitions[i].name] = m_values[i] != 0;
+        else if (m_values[i] == std::floor(m_values[i]))
+            document[m_definitions[i].name] = static_cast<std::int64_t>(m_values[i]);
         else
             document[m_definitions[i].name] = m_values[i];
     }
--- a/libs/standins/src/prefix_cache.cpp
+++ b/libs/standins/src/prefix_cache.cpp
@@ -19,8 +19,8 @@
 
 bool prefix_cache::acquire(std::span<const std::uint64_t> cachedHashes, std::size_t otherBlocks)
 {
-    const auto idleHits = static_cast<std::size_t>(
-        std::ranges::count_if(cachedHashes, [this](auto hash) { return m_blocks.at(hash).users == 0; }));
+    const auto idleHits
+        = static_cast<std::size_t>(std::ranges::count_if(cachedHashes, [this](auto hash) { return m_blocks.at(hash).users == 0; }));
     if (used() + idleHits + otherBlocks > m_capacity)
         return false;
     // The hits are taken first, so that making room does not evict them.
--- a/libs/standins/src/vm_list_model.cpp
+++ b/libs/standins/src/vm_list_model.cpp
@@ -41,9 +41,8 @@
     const auto seen = m_history.read(m_staleSince.value_or(now) - std::chrono::duration_cast<duration>(lag));
     const double omitted = m_faults.number(vm_list_fault::omit_share);
     std::vector<vm_entry> result;
-    std::ranges::copy_if(seen | std::views::values, std::back_inserter(result), [&](const vm_entry&) {
-        return omitted == 0 || std::uniform_real_distribution<double>(0, 1)(m_random) >= omitted;
-    });
+    std::ranges::copy_if(seen | std::views::values, std::back_inserter(result),
+        [&](const vm_entry&) { return omitted == 0 || std::uniform_real_distribution<double>(0, 1)(m_random) >= omitted; });
     return result;
 }
 
