--- a/libs/standins/src/engine_messages.cpp
+++ b/libs/standins/src/engine_messages.cpp
@@ -7,7 +7,6 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <chrono>
-#include <ranges>
 
 namespace carawaylink {
 
--- a/libs/standins/src/prefix_cache.cpp
+++ b/libs/standins/src/prefix_cache.cpp
@@ -1,7 +1,6 @@
 #include "standins/prefix_cache.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace carawaylink {
 
@@ -46,11 +45,11 @@
 {
     m_room -= otherBlocks;
     // The end of a prompt is shared by fewer prompts than its start, so it becomes the older of the idle blocks.
-    for (const auto hash : std::views::reverse(usedHashes)) {
+    std::for_each(usedHashes.rbegin(), usedHashes.rend(), [this](auto hash) {
         auto& entry = m_blocks.at(hash);
         if (--entry.users == 0)
             entry.idlePosition = m_idle.insert(m_idle.end(), hash);
-    }
+    });
 }
 
 bool prefix_cache::import(std::uint64_t hash)
--- a/libs/standins/src/vm_list_model.cpp
+++ b/libs/standins/src/vm_list_model.cpp
@@ -1,8 +1,5 @@
 #include "standins/vm_list_model.h"
 
-#include <algorithm>
-#include <ranges>
-
 namespace carawaylink {
 
 namespace {
@@ -41,8 +38,10 @@
     const auto seen = m_history.read(m_staleSince.value_or(now) - std::chrono::duration_cast<duration>(lag));
     const double omitted = m_faults.number(vm_list_fault::omit_share);
     std::vector<vm_entry> result;
-    std::ranges::copy_if(seen | std::views::values, std::back_inserter(result),
-        [&](const vm_entry&) { return omitted == 0 || std::uniform_real_distribution<double>(0, 1)(m_random) >= omitted; });
+    for (const auto& [address, entry] : seen) {
+        if (omitted == 0 || std::uniform_real_distribution<double>(0, 1)(m_random) >= omitted)
+            result.push_back(entry);
+    }
     return result;
 }
 
