Close a cut stream only after its tokens were sent

cut_streams_after_tokens aborted right after the write, and the abort dropped unsent bytes: a resumed stream could be cut again before its first token.

--- a/libs/standins/src/engine_server.cpp
+++ b/libs/standins/src/engine_server.cpp
@@ -32,7 +32,10 @@
     /// Next token to write.
     std::int64_t next = 0;
     std::int64_t written = 0;
+    /// Waits until what was written has been sent.
     bool blocked = false;
+    /// Is closed as soon as what was written has been sent.
+    bool cut = false;
 };
 
 /// A poll for cache events that waits for the next one.
@@ -266,6 +269,8 @@
                 entry.answer->send(jsonResponse(200, entry.writer.whole(execution)));
             return execution.finished;
         }
+        if (entry.cut)
+            return closeCut(entry);
         entry.blocked = entry.answer->pendingBytes() > maxPendingBytes;
         if (entry.blocked || (entry.next >= execution.produced && !execution.finished))
             return false;
@@ -284,18 +289,26 @@
             entry.writer.appendToken(buffer, execution, entry.next++);
             ++entry.written;
         }
-        const bool cut = cutAfter > 0 && entry.written >= cutAfter;
-        const bool ended = !cut && execution.finished && entry.next >= execution.produced;
+        entry.cut = cutAfter > 0 && entry.written >= cutAfter;
+        const bool ended = !entry.cut && execution.finished && entry.next >= execution.produced;
         if (ended)
             entry.writer.appendEnd(buffer, execution);
         entry.answer->write(buffer);
-        if (cut)
-            entry.answer->abort();
-        else if (ended)
+        if (entry.cut)
+            return closeCut(entry);
+        entry.blocked = !ended && entry.next < execution.produced;
+        if (ended)
             entry.answer->finish();
-        else
-            entry.blocked = entry.next < execution.produced;
-        return cut || ended;
+        return ended;
+    }
+
+    // An abort drops unsent bytes. Without the wait, a resumed stream could be cut again and again before its first token.
+    static bool closeCut(reader& entry)
+    {
+        entry.blocked = entry.answer->pendingBytes() > 0;
+        if (!entry.blocked)
+            entry.answer->abort();
+        return !entry.blocked;
     }
 
     bool servePoll(monotonic_time now, const event_poll& poll)
