--- a/libs/standins/include/standins/engine_model.h
+++ b/libs/standins/include/standins/engine_model.h
@@ -34,7 +34,7 @@
     duration tokenTimePerSequence = std::chrono::microseconds(250);
     duration minimumIteration {};
     /// Prompt tokens that one iteration prefills at most.
-    std::int64_t prefillChunk = 2048;
+    std::int64_t prefillChunk = 512;
     std::size_t maxRunning = 16;
     std::size_t maxWaiting = 10000;
     /// KV memory, shared by running sequences and cached prompt blocks.
--- a/libs/standins/include/standins/program.h
+++ b/libs/standins/include/standins/program.h
@@ -10,6 +10,8 @@
 
 namespace carawaylink {
 
+inline constexpr auto programVersion = "0.1.0";
+
 /// Options that every stand-in program has.
 struct program_options {
     std::string listen = "127.0.0.1:0";
--- a/libs/standins/src/program.cpp
+++ b/libs/standins/src/program.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr auto version = "0.1.0";
-
 sigset_t stopSignals()
 {
     sigset_t signals;
@@ -26,7 +24,7 @@
 
 void addProgramOptions(CLI::App& app, program_options& options)
 {
-    app.set_version_flag("--version", version);
+    app.set_version_flag("--version", programVersion);
     app.add_option("--listen", options.listen, "ip:port to listen on; port 0 takes a free one")->capture_default_str();
     app.add_option("--seed", options.seed, "Seed of the random faults")->capture_default_str();
     app.add_option("--history", options.history, "File that the history is appended to, as JSON Lines");
--- a/libs/standins/tests/engine_model_tests.cpp
+++ b/libs/standins/tests/engine_model_tests.cpp
@@ -1,4 +1,5 @@
 #include "standins/engine_model.h"
+#include "standins/engine_sweep.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -390,6 +391,32 @@
     EXPECT_EQ(run.model.models(), (ids { "m2", "m1" }));
 }
 
+class engine_sweep : public testing::Test { };
+
+// Guards against figures of the sweep that do not follow from the options of the model.
+TEST_F(engine_sweep, figures_match_the_options_of_the_engine)
+{
+    sweep_cell cell;
+    cell.engine = smallEngine();
+    cell.engine.maxRunning = 1;
+    cell.promptTokens = 640;
+    cell.outputTokens = 11;
+    cell.requests = 4;
+    cell.prefixShare = 0;
+    const auto cold = runSweep(cell);
+    EXPECT_EQ(cold.firstTokenMean, 10ms + 1ms + 640ms);
+    EXPECT_EQ(cold.timePerToken, 11ms);
+    EXPECT_NEAR(cold.outputTokensPerSecond, 11 / 0.761, 0.01);
+    EXPECT_EQ(cold.cacheHitShare, 0);
+    cell.prefixShare = 0.5;
+    cell.prefixes = 1;
+    const auto warm = runSweep(cell);
+    EXPECT_DOUBLE_EQ(warm.cacheHitShare, 0.5 * 3 / 4);
+    EXPECT_EQ(warm.firstTokenP95, cold.firstTokenMean);
+    cell.engine.cacheTokens = 640;
+    EXPECT_EQ(runSweep(cell).refused, 4U);
+}
+
 // Guards against lost or duplicated work, overtaking, and memory that leaks or overflows, under any sequence of calls.
 RC_GTEST_PROP(engine_properties, every_request_ends_once_and_all_memory_is_returned, ())
 {
