--- a/libs/standins/tests/engine_model_tests.cpp
+++ b/libs/standins/tests/engine_model_tests.cpp
@@ -27,6 +27,7 @@
     options.tokenTime = 10ms;
     options.tokenTimePerSequence = 1ms;
     options.prefillTokensPerSecond = 1000;
+    options.prefillChunk = 2048;
     options.maxRunning = 2;
     options.cacheTokens = 64 * 64;
     return options;
