--- a/libs/standins/include/standins/cache_event_feed.h
+++ b/libs/standins/include/standins/cache_event_feed.h
@@ -27,7 +27,8 @@
         std::uint64_t next = 0;
         std::vector<cache_event> events;
     };
-    /// The events from that number on that are at least delay old.
+    /// The events from that number on that are at least delay old. A number that was not reached yet, as after a restart of the
+    /// engine, gives an empty page whose next is smaller.
     page read(monotonic_time now, std::uint64_t from, std::size_t limit, duration delay) const;
     /// When the next event from that number on becomes visible; nothing where none is recorded.
     std::optional<monotonic_time> visibleAt(std::uint64_t from, duration delay) const;
--- a/libs/standins/include/standins/engine_model.h
+++ b/libs/standins/include/standins/engine_model.h
@@ -88,6 +88,27 @@
     bool chat = false;
 };
 
+enum class order_kind {
+    load_model,
+    load_adapter,
+    set_version,
+    set_role,
+};
+
+inline constexpr auto orderKindNames = enumTable<order_kind>({
+    { order_kind::load_model, "load_model" },
+    { order_kind::load_adapter, "load_adapter" },
+    { order_kind::set_version, "set_version" },
+    { order_kind::set_role, "set_role" },
+});
+
+struct engine_order {
+    order_kind kind = order_kind::load_model;
+    std::string name;
+    std::uint64_t fence = 0;
+    std::string id;
+};
+
 enum class engine_event_kind {
     received,
     started,
@@ -123,9 +144,11 @@
     std::int64_t outputTokens = 0;
     /// Execution or task that the event belongs to.
     std::uint64_t number = 0;
+    /// Reason of a refusal; for an order "admitted", "stale_fence" or "done".
     std::string detail;
     /// Prompt tokens that were computed rather than found in the cache.
     std::int64_t prefilledTokens = 0;
+    std::optional<engine_order> order;
 };
 
 enum class engine_refusal {
@@ -180,27 +203,6 @@
     bool leaving = false;
 };
 
-enum class order_kind {
-    load_model,
-    load_adapter,
-    set_version,
-    set_role,
-};
-
-inline constexpr auto orderKindNames = enumTable<order_kind>({
-    { order_kind::load_model, "load_model" },
-    { order_kind::load_adapter, "load_adapter" },
-    { order_kind::set_version, "set_version" },
-    { order_kind::set_role, "set_role" },
-});
-
-struct engine_order {
-    order_kind kind = order_kind::load_model;
-    std::string name;
-    std::uint64_t fence = 0;
-    std::string id;
-};
-
 /// A model engine with continuous batching, in virtual time. Every call first needs advance() to the same time; times never
 /// decrease. Events are collected until takeEvents().
 class engine_model {
@@ -267,6 +269,7 @@
     void forgetExpired(monotonic_time now);
     void recordLoad(monotonic_time at);
     void emit(engine_event_kind kind, monotonic_time at, const engine_execution& execution);
+    void emitOrder(monotonic_time at, const engine_order& order, std::string_view result);
     std::uint64_t addTask(monotonic_time due, task added);
     bool drawn(engine_fault share);
 
--- a/libs/standins/src/cache_event_feed.cpp
+++ b/libs/standins/src/cache_event_feed.cpp
@@ -21,7 +21,7 @@
 
 cache_event_feed::page cache_event_feed::read(monotonic_time now, std::uint64_t from, std::size_t limit, duration delay) const
 {
-    page result { from, {} };
+    page result { std::min(from, m_next), {} };
     for (auto position = firstFrom(from); position != m_entries.end(); ++position) {
         if (position->at + delay > now || result.events.size() == limit)
             break;
--- a/libs/standins/src/engine_messages.cpp
+++ b/libs/standins/src/engine_messages.cpp
@@ -214,10 +214,12 @@
 {
     json::object line { { "source", "engine" }, { "endpoint", endpoint }, { "t_us", 0 }, { "event", engineEventNames.name(event.kind) } };
     line["t_us"] = std::chrono::duration_cast<std::chrono::microseconds>(event.at.time_since_epoch()).count();
-    if (event.kind == engine_event_kind::order) {
-        line["order"] = event.request;
-        line["fence"] = event.number;
-        line["detail"] = event.detail;
+    if (event.order) {
+        line["order"] = event.order->id;
+        line["kind"] = orderKindNames.name(event.order->kind);
+        line["name"] = event.order->name;
+        line["fence"] = event.order->fence;
+        line["result"] = event.detail;
     } else if (event.kind != engine_event_kind::leaving) {
         line["request"] = event.request;
         line["user"] = event.user;
--- a/libs/standins/src/engine_model.cpp
+++ b/libs/standins/src/engine_model.cpp
@@ -221,11 +221,7 @@
     const bool stale = order.fence < m_fence;
     const bool admitted = !stale || !m_faults.on(engine_fault::enforce_fencing);
     m_fence = std::max(m_fence, order.fence);
-    engine_event event { engine_event_kind::order, now };
-    event.request = order.id;
-    event.number = order.fence;
-    event.detail = std::string(orderKindNames.name(order.kind)) + " " + order.name + (admitted ? " admitted" : " stale_fence");
-    m_events.push_back(std::move(event));
+    emitOrder(now, order, admitted ? "admitted" : "stale_fence");
     return admitted;
 }
 
@@ -359,6 +355,7 @@
             m_role = name;
             break;
         }
+        emitOrder(at, *ended.order, "done");
     }
     engine_event event { engine_event_kind::task_done, at };
     event.number = ended.number;
@@ -379,6 +376,8 @@
     m_cache.release(std::span(execution.prompt.hashes).first(execution.usedBlocks), execution.roomBlocks);
     execution.usedBlocks = 0;
     execution.roomBlocks = 0;
+    // Kept executions would otherwise hold up to 2 KB of hashes each.
+    execution.prompt.hashes = {};
 }
 
 void engine_model::forgetExpired(monotonic_time now)
@@ -404,6 +403,14 @@
         execution.produced, execution.number, {}, execution.prefilled - execution.cachedTokens });
 }
 
+void engine_model::emitOrder(monotonic_time at, const engine_order& order, std::string_view result)
+{
+    engine_event event { engine_event_kind::order, at };
+    event.detail = result;
+    event.order = order;
+    m_events.push_back(std::move(event));
+}
+
 std::uint64_t engine_model::addTask(monotonic_time due, task added)
 {
     added.number = m_nextTask++;
--- a/libs/standins/src/engine_server.cpp
+++ b/libs/standins/src/engine_server.cpp
@@ -111,6 +111,7 @@
         const auto id = request.header("X-Request-Id");
         call.request.id = id ? std::string(*id) : "engine-" + std::to_string(++generatedIds);
         const auto submitted = model.submit(now, std::move(call.request));
+        takeEvents();
         if (submitted.refusal != engine_refusal::none) {
             answer->send(refusalAnswer(submitted.refusal));
             return;
@@ -160,6 +161,7 @@
             answer->send(errorAnswer(404, "unknown_stream", "no output is kept for this request id"));
         } else if (request.method == "DELETE") {
             const bool cancelled = model.cancel(now, id);
+            takeEvents();
             answer->send(jsonResponse(200, cancelled ? R"({"cancelled":true})" : R"({"cancelled":false})"));
         } else if (request.method == "GET") {
             addReader(execution, answer, true, static_cast<std::int64_t>(queryNumber(request, "from")));
@@ -176,7 +178,9 @@
     void order(monotonic_time now, const http_request& request, const reply_pointer& answer)
     {
         const auto received = readOrder(request.body);
-        if (!model.admitOrder(now, received)) {
+        const bool admitted = model.admitOrder(now, received);
+        takeEvents();
+        if (!admitted) {
             auto response = errorAnswer(409, "stale_fence", "the engine has seen fence " + std::to_string(model.fence()));
             answer->send(std::move(response));
             return;
@@ -223,6 +227,7 @@
     void leave(monotonic_time now, const reply_pointer& answer)
     {
         model.leave(now);
+        takeEvents();
         answer->send(jsonResponse(200, R"({"leaving":true})"));
     }
 
@@ -239,6 +244,7 @@
         armTimer(now);
     }
 
+    /// Writes the history; called before an answer is sent, so that a caller that has the answer finds its lines.
     void takeEvents()
     {
         for (const auto& event : model.takeEvents()) {
@@ -316,7 +322,7 @@
         if (poll.answer->closed())
             return true;
         const auto page = model.cacheEvents(now, poll.from, maxCacheEventsPerAnswer);
-        if (page.events.empty() && now < poll.deadline)
+        if (page.events.empty() && page.next >= poll.from && now < poll.deadline)
             return false;
         poll.answer->send(jsonResponse(200, writeCacheEvents(page)));
         return true;
--- a/libs/standins/tests/engine_server_tests.cpp
+++ b/libs/standins/tests/engine_server_tests.cpp
@@ -212,6 +212,8 @@
     EXPECT_EQ(loaded.response.status, 200U);
     EXPECT_THAT(loaded.response.body, HasSubstr(R"("model":"big")"));
     EXPECT_EQ(client.send(address, order("4")).response.status, 409U);
+    EXPECT_EQ(count(history.text(), R"("order":"o","kind":"load_model","name":"big","fence":5,"result":"done")"), 1U);
+    EXPECT_EQ(count(history.text(), R"("order":"o","kind":"load_model","name":"big","fence":4,"result":"stale_fence")"), 1U);
     limits.weightLoads = 0;
     log_server busyStore(limits, history.writer());
     options.weightStore = busyStore.listen("127.0.0.1:0");
@@ -235,6 +237,7 @@
     client.send(address, { "POST", "/v1/completions", {}, R"({"prompt":")" + prompt + R"(","max_tokens":1})" });
     const auto events = client.send(address, { "GET", "/cache/events?from=0&wait_ms=1000" }).response.body;
     EXPECT_THAT(events, HasSubstr(R"({"next":1,"events":[{"seq":0,"hash":")"));
+    EXPECT_EQ(client.send(address, { "GET", "/cache/events?from=9&wait_ms=5000" }, 1s).response.body, R"({"next":1,"events":[]})");
     const auto hash = events.substr(events.find("hash") + 7, 16);
     const auto body = R"({"hashes":[")" + hash + R"("]})";
     EXPECT_EQ(client.send(address, { "POST", "/kv/export", {}, body }).response.body, body);
