--- a/libs/load/src/generator.cpp
+++ b/libs/load/src/generator.cpp
@@ -11,7 +11,10 @@
 
 constexpr double unlimited = 1e9;
 
-std::chrono::milliseconds seconds(double value) { return std::chrono::milliseconds(std::llround(value * 1000)); }
+std::chrono::milliseconds seconds(double value)
+{
+    return std::chrono::milliseconds(std::llround(value * 1000));
+}
 
 /// Log-normal around a median; values outside the bounds are drawn again, so that no mass piles up at a bound.
 class length_distribution {
--- a/libs/load/src/history.cpp
+++ b/libs/load/src/history.cpp
@@ -112,11 +112,15 @@
     }
 }
 
-void history::sort() { std::ranges::stable_sort(m_records, {}, &history_record::timeUs); }
+void history::sort()
+{
+    std::ranges::stable_sort(m_records, {}, &history_record::timeUs);
+}
 
 std::string callerLine(const history_record& record)
 {
-    boost::json::object object { { "source", historySourceNames.name(record.source) }, { "event", record.event }, { "t_us", record.timeUs } };
+    boost::json::object object { { "source", historySourceNames.name(record.source) }, { "event", record.event },
+        { "t_us", record.timeUs } };
     const auto text = [&](std::string_view key, const std::string& value) {
         if (!value.empty())
             object[key] = value;
--- a/libs/load/src/prompt.cpp
+++ b/libs/load/src/prompt.cpp
@@ -24,7 +24,10 @@
     }
 }
 
-std::uint64_t hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
 
 } // namespace
 
--- a/libs/load/src/replay.cpp
+++ b/libs/load/src/replay.cpp
@@ -26,6 +26,10 @@
         parseAddress(address);
     if (settings.threads < 1 || settings.threads > 64)
         throw error(error_kind::invalid_argument, "threads must be from 1 to 64", "correct --threads");
+    const auto plainCharacter
+        = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'; };
+    if (settings.runId.empty() || !std::ranges::all_of(settings.runId, plainCharacter))
+        throw error(error_kind::invalid_argument, "run id \"" + settings.runId + "\" must be letters, digits, - and _", "correct --run-id");
     if (!(settings.speed > 0))
         throw error(error_kind::invalid_argument, "speed must be above 0", "correct --speed");
 }
--- a/libs/load/src/replay_driver.cpp
+++ b/libs/load/src/replay_driver.cpp
@@ -5,6 +5,8 @@
 #include "load/prompt.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
 
 namespace carawaylink {
 namespace {
@@ -21,7 +23,10 @@
 // A lookup may be repeated once, so that a call costs the fleet at most twice its offered load.
 constexpr int lookupRetries = 1;
 
-std::int64_t sinceUs(monotonic_time start, monotonic_time now) { return duration_cast<microseconds>(now - start).count(); }
+std::int64_t sinceUs(monotonic_time start, monotonic_time now)
+{
+    return duration_cast<microseconds>(now - start).count();
+}
 
 } // namespace
 
@@ -77,6 +82,8 @@
 {
 }
 
+replay_driver::~replay_driver() = default;
+
 void replay_driver::start(monotonic_time origin, std::function<void()> onDone)
 {
     m_origin = origin;
@@ -135,6 +142,10 @@
 
 void replay_driver::proceed(const call_pointer& call)
 {
+    if (m_abandoned) {
+        closeUnsent(call);
+        return;
+    }
     auto& team = *call->team;
     const auto now = std::chrono::steady_clock::now();
     const bool needsTicket = !call->trace->idempotent && !call->ticket;
@@ -143,13 +154,7 @@
         refreshEntry(team, m_settings.entry.size() + team.cache.addressCount());
     if (!team.cache.usable(now) || !stocked) {
         if (now >= call->deadline()) {
-            auto record = outcomeOf(*call);
-            record.event = "broken";
-            record.reason = "no_entry";
-            record.ran = call->ticketUsed ? "unknown" : "no";
-            record.sent = call->ticketUsed;
-            m_writer.write(callerLine(record));
-            finish(call);
+            closeUnsent(call);
             return;
         }
         team.waiting.push_back(call);
@@ -175,6 +180,17 @@
         sendModelCall(call);
 }
 
+void replay_driver::closeUnsent(const call_pointer& call)
+{
+    auto record = outcomeOf(*call);
+    record.event = "broken";
+    record.reason = "no_entry";
+    record.ran = call->ticketUsed ? "unknown" : "no";
+    record.sent = call->ticketUsed;
+    m_writer.write(callerLine(record));
+    finish(call);
+}
+
 void replay_driver::addCallerHeaders(const active_call& call, http_request& request) const
 {
     const auto left = duration_cast<milliseconds>(call.deadline() - std::chrono::steady_clock::now()).count();
@@ -198,9 +214,10 @@
 {
     http_request request { "POST", "/v1/completions", { { "Content-Type", "application/json" } }, {} };
     addCallerHeaders(*call, request);
-    // Names and prompts hold no character that JSON escapes.
-    request.body = R"({"model":")" + call->trace->service.value + R"(","prompt":")" + buildPrompt(*call->trace, call->id)
-        + R"(","max_tokens":)" + std::to_string(call->trace->output.value) + R"(,"stream":true,"user":")" + call->id + R"("})";
+    // Prompts and call ids hold no character that JSON escapes; serializing them would double the cost of a call.
+    request.body = R"({"model":)" + boost::json::serialize(call->trace->service.value) + R"(,"prompt":")"
+        + buildPrompt(*call->trace, call->id) + R"(","max_tokens":)" + std::to_string(call->trace->output.value)
+        + R"(,"stream":true,"user":")" + call->id + R"("})";
     call->answer = std::make_unique<answer_checker>(call->id, [this, raw = call.get()] { noteToken(*raw); });
     http_stream_handlers handlers;
     handlers.onHead = [call](const http_response& head) {
@@ -230,8 +247,8 @@
     request.headers.push_back({ "X-Call-Id", call->id });
     addCallerHeaders(*call, request);
     const auto options = optionsFor(*call);
-    call->connection = m_client.send(
-        call->address, std::move(request), options, [this, call](const http_result& result) { plainDone(call, result); });
+    call->connection
+        = m_client.send(call->address, std::move(request), options, [this, call](const http_result& result) { plainDone(call, result); });
 }
 
 void replay_driver::noteToken(active_call& call)
@@ -351,13 +368,18 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto& cache = call.team->cache;
-    if (record.event == "broken" && !record.sent)
+    const bool unsent = record.event == "broken" && !record.sent;
+    if (unsent) {
         cache.connectFailed(call.address, now);
-    else if (call.ticket)
+        // A ticket that no node has seen is replaced: its home is probably the node that failed.
+        if (!call.ticketUsed)
+            call.ticket.reset();
+    } else if (call.ticket) {
         call.ticketUsed = true;
+    }
     if (record.event == "answered" || now >= call.deadline())
         return false;
-    if (record.event == "broken" && !record.sent)
+    if (unsent)
         return ++call.connectFailures <= cache.addressCount();
     const auto repeated = call.attempt - static_cast<std::int64_t>(call.connectFailures);
     if (record.event == "broken") {
@@ -370,6 +392,8 @@
     const bool elsewhere = record.reason == "draining" || record.reason.starts_with("ticket");
     if (record.ran != "no" || !elsewhere || repeated > m_settings.retries)
         return false;
+    if (record.reason == "draining")
+        cache.connectFailed(call.address, now);
     if (call.ticket) {
         cache.dropTickets(call.ticket->issuer);
         call.ticket.reset();
@@ -391,8 +415,10 @@
         return;
     team.refreshing = true;
     const auto address = team.cache.nextEntry(std::chrono::steady_clock::now());
-    const auto wanting = std::ranges::count_if(team.waiting, [](const call_pointer& call) { return !call->trace->idempotent && !call->ticket; });
-    const auto missing = m_settings.ticketStock + static_cast<std::size_t>(wanting) - std::min(m_settings.ticketStock, team.cache.ticketCount());
+    const auto wanting
+        = std::ranges::count_if(team.waiting, [](const call_pointer& call) { return !call->trace->idempotent && !call->ticket; });
+    const auto missing
+        = m_settings.ticketStock + static_cast<std::size_t>(wanting) - std::min(m_settings.ticketStock, team.cache.ticketCount());
     http_request request;
     request.target = "/v1/entry?tickets=" + std::to_string(std::min(missing, mostTicketsPerRequest));
     request.headers.push_back({ "Authorization", "Bearer " + team.key });
@@ -475,15 +501,8 @@
         std::ranges::move(team->waiting, std::back_inserter(waiting));
         team->waiting.clear();
     }
-    for (const auto& call : waiting) {
-        auto record = outcomeOf(*call);
-        record.event = "broken";
-        record.reason = "no_entry";
-        record.ran = call->ticketUsed ? "unknown" : "no";
-        record.sent = call->ticketUsed;
-        m_writer.write(callerLine(record));
-        finish(call);
-    }
+    for (const auto& call : waiting)
+        closeUnsent(call);
     const std::vector<call_pointer> open(m_open.begin(), m_open.end());
     for (const auto& call : open) {
         if (call->connection)
--- a/libs/load/src/replay_driver.h
+++ b/libs/load/src/replay_driver.h
@@ -23,6 +23,9 @@
 public:
     replay_driver(boost::asio::io_context& context, const replay_settings& settings, const std::vector<trace_call>& calls,
         history_writer& writer, std::size_t index);
+    ~replay_driver();
+    replay_driver(const replay_driver&) = delete;
+    replay_driver& operator=(const replay_driver&) = delete;
 
     /// Starts playing; onDone is called once, when the last call of this thread has ended.
     void start(monotonic_time origin, std::function<void()> onDone);
@@ -41,6 +44,7 @@
     void playDue();
     void begin(std::size_t index);
     void proceed(const call_pointer& call);
+    void closeUnsent(const call_pointer& call);
     void sendModelCall(const call_pointer& call);
     void sendPlainCall(const call_pointer& call);
     void addCallerHeaders(const active_call& call, http_request& request) const;
