--- a/libs/load/include/load/history.h
+++ b/libs/load/include/load/history.h
@@ -85,6 +85,13 @@
 /// Merged histories, sorted by time.
 class history {
 public:
+    history() = default;
+    // A copy would hold lines of the original.
+    history(const history&) = delete;
+    history& operator=(const history&) = delete;
+    history(history&&) = default;
+    history& operator=(history&&) = default;
+
     /// Throws error(not_found) or error(invalid_argument) naming file and line. A last line without line end is ignored,
     /// since a killed process leaves one.
     static history read(const std::vector<std::string>& paths);
--- a/libs/load/src/replay_driver.cpp
+++ b/libs/load/src/replay_driver.cpp
@@ -342,7 +342,6 @@
         record.event = "answered";
         record.whole = true;
         record.own = bodyNamesCall(result.response.body, call->id);
-        record.firstTokenUs = record.latencyUs;
     } else {
         const auto refusal = readRefusal(result.response.body);
         record.event = "refused";
