Add figures, expected outcomes and an HTML report to carawaylink-load

Cause: a run has to be judged by goodput, wasted prefill, fairness and latency, not only by the promises.

--- /dev/null
+++ b/libs/load/include/load/fairness.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "load/outcomes.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawaylink {
+
+/// Jain index of numbers: 1 where all are equal, 1/n where one has everything. Nothing for fewer than two numbers.
+std::optional<double> jainIndex(const std::vector<double>& values);
+
+/// Jain index of the teams' service rates while backlogged, each divided by the team's weight (1 where it has none).
+/// Teams are compared per service and tier in windows of 1 s in which at least two teams had a request waiting for 90% of
+/// the window; the indexes of services and tiers are averaged by served tokens. Waiting is queued-to-granted in the nodes'
+/// histories, or arrival to first token where there are none. Served tokens are prompt and output tokens.
+std::optional<double> weightedJain(
+    const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights);
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/load/src/fairness.cpp
@@ -0,0 +1,153 @@
+#include "load/fairness.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <unordered_map>
+
+namespace carawaylink {
+namespace {
+
+constexpr std::int64_t windowUs = 1'000'000;
+constexpr std::int64_t backloggedUs = 900'000;
+
+using interval = std::pair<std::int64_t, std::int64_t>;
+
+struct team_service {
+    std::vector<interval> waiting;
+    std::map<std::int64_t, double> served;
+};
+using group_key = std::pair<std::string, std::int64_t>;
+using team_map = std::map<std::string, team_service>;
+using group_map = std::map<group_key, team_map>;
+
+/// Splits an interval at the window bounds and passes (window, length) of each part.
+template <typename Visit> void forEachWindow(interval span, Visit visit)
+{
+    for (auto from = span.first; from < span.second;) {
+        const auto window = from / windowUs;
+        const auto until = std::min(span.second, (window + 1) * windowUs);
+        visit(window, until - from);
+        from = until;
+    }
+}
+
+std::map<std::int64_t, std::int64_t> coverage(std::vector<interval> intervals)
+{
+    std::ranges::sort(intervals);
+    std::map<std::int64_t, std::int64_t> result;
+    std::int64_t covered = 0;
+    for (auto [from, until] : intervals) {
+        from = std::max(from, covered);
+        forEachWindow({ from, until }, [&](std::int64_t window, std::int64_t length) { result[window] += length; });
+        covered = std::max(covered, until);
+    }
+    return result;
+}
+
+bool addNodeWaiting(const history& merged, group_map& groups)
+{
+    std::unordered_map<std::string_view, const history_record*> queued;
+    bool any = false;
+    for (const auto& record : merged.records()) {
+        if (record.source != history_source::node || record.request.empty())
+            continue;
+        if (record.event == "queued") {
+            queued.emplace(record.request, &record);
+            any = true;
+        } else if (const auto found = queued.find(record.request); found != queued.end()) {
+            const auto& begin = *found->second;
+            groups[{ begin.service, begin.tier }][begin.team].waiting.emplace_back(begin.timeUs, record.timeUs);
+            queued.erase(found);
+        }
+    }
+    return any;
+}
+
+void addServed(const std::vector<call_outcome>& outcomes, group_map& groups)
+{
+    for (const auto& outcome : outcomes) {
+        if (outcome.firstTokenUs < 0)
+            continue;
+        auto& served = groups[{ outcome.service, outcome.tier }][outcome.team].served;
+        const auto first = outcome.arrivalUs + outcome.firstTokenUs;
+        served[first / windowUs] += static_cast<double>(outcome.promptTokens);
+        const auto length = static_cast<double>(std::max<std::int64_t>(1, outcome.endUs - first));
+        forEachWindow({ first, std::max(outcome.endUs, first + 1) }, [&](std::int64_t window, std::int64_t part) {
+            served[window] += static_cast<double>(outcome.tokens) * static_cast<double>(part) / length;
+        });
+    }
+}
+
+struct group_result {
+    std::optional<double> index;
+    double served = 0;
+};
+
+group_result measureGroup(const team_map& teams, const std::map<std::string, double>& weights)
+{
+    std::map<std::int64_t, std::vector<std::string>> backlogged;
+    for (const auto& [team, service] : teams) {
+        for (const auto& [window, length] : coverage(service.waiting)) {
+            if (length >= backloggedUs)
+                backlogged[window].push_back(team);
+        }
+    }
+    std::map<std::string, std::pair<double, std::int64_t>> shares;
+    group_result result;
+    for (const auto& [window, names] : backlogged) {
+        if (names.size() < 2)
+            continue;
+        for (const auto& name : names) {
+            const auto& served = teams.at(name).served;
+            const auto found = served.find(window);
+            const auto amount = found == served.end() ? 0.0 : found->second;
+            shares[name].first += amount;
+            ++shares[name].second;
+            result.served += amount;
+        }
+    }
+    std::vector<double> rates;
+    for (const auto& [name, share] : shares) {
+        const auto weight = weights.find(name);
+        rates.push_back(share.first / static_cast<double>(share.second) / (weight == weights.end() ? 1.0 : weight->second));
+    }
+    result.index = jainIndex(rates);
+    return result;
+}
+
+} // namespace
+
+std::optional<double> jainIndex(const std::vector<double>& values)
+{
+    const auto sum = std::accumulate(values.begin(), values.end(), 0.0);
+    const auto squares = std::inner_product(values.begin(), values.end(), values.begin(), 0.0);
+    if (values.size() < 2 || squares <= 0)
+        return std::nullopt;
+    return sum * sum / (static_cast<double>(values.size()) * squares);
+}
+
+std::optional<double> weightedJain(
+    const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights)
+{
+    group_map groups;
+    if (!addNodeWaiting(merged, groups)) {
+        for (const auto& outcome : outcomes) {
+            const auto until = outcome.firstTokenUs < 0 ? outcome.endUs : outcome.arrivalUs + outcome.firstTokenUs;
+            groups[{ outcome.service, outcome.tier }][outcome.team].waiting.emplace_back(outcome.arrivalUs, until);
+        }
+    }
+    addServed(outcomes, groups);
+    double sum = 0;
+    double served = 0;
+    for (const auto& [key, teams] : groups) {
+        const auto group = measureGroup(teams, weights);
+        if (!group.index)
+            continue;
+        sum += *group.index * group.served;
+        served += group.served;
+    }
+    return served > 0 ? std::optional(sum / served) : std::nullopt;
+}
+
+} // namespace carawaylink
--- a/tools/carawaylink-load/main.cpp
+++ b/tools/carawaylink-load/main.cpp
@@ -15,6 +15,9 @@
     int status = 0;
     addGenerateCommand(app, status);
     addRunCommand(app, status);
+    addCheckCommand(app, status);
+    addSummaryCommand(app, status);
+    addReportCommand(app, status);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& failure) {
--- a/tools/carawaylink-load/run_command.cpp
+++ b/tools/carawaylink-load/run_command.cpp
@@ -1,35 +1,29 @@
 #include "commands.h"
 
-#include "base/error.h"
+#include "load/metrics.h"
 #include "load/replay.h"
 
 #include <CLI/CLI.hpp>
-#include <iostream>
 #include <memory>
+#include <sstream>
 
 namespace carawaylink {
 namespace {
 
-struct run_options {
+struct run_options : summary_options {
     replay_settings replay;
     std::string trace;
     std::string historyPath = "load-history.jsonl";
     std::vector<std::string> plain;
     std::vector<std::string> keys;
+    std::vector<std::string> with;
     std::int64_t patienceMs = 5000;
     std::int64_t drainMs = 60000;
 };
 
-std::pair<std::string, std::string> splitPair(const std::string& text, const std::string& option)
-{
-    const auto equals = text.find('=');
-    if (equals == 0 || equals == std::string::npos)
-        throw error(error_kind::invalid_argument, option + " " + text + " is not NAME=VALUE", "write " + option + " NAME=VALUE");
-    return { text.substr(0, equals), text.substr(equals + 1) };
-}
-
-void run(run_options& options)
+int run(run_options& options)
 {
+    const auto weights = readWeights(options.weights);
     auto& settings = options.replay;
     settings.plainServices = { options.plain.begin(), options.plain.end() };
     for (const auto& text : options.keys)
@@ -41,14 +35,17 @@
         settings.runId = "r" + std::to_string(historyTimeUs());
     history_writer writer(options.historyPath);
     const auto totals = replayTrace(settings, calls, writer);
-    std::cout << "load offered=" << totals.offered << " abandoned=" << totals.abandoned << " tokens=" << totals.tokens
-              << " largest_lag_ms=" << static_cast<double>(totals.largestLag.count()) / 1000
-              << " elapsed_s=" << static_cast<double>(totals.elapsed.count()) / 1e6 << '\n';
+    std::ostringstream extra;
+    extra << "abandoned=" << totals.abandoned << " largest_lag_ms=" << static_cast<double>(totals.largestLag.count()) / 1000
+          << " tokens_read=" << totals.tokens << " elapsed_s=" << static_cast<double>(totals.elapsed.count()) / 1e6;
+    auto files = options.with;
+    files.push_back(options.historyPath);
+    return printSummary(measureLoad(history::read(files), weights), options, extra.str());
 }
 
 } // namespace
 
-void addRunCommand(CLI::App& app, int&)
+void addRunCommand(CLI::App& app, int& status)
 {
     auto* command = app.add_subcommand("run", "Replay a trace against a fleet, open-loop");
     const auto options = std::make_shared<run_options>();
@@ -66,7 +63,9 @@
     command->add_option("--patience-ms", options->patienceMs, "Time after the deadline before a silent connection is given up")
         ->capture_default_str();
     command->add_option("--drain-ms", options->drainMs, "Longest wait for open calls after the last arrival")->capture_default_str();
-    command->callback([options] { run(*options); });
+    command->add_option("--with", options->with, "History of an engine or node to include in the figures; repeatable");
+    addSummaryOptions(*command, *options);
+    command->callback([options, &status] { status = run(*options); });
 }
 
 } // namespace carawaylink
