--- /dev/null
+++ b/libs/crypto/tests/digest_tests.cpp
@@ -0,0 +1,33 @@
+#include "crypto/digest.h"
+
+#include <gtest/gtest.h>
+
+namespace carawaylink {
+namespace {
+
+class digests : public testing::Test { };
+
+// Guards against keys in the configuration that no other tool's SHA-256 would match (FIPS 180-2, appendix B.1).
+TEST_F(digests, standard_text_gives_the_published_sha256)
+{
+    EXPECT_EQ(sha256Hex("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+// Guards against a MAC that differs from HMAC-SHA256 (RFC 4231, test case 2).
+TEST_F(digests, standard_key_gives_the_published_hmac)
+{
+    const auto mac = hmacSha256("Jefe", "what do ya want for nothing?");
+    EXPECT_EQ(mac[0], 0x5b);
+    EXPECT_EQ(mac[31], 0x43);
+}
+
+// Guards against a shorter or altered secret passing the comparison.
+TEST_F(digests, different_texts_are_unequal)
+{
+    EXPECT_TRUE(equalInConstantTime("secret", "secret"));
+    EXPECT_FALSE(equalInConstantTime("secret", "secres"));
+    EXPECT_FALSE(equalInConstantTime("secret", "secre"));
+}
+
+} // namespace
+} // namespace carawaylink
--- a/libs/http/include/http/message.h
+++ b/libs/http/include/http/message.h
@@ -15,6 +15,10 @@
 /// Returns the value of the first header with that name, letter case ignored; nothing where there is none.
 std::optional<std::string_view> findHeader(const std::vector<http_header>& headers, std::string_view name);
 
+/// True for headers that concern one connection or the framing of one message and are not passed on: Connection, Host,
+/// Content-Length, Transfer-Encoding, Keep-Alive.
+bool isConnectionHeader(const http_header& header);
+
 struct http_request {
     std::string method = "GET";
     /// Path and query.
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
@@ -38,6 +39,12 @@
     return found == headers.end() ? std::nullopt : std::optional<std::string_view>(found->value);
 }
 
+bool isConnectionHeader(const http_header& header)
+{
+    constexpr std::array<std::string_view, 5> names { "Connection", "Host", "Content-Length", "Transfer-Encoding", "Keep-Alive" };
+    return std::ranges::any_of(names, [&](std::string_view name) { return boost::beast::iequals(name, header.name); });
+}
+
 std::string_view http_request::path() const
 {
     return std::string_view(target).substr(0, target.find('?'));
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -342,8 +342,8 @@
         if (m_pending.empty()) {
             if (m_responseDone)
                 responseWritten();
-            else if (m_onDrained)
-                m_onDrained();
+            else if (const auto handler = m_onDrained) // a copy, since the handler may close the connection
+                handler();
             return;
         }
         m_writeActive = true;
--- /dev/null
+++ b/libs/node/src/dispatch_control.cpp
@@ -0,0 +1,591 @@
+#include "dispatch_control.h"
+
+#include "base/error.h"
+#include "base/log.h"
+#include "wire_values.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace carawaylink {
+
+namespace {
+
+constexpr auto resendInterval = std::chrono::seconds(2);
+constexpr auto rejectedRetry = std::chrono::milliseconds(100);
+// An owner answers before the deadline; this long after it the home stops waiting for a lost answer.
+constexpr auto deadlineGrace = std::chrono::milliseconds(250);
+constexpr std::size_t maxRecords = 65536;
+constexpr std::size_t maxRecordBytes = 16U << 20;
+
+refusal notRun(unsigned status, std::string type, std::string message, std::string remedy, duration retryAfter = {})
+{
+    return { status, std::move(type), std::move(message), ran_state::no, std::move(remedy), retryAfter };
+}
+
+refusal unknownResult(std::string message)
+{
+    return { 503, "unknown_result", std::move(message), ran_state::unknown,
+        "check whether the request took effect before sending it with a new ticket", {} };
+}
+
+scheduling_request toSchedulingRequest(const dispatch_request& request, const node_id& home)
+{
+    return { request.id, home, request.team, request.level, request.promptTokens, request.maxOutputTokens, request.arrival, request.deadline,
+        request.nonIdempotent, request.prefixBlocks };
+}
+
+refusal fromOwner(const slot_refusal& refused)
+{
+    const bool overload = refused.reason != refusal_reason::no_endpoint && refused.reason != refusal_reason::unavailable;
+    return notRun(overload ? 429 : 503, std::string(refusalReasonNames.name(refused.reason)), refused.message,
+        "send the request again after retry_after_ms, with a later deadline or less work", refused.retryAfter);
+}
+
+bool isCapacityReason(refusal_reason reason)
+{
+    return reason == refusal_reason::deadline_unreachable || reason == refusal_reason::queue_full || reason == refusal_reason::displaced
+        || reason == refusal_reason::no_endpoint;
+}
+
+} // namespace
+
+wire::slot_requestT encodeSlotRequest(const dispatch_request& request, const pool_id& pool, monotonic_time now)
+{
+    wire::slot_requestT message;
+    message.request = encodeKey(request.id);
+    message.service = request.service.value;
+    message.team = request.team.value;
+    message.tier = request.level.value;
+    message.prompt_tokens = request.promptTokens.value;
+    message.max_output_tokens = request.maxOutputTokens.value;
+    message.deadline_in_ms = encodeMilliseconds(request.deadline - now);
+    message.waited_ms = encodeMilliseconds(now - request.arrival);
+    message.non_idempotent = request.nonIdempotent;
+    message.prefix_blocks = request.prefixBlocks;
+    message.pool = pool.number;
+    return message;
+}
+
+scheduling_request decodeSlotRequest(const wire::slot_requestT& message, const node_id& home, monotonic_time now)
+{
+    scheduling_request request;
+    request.id = decodeKey(message.request);
+    request.home = home;
+    request.team = team_id(message.team);
+    request.level = tier(message.tier);
+    request.promptTokens = tokens(std::max<std::int64_t>(0, message.prompt_tokens));
+    request.maxOutputTokens = tokens(std::max<std::int64_t>(0, message.max_output_tokens));
+    request.arrival = now - std::chrono::milliseconds(message.waited_ms);
+    request.deadline = now + std::chrono::milliseconds(message.deadline_in_ms);
+    request.nonIdempotent = message.non_idempotent;
+    request.prefixBlocks = message.prefix_blocks;
+    return request;
+}
+
+dispatch_control::dispatch_control(process_identity self, pool_host& host, peer_mesh& mesh, ticket_service& tickets, history& record)
+    : m_self(std::move(self))
+    , m_host(host)
+    , m_mesh(mesh)
+    , m_tickets(tickets)
+    , m_history(record)
+    , m_view(std::make_shared<const fleet_view>())
+{
+}
+
+dispatch_control::~dispatch_control() = default;
+
+std::size_t dispatch_control::dispatchedRequests() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_pending, [](const auto& entry) { return entry.second.at == stage::dispatched; }));
+}
+
+void dispatch_control::update(monotonic_time now, std::shared_ptr<const fleet_view> view, const endpoint_directory& directory)
+{
+    m_view = std::move(view);
+    const auto before = std::move(m_poolOwners);
+    m_poolOwners.clear();
+    for (const auto& [id, endpoints] : computePools(*m_view, directory))
+        m_poolOwners[id.service].emplace_back(id, poolOwner(id, m_view->members));
+    for (const auto& [service, pools] : m_poolOwners) {
+        const auto previous = before.find(service);
+        for (const auto& pool : pools) {
+            const bool same = previous != before.end() && std::ranges::find(previous->second, pool) != previous->second.end();
+            if (same || !pool.second)
+                continue;
+            for (auto& [id, entry] : m_pending) {
+                if (entry.pool == pool.first)
+                    entry.owner = pool.second;
+            }
+            sendSync(now, *pool.second, pool.first);
+        }
+    }
+}
+
+void dispatch_control::acquire(monotonic_time now, dispatch_request request, dispatch_callback callback)
+{
+    if (request.ticket.empty())
+        enqueue(now, std::move(request), std::move(callback), std::nullopt);
+    else
+        acquireWithTicket(now, std::move(request), std::move(callback));
+}
+
+void dispatch_control::acquireWithTicket(monotonic_time now, dispatch_request request, dispatch_callback callback)
+{
+    ticket value;
+    try {
+        value = m_tickets.open(request.ticket);
+    } catch (const error& failure) {
+        callback(notRun(400, "invalid_ticket", failure.message(), "use a ticket exactly as GET /v1/entry?tickets=1 returned it"));
+        return;
+    }
+    if (value.home != m_self) {
+        acquireForeign(value, request, std::move(callback));
+        return;
+    }
+    const auto result = m_tickets.home().claimTicket(now, value, request.id);
+    switch (result.result) {
+    case claim_result::granted:
+        enqueue(now, std::move(request), std::move(callback), value);
+        break;
+    case claim_result::attach:
+        attach(result, value, std::move(callback));
+        break;
+    case claim_result::closed:
+        callback(notRun(409, "ticket_closed", "the ticket was closed before its request ran", "get a new ticket from GET /v1/entry?tickets=1"));
+        break;
+    case claim_result::unknown:
+    case claim_result::foreign:
+        callback(unknownResult("the ticket is no longer remembered by its home"));
+        break;
+    }
+}
+
+void dispatch_control::attach(const claim& holder, const ticket& value, dispatch_callback callback)
+{
+    const auto pending = m_pending.find(holder.holder);
+    if (pending != m_pending.end()) {
+        auto& entry = pending->second;
+        if (entry.at == stage::dispatched && !entry.request.plainService)
+            callback(attach_to_engine { holder.holder, entry.endpoint });
+        else
+            entry.attached.push_back(std::move(callback));
+        return;
+    }
+    const auto record = m_records.find(value);
+    if (record == m_records.end())
+        callback(unknownResult("the answer of the earlier request with this ticket is no longer kept"));
+    else if (!record->second.plainService)
+        callback(attach_to_engine { record->second.holder, record->second.endpoint });
+    else if (record->second.answer)
+        callback(*record->second.answer);
+    else
+        callback(unknownResult("the service's answer to the earlier request with this ticket was lost"));
+}
+
+void dispatch_control::acquireForeign(const ticket& value, const dispatch_request& request, dispatch_callback callback)
+{
+    const auto home = std::ranges::find(m_view->members, value.home.node, &member_update::node);
+    const bool homeLives = home != m_view->members.end() && home->run == value.home.run && home->state == member_state::alive;
+    // A home that cannot be reached from here may still be alive: the witness then refuses its late intent.
+    if (homeLives && !request.forwarded && !request.homeUnreachable) {
+        callback(forward_to_home { home->httpAddress });
+        return;
+    }
+    m_tickets.queryWitness(value, request.ticket, [callback = std::move(callback), plain = request.plainService](const witness_answer& answer) {
+        switch (answer.state) {
+        case witness_state::closed:
+            callback(notRun(409, "ticket_closed", "the ticket's home is gone and the request did not run",
+                "get a new ticket from GET /v1/entry?tickets=1"));
+            break;
+        case witness_state::intent:
+            if (plain)
+                callback(unknownResult("the ticket's home is gone after the request may have been sent to the service"));
+            else
+                callback(attach_to_engine { answer.request, answer.endpoint });
+            break;
+        case witness_state::unknown:
+            callback(unknownResult("neither the ticket's home nor its witness can tell"));
+            break;
+        }
+    });
+}
+
+void dispatch_control::enqueue(monotonic_time now, dispatch_request request, dispatch_callback callback, std::optional<ticket> opened)
+{
+    const auto id = request.id;
+    auto& entry = m_pending[id];
+    entry.request = std::move(request);
+    entry.callback = std::move(callback);
+    entry.opened = std::move(opened);
+    if (m_direct) {
+        const auto endpoint = m_direct(entry.request.service);
+        if (!endpoint) {
+            refuse(id, notRun(503, "no_endpoint", "no endpoint of the service is known", "check the list of vms and GET /admin/status"));
+            return;
+        }
+        entry.endpoint = *endpoint;
+        permit(entry);
+        return;
+    }
+    choosePool(entry);
+    if (!entry.owner) {
+        refuse(id, notRun(503, "no_owner", "no node owns the service's endpoints yet", "send the request again", std::chrono::milliseconds(200)));
+        return;
+    }
+    sendRequest(now, entry);
+}
+
+// Requests with the same first prefix block go to the same pool, so that its engines' caches are used.
+void dispatch_control::choosePool(pending_request& entry)
+{
+    const auto found = m_poolOwners.find(entry.request.service);
+    if (found == m_poolOwners.end() || found->second.empty()) {
+        entry.owner.reset();
+        return;
+    }
+    const auto& pools = found->second;
+    const auto& blocks = entry.request.prefixBlocks;
+    const std::uint64_t seed = blocks.empty() ? entry.request.id.sequence : blocks.front();
+    const auto first = XXH3_64bits(&seed, sizeof(seed)) % pools.size();
+    const auto chosen = entry.redirected && pools.size() > 1 ? (first + 1 + seed % (pools.size() - 1)) % pools.size() : first;
+    entry.pool = pools[chosen].first;
+    entry.owner = pools[chosen].second;
+}
+
+void dispatch_control::sendRequest(monotonic_time now, pending_request& entry)
+{
+    entry.sent = now;
+    if (*entry.owner == m_self.node) {
+        m_host.submit(now, entry.pool, toSchedulingRequest(entry.request, m_self.node));
+        return;
+    }
+    // A full queue to the owner is retried by tick().
+    m_mesh.send(*entry.owner, encodeSlotRequest(entry.request, entry.pool, now));
+}
+
+void dispatch_control::withdraw(monotonic_time now, const request_id& request)
+{
+    const auto found = m_pending.find(request);
+    if (found == m_pending.end() || found->second.at != stage::waiting || found->second.opened)
+        return;
+    if (found->second.owner == m_self.node) {
+        m_host.cancel(now, m_self.node, request);
+    } else if (found->second.owner) {
+        wire::slot_cancelT message;
+        message.request = encodeKey(request);
+        m_mesh.send(*found->second.owner, std::move(message));
+    }
+    m_pending.erase(found);
+}
+
+void dispatch_control::deliver(monotonic_time now, const node_id& owner, const scheduling_action& action)
+{
+    if (const auto* grant = std::get_if<slot_grant>(&action)) {
+        granted(now, owner, *grant);
+    } else if (const auto* refusedSlot = std::get_if<slot_refusal>(&action)) {
+        refused(now, owner, *refusedSlot);
+    } else {
+        const auto found = m_pending.find(std::get<slot_preemption>(action).request);
+        if (found != m_pending.end() && found->second.at == stage::dispatched && found->second.request.onPreempt) {
+            found->second.request.progress->preempted = true;
+            found->second.request.onPreempt();
+        }
+    }
+}
+
+void dispatch_control::granted(monotonic_time now, const node_id& owner, const slot_grant& grant)
+{
+    const auto found = m_pending.find(grant.request);
+    const bool wanted = found != m_pending.end() && found->second.owner == owner;
+    if (wanted && found->second.at != stage::waiting)
+        return;
+    if (!wanted) {
+        returnSlot(now, owner, grant.request, false);
+        return;
+    }
+    auto& entry = found->second;
+    if (m_view->leavingEndpoints.contains(grant.endpoint)) {
+        returnSlot(now, owner, grant.request, true);
+        sendRequest(now, entry);
+        return;
+    }
+    if (now >= entry.request.deadline) {
+        returnSlot(now, owner, grant.request, false);
+        refuse(grant.request, notRun(504, "deadline_passed", "the deadline passed while the request waited", "allow more time"));
+        return;
+    }
+    entry.endpoint = grant.endpoint;
+    if (!entry.opened) {
+        permit(entry);
+        return;
+    }
+    entry.at = stage::intent;
+    m_tickets.home().intentSent(*entry.opened);
+    m_tickets.recordIntent(*entry.opened, entry.request.ticket, entry.request.id, entry.endpoint,
+        [this, id = grant.request](bool accepted) { intentAnswered(id, accepted); });
+}
+
+void dispatch_control::intentAnswered(const request_id& request, bool accepted)
+{
+    const auto found = m_pending.find(request);
+    if (found == m_pending.end() || found->second.at != stage::intent)
+        return;
+    auto& entry = found->second;
+    const auto now = std::chrono::steady_clock::now();
+    if (accepted && m_tickets.home().beginDispatch(now, *entry.opened, entry.request.deadline)) {
+        permit(entry);
+        return;
+    }
+    if (entry.owner)
+        returnSlot(now, *entry.owner, request, false);
+    refuse(request,
+        accepted ? notRun(504, "deadline_passed", "the deadline passed before the dispatch", "allow more time")
+                 : notRun(503, "witness_unavailable", "the ticket's witness did not confirm the request",
+                       "send the request again with a new ticket", std::chrono::milliseconds(100)));
+}
+
+void dispatch_control::permit(pending_request& entry)
+{
+    entry.at = stage::dispatched;
+    if (m_history.enabled()) {
+        const auto hash = XXH3_64bits(entry.request.ticket.data(), entry.request.ticket.size());
+        m_history.record("dispatched",
+            { { "request", toString(entry.request.id) }, { "endpoint", entry.endpoint.value },
+                { "ticket", entry.request.ticket.empty() ? std::string() : std::to_string(hash) } });
+    }
+    entry.callback(dispatch_permission { entry.endpoint, {} });
+    if (entry.request.plainService)
+        return;
+    for (auto& waiting : std::exchange(entry.attached, {}))
+        waiting(attach_to_engine { entry.request.id, entry.endpoint });
+}
+
+void dispatch_control::refused(monotonic_time now, const node_id& owner, const slot_refusal& refusedSlot)
+{
+    const auto found = m_pending.find(refusedSlot.request);
+    if (found == m_pending.end() || found->second.owner != owner || found->second.at != stage::waiting)
+        return;
+    auto& entry = found->second;
+    const auto pools = m_poolOwners.find(entry.request.service);
+    if (!entry.redirected && isCapacityReason(refusedSlot.reason) && pools != m_poolOwners.end() && pools->second.size() > 1) {
+        entry.redirected = true;
+        choosePool(entry);
+        if (entry.owner) {
+            sendRequest(now, entry);
+            return;
+        }
+    }
+    refuse(refusedSlot.request, fromOwner(refusedSlot));
+}
+
+void dispatch_control::refuse(const request_id& request, refusal reason)
+{
+    auto entry = m_pending.extract(request);
+    if (entry.empty())
+        return;
+    if (entry.mapped().opened && !m_tickets.home().close(*entry.mapped().opened))
+        reason.ran = ran_state::unknown;
+    entry.mapped().callback(reason);
+    for (auto& waiting : entry.mapped().attached)
+        waiting(reason);
+}
+
+void dispatch_control::ownerRejected(monotonic_time now, const node_id& owner, const request_id& request)
+{
+    const auto found = m_pending.find(request);
+    if (found != m_pending.end() && found->second.owner == owner && found->second.at == stage::waiting)
+        found->second.sent = now - resendInterval + rejectedRetry;
+}
+
+void dispatch_control::finished(monotonic_time now, const slot_release& release, std::optional<repeat_answer> answer)
+{
+    auto node = m_pending.extract(release.request);
+    if (node.empty())
+        return;
+    auto& entry = node.mapped();
+    reportRelease(now, entry, release);
+    if (!entry.opened)
+        return;
+    m_tickets.home().answered(*entry.opened);
+    for (auto& waiting : entry.attached) {
+        if (answer)
+            waiting(*answer);
+        else
+            waiting(unknownResult("the service's answer to the earlier request with this ticket was lost"));
+    }
+    remember(*entry.opened, { release.request, entry.endpoint, entry.request.plainService, std::move(answer) });
+}
+
+void dispatch_control::remember(const ticket& value, ticket_record record)
+{
+    m_recordBytes += record.answer ? record.answer->body.size() : 0;
+    m_records.insert_or_assign(value, std::move(record));
+    m_recordOrder.push_back(value);
+    while (m_recordOrder.size() > maxRecords || m_recordBytes > maxRecordBytes) {
+        const auto oldest = m_records.extract(m_recordOrder.front());
+        m_recordOrder.pop_front();
+        if (!oldest.empty() && oldest.mapped().answer)
+            m_recordBytes -= oldest.mapped().answer->body.size();
+    }
+}
+
+void dispatch_control::reportRelease(monotonic_time now, const pending_request& entry, const slot_release& release)
+{
+    if (m_direct || !entry.owner)
+        return;
+    if (*entry.owner == m_self.node) {
+        m_host.release(now, release);
+        return;
+    }
+    wire::slot_releaseT message;
+    message.request = encodeKey(release.request);
+    message.outcome = releaseOutcomeNames.name(release.outcome);
+    message.prompt_tokens = release.promptTokens.value;
+    message.cached_tokens = release.cachedTokens.value;
+    message.output_tokens = release.outputTokens.value;
+    message.first_token_ms = encodeMilliseconds(release.timeToFirstToken);
+    message.duration_ms = encodeMilliseconds(release.total);
+    message.endpoint_leaving = release.endpointLeaving;
+    m_mesh.send(*entry.owner, std::move(message));
+}
+
+void dispatch_control::returnSlot(monotonic_time now, const node_id& owner, const request_id& request, bool leaving)
+{
+    pending_request entry;
+    entry.owner = owner;
+    slot_release unused;
+    unused.request = request;
+    unused.outcome = release_outcome::unused;
+    unused.endpointLeaving = leaving;
+    reportRelease(now, entry, unused);
+}
+
+void dispatch_control::ownerConnected(monotonic_time now, const node_id& owner)
+{
+    for (const auto& [service, pools] : m_poolOwners) {
+        for (const auto& [pool, poolOwnerNode] : pools) {
+            if (poolOwnerNode == owner)
+                sendSync(now, owner, pool);
+        }
+    }
+}
+
+void dispatch_control::sendSync(monotonic_time now, const node_id& owner, const pool_id& pool)
+{
+    if (m_direct)
+        return;
+    if (owner == m_self.node) {
+        std::vector<scheduling_request> waiting;
+        std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding;
+        for (const auto& [id, entry] : m_pending) {
+            if (entry.pool != pool)
+                continue;
+            if (entry.at == stage::waiting)
+                waiting.push_back(toSchedulingRequest(entry.request, m_self.node));
+            else
+                outstanding.emplace_back(
+                    toSchedulingRequest(entry.request, m_self.node), entry.endpoint, tokens(entry.request.progress->outputTokens));
+        }
+        m_host.sync(now, m_self.node, pool, std::move(waiting), std::move(outstanding));
+        return;
+    }
+    // Each frame holds a part of the list, so that it stays below the frame limit with many long prefixes.
+    constexpr std::size_t maxEntriesPerFrame = 128;
+    wire::pool_syncT message;
+    message.service = pool.service.value;
+    message.pool = pool.number;
+    for (auto& [id, entry] : m_pending) {
+        if (entry.pool != pool)
+            continue;
+        auto encoded = std::make_unique<wire::slot_requestT>(encodeSlotRequest(entry.request, pool, now));
+        if (entry.at == stage::waiting) {
+            entry.sent = now;
+            message.waiting.push_back(std::move(encoded));
+        } else {
+            auto slot = std::make_unique<wire::outstanding_slotT>();
+            slot->request = std::move(encoded);
+            slot->endpoint = entry.endpoint.value;
+            slot->output_tokens = entry.request.progress->outputTokens;
+            message.outstanding.push_back(std::move(slot));
+        }
+        if (message.waiting.size() + message.outstanding.size() >= maxEntriesPerFrame) {
+            message.more = true;
+            m_mesh.send(owner, std::move(message));
+            message = {};
+            message.service = pool.service.value;
+            message.pool = pool.number;
+        }
+    }
+    m_mesh.send(owner, std::move(message));
+}
+
+void dispatch_control::reportProgress()
+{
+    if (m_direct)
+        return;
+    std::map<node_id, std::vector<slot_progress>> byOwner;
+    for (const auto& [id, entry] : m_pending) {
+        if (entry.at == stage::waiting || !entry.owner)
+            continue;
+        const auto& progress = *entry.request.progress;
+        byOwner[*entry.owner].push_back(
+            { id, tokens(progress.outputTokens), std::chrono::microseconds(progress.firstTokenMicroseconds.load()) });
+    }
+    // An owner that holds nothing of this home any more is told so once, in case a release was lost.
+    for (const auto& owner : std::exchange(m_reportedOwners, {}))
+        byOwner.try_emplace(owner);
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [owner, entries] : byOwner) {
+        if (!entries.empty())
+            m_reportedOwners.insert(owner);
+        if (owner == m_self.node) {
+            m_host.progress(now, owner, entries);
+            continue;
+        }
+        wire::slot_progressT message;
+        for (const auto& entry : entries) {
+            auto encoded = std::make_unique<wire::slot_progress_entryT>();
+            encoded->request = encodeKey(entry.request);
+            encoded->output_tokens = entry.outputTokens.value;
+            encoded->first_token_ms = encodeMilliseconds(entry.timeToFirstToken);
+            message.entries.push_back(std::move(encoded));
+        }
+        m_mesh.send(owner, std::move(message));
+    }
+}
+
+void dispatch_control::tick(monotonic_time now)
+{
+    std::vector<request_id> expired;
+    std::vector<request_id> unanswered;
+    for (const auto& [id, entry] : m_pending) {
+        if (entry.at != stage::waiting)
+            continue;
+        if (now > entry.request.deadline + deadlineGrace)
+            expired.push_back(id);
+        else if (now - entry.sent > resendInterval)
+            unanswered.push_back(id);
+    }
+    for (const auto& id : expired) {
+        const auto& entry = m_pending.at(id);
+        if (entry.owner == m_self.node) {
+            m_host.cancel(now, m_self.node, id);
+        } else if (entry.owner) {
+            wire::slot_cancelT message;
+            message.request = encodeKey(id);
+            m_mesh.send(*entry.owner, std::move(message));
+        }
+        refuse(id, notRun(504, "deadline_passed", "the deadline passed while the request waited", "allow more time"));
+    }
+    for (const auto& id : unanswered) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            continue;
+        choosePool(found->second);
+        if (found->second.owner)
+            sendRequest(now, found->second);
+    }
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/node/src/engine_stream.cpp
@@ -0,0 +1,262 @@
+#include "engine_stream.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace carawaylink {
+
+namespace {
+
+constexpr std::size_t maxFailedAttempts = 6;
+constexpr auto firstResumeDelay = std::chrono::milliseconds(50);
+constexpr auto maxResumeDelay = std::chrono::milliseconds(500);
+constexpr std::size_t maxEventBytes = 1U << 20;
+constexpr unsigned notFound = 404;
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned serviceUnavailable = 503;
+
+// Value of a field line of a server-sent event; nothing where the event has no such line.
+std::optional<std::string_view> eventField(std::string_view event, std::string_view name)
+{
+    std::size_t position = 0;
+    while (position < event.size()) {
+        const auto end = std::min(event.find('\n', position), event.size());
+        auto line = event.substr(position, end - position);
+        if (line.starts_with(name) && line.size() > name.size() && line[name.size()] == ':') {
+            line.remove_prefix(name.size() + 1);
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            return line;
+        }
+        position = end + 1;
+    }
+    return std::nullopt;
+}
+
+std::int64_t member(const boost::json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    return value && value->is_int64() ? value->as_int64() : 0;
+}
+
+} // namespace
+
+engine_stream::engine_stream(boost::asio::io_context& context, http_client& client, endpoint_id endpoint, request_id request,
+    duration idleLimit, engine_stream_handlers handlers)
+    : m_context(context)
+    , m_client(client)
+    , m_endpoint(std::move(endpoint))
+    , m_request(request)
+    , m_idleLimit(idleLimit)
+    , m_handlers(std::move(handlers))
+    , m_timer(context)
+{
+}
+
+void engine_stream::dispatch(const std::string& path, std::string body)
+{
+    run({ "POST", path, { { "Content-Type", "application/json" }, { "X-Request-Id", toString(m_request) } }, std::move(body) }, true);
+}
+
+void engine_stream::attach()
+{
+    run({ "GET", "/v1/streams/" + toString(m_request) + "?from=" + std::to_string(m_expected), {}, {} }, false);
+}
+
+void engine_stream::run(http_request request, bool isDispatch)
+{
+    const auto generation = ++m_generation;
+    m_isDispatch = isDispatch;
+    m_status = 0;
+    m_buffer.clear();
+    m_errorBody.clear();
+    http_call_options options;
+    options.idleTimeout = m_idleLimit;
+    options.connectTimeout = m_idleLimit;
+    // A resumed stream must not meet the same fault as the connection that it replaces.
+    options.reuseConnection = isDispatch;
+    http_stream_handlers handlers;
+    const auto self = shared_from_this();
+    handlers.onHead = [self, generation](const http_response& head) {
+        if (self->m_generation == generation)
+            self->headArrived(head);
+    };
+    handlers.onData = [self, generation](std::string_view bytes) {
+        if (self->m_generation == generation)
+            self->received(bytes);
+    };
+    handlers.onDone = [self, generation](const http_result& result) {
+        if (self->m_generation == generation)
+            self->callEnded(result);
+    };
+    m_call = m_client.stream(m_endpoint.value, std::move(request), options, std::move(handlers));
+    if (m_paused)
+        m_call->pause();
+}
+
+void engine_stream::headArrived(const http_response& head)
+{
+    m_status = head.status;
+    m_result.endpointLeaving = head.header("X-Engine-Leaving").has_value();
+    if (m_status == 200) {
+        m_known = true;
+        m_failedAttempts = 0;
+    }
+}
+
+void engine_stream::received(std::string_view bytes)
+{
+    if (m_finished)
+        return;
+    if (m_status != 200) {
+        if (m_errorBody.size() + bytes.size() <= maxEventBytes)
+            m_errorBody += bytes;
+        return;
+    }
+    m_buffer += bytes;
+    std::size_t start = 0;
+    while (!m_finished) {
+        const auto end = m_buffer.find("\n\n", start);
+        if (end == std::string::npos)
+            break;
+        handleEvent(std::string_view(m_buffer).substr(start, end + 2 - start));
+        start = end + 2;
+    }
+    m_buffer.erase(0, start);
+    if (m_buffer.size() > maxEventBytes && !m_finished)
+        finish(stream_outcome::lost, "engine sent an event above the size limit");
+}
+
+void engine_stream::handleEvent(std::string_view event)
+{
+    const auto data = eventField(event, "data");
+    if (!data)
+        return;
+    if (*data == "[DONE]") {
+        m_doneSeen = true;
+        m_handlers.onEvent(event);
+        return;
+    }
+    const auto id = eventField(event, "id");
+    if (!id) {
+        if (!std::exchange(m_usageSeen, true)) {
+            readUsage(*data);
+            m_handlers.onEvent(event);
+        }
+        return;
+    }
+    std::int64_t offset = -1;
+    std::from_chars(id->data(), id->data() + id->size(), offset);
+    if (offset < m_expected)
+        return;
+    if (offset > m_expected) {
+        // A gap: what follows is asked for again from the first missing token.
+        m_call->cancel();
+        return;
+    }
+    ++m_expected;
+    m_handlers.onEvent(event);
+}
+
+void engine_stream::readUsage(std::string_view data)
+{
+    boost::system::error_code status;
+    const auto document = boost::json::parse(data, status);
+    if (status || !document.is_object())
+        return;
+    const auto* usage = document.as_object().if_contains("usage");
+    if (!usage || !usage->is_object())
+        return;
+    m_result.promptTokens = tokens(member(usage->as_object(), "prompt_tokens"));
+    if (const auto* details = usage->as_object().if_contains("prompt_tokens_details"); details && details->is_object())
+        m_result.cachedTokens = tokens(member(details->as_object(), "cached_tokens"));
+}
+
+void engine_stream::callEnded(const http_result& result)
+{
+    if (m_finished)
+        return;
+    if (m_doneSeen) {
+        finish(stream_outcome::complete, {});
+        return;
+    }
+    const bool answered = result.ok() && m_status != 0;
+    if (m_isDispatch && !result.sent) {
+        finish(stream_outcome::unreachable, result.detail);
+        return;
+    }
+    if (answered && m_isDispatch && m_status != 200) {
+        m_result.status = m_status;
+        m_result.body = std::move(m_errorBody);
+        const bool refused = m_status == serviceUnavailable || m_status == tooManyRequests || (m_status >= 400 && m_status < 500);
+        finish(refused ? stream_outcome::rejected : stream_outcome::lost, "engine answered status " + std::to_string(m_status));
+        return;
+    }
+    if (answered && m_status == 200) {
+        finish(stream_outcome::lost, "engine ended the stream before its end");
+        return;
+    }
+    if (answered && m_status == notFound && m_known) {
+        finish(stream_outcome::lost, "engine no longer knows the request");
+        return;
+    }
+    if (++m_failedAttempts > maxFailedAttempts) {
+        finish(stream_outcome::lost, answered ? "engine does not know the request" : "engine cannot be reached: " + result.detail);
+        return;
+    }
+    scheduleResume();
+}
+
+void engine_stream::scheduleResume()
+{
+    const auto exponent = std::min<std::size_t>(m_failedAttempts, 4);
+    const auto delay = m_failedAttempts == 0 ? duration::zero() : std::min<duration>(firstResumeDelay * (1U << exponent), maxResumeDelay);
+    m_timer.expires_after(delay);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code status) {
+        if (!status && !self->m_finished)
+            self->attach();
+    });
+}
+
+void engine_stream::cancel()
+{
+    if (m_finished)
+        return;
+    m_client.send(m_endpoint.value, { "DELETE", "/v1/streams/" + toString(m_request), {}, {} }, {}, [](const http_result&) { });
+    finish(stream_outcome::cancelled, "cancelled");
+}
+
+void engine_stream::pause()
+{
+    m_paused = true;
+    if (m_call)
+        m_call->pause();
+}
+
+void engine_stream::resume()
+{
+    m_paused = false;
+    if (m_call)
+        m_call->resume();
+}
+
+void engine_stream::finish(stream_outcome outcome, std::string detail)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    ++m_generation;
+    m_timer.cancel();
+    if (m_call && outcome != stream_outcome::complete)
+        m_call->cancel();
+    m_result.outcome = outcome;
+    m_result.outputTokens = tokens(m_expected);
+    m_result.detail = std::move(detail);
+    const auto handlers = std::move(m_handlers);
+    m_handlers = {};
+    handlers.onDone(m_result);
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/node/src/peer_channel.cpp
@@ -0,0 +1,186 @@
+#include "peer_channel.h"
+
+#include "base/error.h"
+#include "base/log.h"
+#include "crypto/digest.h"
+
+#include <algorithm>
+
+namespace carawaylink {
+
+namespace asio = boost::asio;
+
+peer_channel::peer_channel(asio::ip::tcp::socket socket, owner callbacks, std::uint64_t nonce)
+    : m_socket(std::move(socket))
+    , m_owner(std::move(callbacks))
+    , m_nonce(nonce)
+    , m_lastReceived(std::chrono::steady_clock::now())
+    , m_lastSent(m_lastReceived)
+    , m_lastUse(m_lastReceived)
+{
+}
+
+void peer_channel::start()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    wire::helloT hello;
+    hello.protocol_version = wire::protocolVersion;
+    hello.cluster = m_owner.settings->cluster;
+    hello.node = m_owner.self->process.node.value;
+    hello.incarnation = m_owner.self->process.run.value;
+    hello.failure_domain = m_owner.self->domain.value;
+    hello.region = m_owner.self->region;
+    hello.http_address = m_owner.self->httpAddress;
+    hello.nonce = m_nonce;
+    send(wire::message::hello, wire::encodeFrame(std::move(hello)));
+    read();
+}
+
+void peer_channel::send(wire::message kind, wire::frame_bytes frame)
+{
+    if (m_ended)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    m_lastSent = now;
+    if (kind != wire::message::heartbeat)
+        m_lastUse = now;
+    m_owner.sent->record(static_cast<std::size_t>(kind), frame.size());
+    m_queuedBytes += frame.size();
+    m_queue.push_back(std::move(frame));
+    write();
+}
+
+void peer_channel::close(channel_end reason)
+{
+    if (std::exchange(m_ended, true))
+        return;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    const auto self = shared_from_this();
+    if (m_owner.onEnd)
+        m_owner.onEnd(*this, reason);
+}
+
+void peer_channel::checkTime(monotonic_time now, const std::function<wire::heartbeatT()>& makeHeartbeat)
+{
+    if (m_ended)
+        return;
+    if (now - m_lastReceived > m_owner.settings->silenceLimit) {
+        close(channel_end::silent);
+        return;
+    }
+    if (ready() && now - m_lastSent >= m_owner.settings->heartbeatInterval)
+        send(wire::message::heartbeat, wire::encodeFrame(makeHeartbeat()));
+}
+
+void peer_channel::read()
+{
+    m_socket.async_read_some(asio::buffer(m_input), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+        if (self->m_ended)
+            return;
+        if (status) {
+            self->close(channel_end::reset);
+            return;
+        }
+        self->m_lastReceived = std::chrono::steady_clock::now();
+        // Kind NONE counts the bytes of all kinds.
+        self->m_owner.received->record(static_cast<std::size_t>(wire::message::NONE), size);
+        try {
+            self->m_decoder.append({ self->m_input.data(), size });
+            while (auto envelope = self->m_decoder.next()) {
+                self->handle(*envelope);
+                if (self->m_ended)
+                    return;
+            }
+        } catch (const error& failure) {
+            log_event("peer_channel_refused", log_level::warning).field("peer", self->m_peer.process.node).field("error", failure.what());
+            self->close(channel_end::protocol);
+            return;
+        }
+        self->read();
+    });
+}
+
+void peer_channel::handle(wire::envelopeT& envelope)
+{
+    m_owner.received->record(static_cast<std::size_t>(envelope.body.type), 0);
+    if (const auto* hello = envelope.body.Ashello()) {
+        handleHello(*hello);
+    } else if (const auto* proof = envelope.body.Ashello_proof()) {
+        handleProof(*proof);
+    } else if (!m_proofReceived) {
+        throw error(error_kind::unauthorized, "message before the handshake", "check that the peer belongs to this cluster");
+    } else {
+        if (envelope.body.type != wire::message::heartbeat)
+            m_lastUse = m_lastReceived;
+        m_owner.onMessage(*this, envelope);
+    }
+}
+
+std::string peer_channel::proofText(
+    const process_identity& sender, const process_identity& receiver, std::uint64_t senderNonce, std::uint64_t receiverNonce) const
+{
+    std::ostringstream text;
+    text << "carawaylink-hello|" << m_owner.settings->cluster << '|' << sender.node << '|' << sender.run << '|' << receiver.node << '|'
+         << receiver.run << '|' << senderNonce << '|' << receiverNonce;
+    return text.str();
+}
+
+void peer_channel::handleHello(const wire::helloT& hello)
+{
+    if (std::exchange(m_helloReceived, true))
+        throw error(error_kind::invalid_message, "second hello", "check the peer's version");
+    if (hello.protocol_version != wire::protocolVersion)
+        throw error(error_kind::invalid_message, "protocol version " + std::to_string(hello.protocol_version) + " is not supported",
+            "run the same version of carawaylinkd on all nodes");
+    if (hello.cluster != m_owner.settings->cluster)
+        throw error(error_kind::unauthorized, "peer belongs to cluster \"" + hello.cluster + "\"", "check the setting cluster and the seeds");
+    m_peer = { { node_id(hello.node), incarnation(hello.incarnation) }, failure_domain(hello.failure_domain), hello.region, hello.http_address };
+    m_peerNonce = hello.nonce;
+    const auto& key = m_owner.settings->keys.front();
+    const auto mac = hmacSha256(key.secret, proofText(m_owner.self->process, m_peer.process, m_nonce, m_peerNonce));
+    wire::hello_proofT proof;
+    proof.key_id = key.id;
+    proof.proof.assign(mac.begin(), mac.end());
+    send(wire::message::hello_proof, wire::encodeFrame(std::move(proof)));
+    m_proofSent = true;
+}
+
+void peer_channel::handleProof(const wire::hello_proofT& proof)
+{
+    const auto& keys = m_owner.settings->keys;
+    const auto key = std::ranges::find(keys, proof.key_id, &key_ring::key::id);
+    if (!m_helloReceived || m_proofReceived || key == keys.end())
+        throw error(error_kind::unauthorized, "handshake proof with an unknown key or out of order", "check the setting cluster_keys");
+    const auto expected = hmacSha256(key->secret, proofText(m_peer.process, m_owner.self->process, m_peerNonce, m_nonce));
+    if (!equalInConstantTime(asText(expected), { reinterpret_cast<const char*>(proof.proof.data()), proof.proof.size() }))
+        throw error(error_kind::unauthorized, "handshake proof does not match", "check the setting cluster_keys");
+    m_proofReceived = true;
+    m_owner.onReady(*this);
+}
+
+void peer_channel::write()
+{
+    if (!m_writing.empty() || m_queue.empty() || m_ended)
+        return;
+    constexpr std::size_t maxFramesPerWrite = 64;
+    while (!m_queue.empty() && m_writing.size() < maxFramesPerWrite) {
+        m_writing.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    std::vector<asio::const_buffer> buffers;
+    std::ranges::transform(m_writing, std::back_inserter(buffers), [](const wire::frame_bytes& frame) { return asio::buffer(frame); });
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+        self->m_writing.clear();
+        self->m_queuedBytes -= std::min(self->m_queuedBytes, size);
+        if (self->m_ended)
+            return;
+        if (status)
+            self->close(channel_end::reset);
+        else
+            self->write();
+    });
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/node/src/pool_host.cpp
@@ -0,0 +1,341 @@
+#include "pool_host.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace carawaylink {
+
+std::map<pool_id, std::vector<endpoint_id>> computePools(const fleet_view& view, const endpoint_directory& directory)
+{
+    std::map<service_id, std::vector<endpoint_id>> byService;
+    for (const auto& [id, entry] : directory.endpoints())
+        byService[entry.service].push_back(id);
+    std::map<pool_id, std::vector<endpoint_id>> result;
+    for (const auto& [service, policy] : view.services) {
+        const auto found = byService.find(service);
+        if (found == byService.end()) {
+            result[{ service, 0 }] = {};
+            continue;
+        }
+        const auto pools = splitIntoPools(found->second, policy.defaults.pool_size);
+        for (std::uint32_t number = 0; number < pools.size(); ++number)
+            result[{ service, number }] = pools[number];
+    }
+    return result;
+}
+
+struct pool_host::hosted_pool {
+    explicit hosted_pool(pool_scheduler_settings settings)
+        : scheduler(settings)
+    {
+    }
+
+    pool_id id;
+    pool_scheduler scheduler;
+    std::map<endpoint_id, endpoint_description> endpoints;
+    /// Homes that have not reported yet what they run here.
+    std::set<node_id> awaited;
+    monotonic_time syncDeadline;
+    bool ready = false;
+    std::vector<scheduling_request> deferred;
+    std::unordered_map<request_id, granted_slot> granted;
+};
+
+pool_host::pool_host(node_id self, duration syncWait, duration grantLifetime, history& record, handlers callbacks)
+    : m_self(std::move(self))
+    , m_syncWait(syncWait)
+    , m_grantLifetime(grantLifetime)
+    , m_history(record)
+    , m_handlers(std::move(callbacks))
+{
+}
+
+pool_host::~pool_host() = default;
+
+namespace {
+
+pool_scheduler_settings schedulerSettings(const schema::fleet_defaultsT& defaults, duration grantLifetime)
+{
+    pool_scheduler_settings settings;
+    settings.longRequestFactor = defaults.long_request_factor;
+    settings.longSlotShare = defaults.long_slot_share;
+    settings.stragglerFactor = defaults.straggler_factor;
+    settings.maxWaiting = defaults.max_waiting_per_pool;
+    settings.preemption = defaults.preemption;
+    settings.grantLifetime = grantLifetime;
+    return settings;
+}
+
+std::vector<team_share> teamShares(const fleet_view& view)
+{
+    std::map<team_id, team_share> shares;
+    for (const auto& [hash, policy] : view.teamsByKeyHash)
+        shares[policy.team] = { policy.team, policy.weight, policy.maxWaiting };
+    auto values = shares | std::views::values;
+    return { values.begin(), values.end() };
+}
+
+} // namespace
+
+void pool_host::update(monotonic_time now, const fleet_view& view, const endpoint_directory& directory)
+{
+    const auto shares = teamShares(view);
+    std::set<pool_id> owned;
+    for (const auto& [id, endpointIds] : computePools(view, directory)) {
+        if (poolOwner(id, view.members) != m_self)
+            continue;
+        owned.insert(id);
+        const auto& policy = view.services.at(id.service);
+        const auto settings = schedulerSettings(policy.defaults, m_grantLifetime);
+        auto& slot = m_pools[id];
+        if (!slot) {
+            slot = std::make_unique<hosted_pool>(settings);
+            slot->id = id;
+            slot->syncDeadline = now + m_syncWait;
+            for (const auto& member : view.members) {
+                if (member.node != m_self && member.state == member_state::alive)
+                    slot->awaited.insert(member.node);
+            }
+            log_event("pool_owned").field("service", id.service).field("pool", id.number).field("homes", slot->awaited.size());
+            m_history.record("owner", { { "service", id.service.value }, { "pool", id.number } });
+            for (const auto& peer : slot->awaited)
+                m_handlers.requestSync(peer, id);
+        }
+        auto& pool = *slot;
+        pool.scheduler.setSettings(settings);
+        pool.scheduler.setTeams(shares);
+        std::vector<endpoint_description> descriptions;
+        for (const auto& endpoint : endpointIds) {
+            const auto& entry = directory.endpoints().at(endpoint);
+            if (entry.described)
+                descriptions.push_back(entry.description);
+        }
+        perform(pool, now, pool.scheduler.setEndpoints(now, descriptions));
+        pool.endpoints.clear();
+        for (const auto& description : descriptions) {
+            pool.endpoints.emplace(description.id, description);
+            if (directory.endpoints().at(description.id).leaving)
+                pool.scheduler.markLeaving(description.id);
+        }
+        if (!pool.ready && pool.awaited.empty())
+            becomeReady(pool, now);
+    }
+    std::erase_if(m_pools, [&](const auto& entry) {
+        if (owned.contains(entry.first))
+            return false;
+        log_event("pool_given_up").field("service", entry.first.service).field("pool", entry.first.number);
+        return true;
+    });
+    std::erase_if(m_requests, [&](const auto& entry) { return !m_pools.contains(entry.second.pool); });
+}
+
+void pool_host::perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions)
+{
+    for (const auto& action : actions) {
+        node_id home;
+        if (const auto* grant = std::get_if<slot_grant>(&action)) {
+            home = grant->home;
+            pool.granted[grant->request] = { home, now };
+            m_history.record("granted", { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value } });
+        } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
+            home = refused->home;
+            m_requests.erase(refused->request);
+        } else {
+            const auto& preemption = std::get<slot_preemption>(action);
+            home = preemption.home;
+            m_history.record("preempted", { { "request", toString(preemption.request) } });
+        }
+        m_handlers.deliver(home, action);
+    }
+}
+
+pool_host::hosted_pool* pool_host::poolOf(const request_id& request)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end())
+        return nullptr;
+    const auto pool = m_pools.find(found->second.pool);
+    return pool == m_pools.end() ? nullptr : pool->second.get();
+}
+
+void pool_host::submit(monotonic_time now, const pool_id& id, scheduling_request request)
+{
+    const auto found = m_pools.find(id);
+    if (found == m_pools.end()) {
+        m_handlers.rejectOwner(request.home, request.id);
+        return;
+    }
+    auto& pool = *found->second;
+    if (pool.granted.contains(request.id))
+        return;
+    if (m_requests.emplace(request.id, known_request { id, request.home }).second) {
+        m_history.record("queued",
+            { { "request", toString(request.id) }, { "service", id.service.value }, { "pool", id.number }, { "tier", request.level.value },
+                { "team", request.team.value }, { "non_idempotent", request.nonIdempotent },
+                { "deadline_in_ms", std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now).count() } });
+    }
+    if (!pool.ready) {
+        pool.deferred.push_back(std::move(request));
+        return;
+    }
+    perform(pool, now, pool.scheduler.submit(now, std::move(request)));
+}
+
+void pool_host::cancel(monotonic_time now, const node_id&, const request_id& request)
+{
+    if (auto* pool = poolOf(request)) {
+        pool->scheduler.cancel(now, request);
+        std::erase_if(pool->deferred, [&](const scheduling_request& entry) { return entry.id == request; });
+        m_requests.erase(request);
+        m_history.record("released", { { "request", toString(request) }, { "outcome", "withdrawn" } });
+    }
+}
+
+void pool_host::progress(monotonic_time now, const node_id& home, const std::vector<slot_progress>& entries)
+{
+    std::set<request_id> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.request);
+        if (auto* pool = poolOf(entry.request))
+            pool->scheduler.progress(now, entry);
+    }
+    // A lost release would hold its slot until the engine is expected to have finished; the home's list frees it now.
+    const auto settled = now - 2 * m_grantLifetime;
+    for (auto& [id, pool] : m_pools) {
+        std::vector<request_id> lost;
+        for (const auto& [request, slot] : pool->granted) {
+            if (slot.home == home && slot.since < settled && !listed.contains(request))
+                lost.push_back(request);
+        }
+        for (const auto& request : lost) {
+            log_event("slot_reclaimed", log_level::warning).field("request", request).field("home", home);
+            slot_release unused;
+            unused.request = request;
+            unused.outcome = release_outcome::unused;
+            release(now, unused);
+        }
+    }
+}
+
+void pool_host::release(monotonic_time now, const slot_release& report)
+{
+    auto* pool = poolOf(report.request);
+    if (!pool)
+        return;
+    pool->granted.erase(report.request);
+    m_requests.erase(report.request);
+    m_history.record("released", { { "request", toString(report.request) }, { "outcome", releaseOutcomeNames.name(report.outcome) } });
+    perform(*pool, now, pool->scheduler.release(now, report));
+}
+
+void pool_host::sync(monotonic_time now, const node_id& home, const pool_id& id, std::vector<scheduling_request> waiting,
+    std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding)
+{
+    const auto found = m_pools.find(id);
+    if (found == m_pools.end())
+        return;
+    auto& pool = *found->second;
+    for (auto& [request, endpoint, outputTokens] : outstanding) {
+        if (!m_requests.emplace(request.id, known_request { id, request.home }).second && pool.granted.contains(request.id))
+            continue;
+        pool.granted[request.id] = { home, now };
+        m_history.record("granted",
+            { { "request", toString(request.id) }, { "endpoint", endpoint.value }, { "restored", true }, { "tier", request.level.value },
+                { "service", id.service.value }, { "non_idempotent", request.nonIdempotent } });
+        pool.scheduler.restore(now, std::move(request), endpoint, outputTokens);
+    }
+    for (auto& request : waiting)
+        submit(now, id, std::move(request));
+    pool.awaited.erase(home);
+    if (!pool.ready && pool.awaited.empty())
+        becomeReady(pool, now);
+}
+
+void pool_host::becomeReady(hosted_pool& pool, monotonic_time now)
+{
+    pool.ready = true;
+    auto deferred = std::move(pool.deferred);
+    pool.deferred.clear();
+    log_event("pool_ready").field("service", pool.id.service).field("pool", pool.id.number).field("waiting", deferred.size()).field(
+        "outstanding", pool.granted.size());
+    for (auto& request : deferred)
+        perform(pool, now, pool.scheduler.submit(now, std::move(request)));
+}
+
+void pool_host::homeLost(monotonic_time now, const node_id& home)
+{
+    for (auto& [id, pool] : m_pools) {
+        pool->awaited.erase(home);
+        std::erase_if(pool->deferred, [&](const scheduling_request& request) { return request.home == home; });
+        std::erase_if(pool->granted, [&](const auto& entry) { return entry.second.home == home; });
+        perform(*pool, now, pool->scheduler.homeLost(now, home));
+    }
+    std::erase_if(m_requests, [&](const auto& entry) { return entry.second.home == home; });
+}
+
+void pool_host::markLeaving(const endpoint_id& endpoint)
+{
+    for (auto& [id, pool] : m_pools) {
+        if (!pool->endpoints.contains(endpoint))
+            continue;
+        pool->scheduler.markLeaving(endpoint);
+        m_history.record("leaving_seen", { { "endpoint", endpoint.value } });
+    }
+}
+
+void pool_host::observe(monotonic_time now, const load_report& report)
+{
+    for (auto& [id, pool] : m_pools) {
+        if (pool->endpoints.contains(report.endpoint))
+            pool->scheduler.observe(now, report);
+    }
+}
+
+void pool_host::observe(std::span<const cache_event> events)
+{
+    if (events.empty())
+        return;
+    for (auto& [id, pool] : m_pools) {
+        if (pool->endpoints.contains(events.front().endpoint))
+            pool->scheduler.observe(events);
+    }
+}
+
+void pool_host::tick(monotonic_time now)
+{
+    for (auto& [id, pool] : m_pools) {
+        if (!pool->ready && now >= pool->syncDeadline)
+            becomeReady(*pool, now);
+        if (pool->ready)
+            perform(*pool, now, pool->scheduler.tick(now));
+    }
+}
+
+std::vector<endpoint_id> pool_host::ownedEndpoints() const
+{
+    std::vector<endpoint_id> result;
+    for (const auto& [id, pool] : m_pools)
+        std::ranges::copy(pool->endpoints | std::views::keys, std::back_inserter(result));
+    return result;
+}
+
+std::optional<std::string> pool_host::explain(const request_id& request) const
+{
+    for (const auto& [id, pool] : m_pools) {
+        if (auto text = pool->scheduler.explain(request))
+            return text;
+    }
+    return std::nullopt;
+}
+
+std::vector<pool_host::owned_pool_status> pool_host::status(monotonic_time now) const
+{
+    std::vector<owned_pool_status> result;
+    for (const auto& [id, pool] : m_pools)
+        result.push_back({ id, pool->scheduler.status(now), pool->scheduler.endpoints(), pool->ready });
+    return result;
+}
+
+} // namespace carawaylink
