--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -12,6 +12,9 @@
 
 namespace carawaylink {
 
+/// Largest fleet configuration, as canonical YAML and as written: with its envelope it fits into one frame between nodes.
+inline constexpr std::size_t maxConfigurationBytes = 1'000'000;
+
 /// One thing that is wrong in a settings file.
 struct settings_fault {
     std::size_t line = 0; ///< first line is 1; 0 where the fault concerns no line
--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -8,8 +8,12 @@
 namespace carawaylink::settings_detail {
 namespace {
 
-// A larger text does not fit into one frame between nodes (1 MiB, which includes the envelope).
-constexpr std::size_t maxTextBytes = 1000000;
+// Aliases let a short text stand for a long one: 200 KB can name a list of 100 KB 50000 times. A text of
+// maxConfigurationBytes without aliases has fewer values than this.
+constexpr std::size_t maxValues = 500'000;
+
+// isFaulty() walks the faults, so a file in which everything is wrong must not grow the list without bound.
+constexpr std::size_t maxFaults = 1000;
 
 // A scalar as long as this is a pasted file, not a setting.
 constexpr std::size_t maxScalarBytes = 4096;
@@ -69,6 +73,7 @@
 
     offset read(const YAML::Node& node, const flatbuffers::TypeTable& type, const std::string& path, const std::string& pattern)
     {
+        m_values += type.num_elems;
         std::vector<YAML::Node> values = fieldsOf(node, type, path);
         std::vector<std::optional<std::variant<scalar_value, offset>>> fields(type.num_elems);
         for (std::size_t i = 0; i < type.num_elems; ++i) {
@@ -184,6 +189,10 @@
         std::vector<flatbuffers::Offset<flatbuffers::Table>> elements;
         std::size_t position = 0;
         for (const auto& element : node) {
+            if (++m_values > maxValues) {
+                m_result.add("", "the text stands for more than " + std::to_string(maxValues) + " values", "use fewer aliases");
+                break;
+            }
             const std::string elementPath = path + "[" + std::to_string(position++) + "]";
             m_result.lines[elementPath] = lineOf(element);
             if (isTable(type, index)) {
@@ -228,13 +237,15 @@
     template <typename Scalar> void addScalar(flatbuffers::voffset_t slot, Scalar value) { m_builder.AddElement<Scalar>(slot, value); }
 
     reading& m_result;
+    std::size_t m_values = 0;
     flatbuffers::FlatBufferBuilder m_builder;
 };
 
 YAML::Node parse(std::string_view text, reading& result)
 {
-    if (text.size() > maxTextBytes) {
-        result.add("", "the text has " + std::to_string(text.size()) + " bytes, more than " + std::to_string(maxTextBytes), "shorten it");
+    if (text.size() > maxConfigurationBytes) {
+        result.add(
+            "", "the text has " + std::to_string(text.size()) + " bytes, more than " + std::to_string(maxConfigurationBytes), "shorten it");
         return {};
     }
     if (!isUtf8(text)) {
@@ -254,6 +265,12 @@
 
 void reading::add(const std::string& field, std::string message, std::string remedy)
 {
+    if (report.faults.size() > maxFaults)
+        return;
+    if (report.faults.size() == maxFaults) {
+        report.faults.push_back({ 0, "", "there are more than " + std::to_string(maxFaults) + " faults", "correct these first" });
+        return;
+    }
     std::string enclosing = field;
     auto found = lines.find(enclosing);
     while (found == lines.end() && !enclosing.empty()) {
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -47,7 +47,16 @@
 
 std::optional<schema::fleet_configurationT> loadFleetConfiguration(std::string_view text, settings_report& report)
 {
-    return load<schema::fleet_configuration>(text, report, checkFleet);
+    return load<schema::fleet_configuration>(text, report, [](const auto& configuration, reading& result) {
+        checkFleet(configuration, result);
+        if (!result.report.faults.empty())
+            return;
+        if (const auto size = toYaml(configuration).size(); size > maxConfigurationBytes)
+            result.add("",
+                "the configuration has " + std::to_string(size) + " bytes as canonical YAML, more than "
+                    + std::to_string(maxConfigurationBytes),
+                "remove teams or exceptions that are not in use");
+    });
 }
 
 std::optional<std::chrono::sys_seconds> parseUtcTime(std::string_view text)
