--- a/libs/scheduling/include/scheduling/retry_budget.h
+++ b/libs/scheduling/include/scheduling/retry_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/enum_table.h"
 #include "base/ids.h"
 
 #include <cstddef>
@@ -46,9 +47,10 @@
 
 private:
     std::size_t m_failures = 0;
-    bool m_probing = false;
     duration m_pause {};
     monotonic_time m_reopen {};
+    /// End of the time that the current probe has for its result.
+    monotonic_time m_probeUntil {};
 };
 
 } // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/src/cost_model.cpp
@@ -0,0 +1,105 @@
+#include "cost_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawaylink {
+
+namespace {
+
+// Neutral priors, of the order of a mid-range accelerator: 5,000 prompt tokens/s and 30 ms per token. They only order
+// requests until the first samples arrive; no request is refused because of them.
+constexpr linear_fit::line firstTokenPrior { 0.02, 0.0002 };
+constexpr linear_fit::line outputTokenPrior { 0.03, 0.0006 };
+
+/// About 33 remembered samples: enough spread of prompt lengths for a slope, while a change of speed shows within seconds.
+constexpr double speedDecay = 0.97;
+constexpr double samplesNeeded = 2;
+/// Without samples for this long, estimates stop refusing requests, so that a pool whose requests were all refused because of
+/// a passing slowdown receives some and learns its present speed.
+constexpr duration sampleLifetime = std::chrono::seconds(10);
+/// Number of team samples that weigh as much as the mean of the service.
+constexpr double serviceWeight = 4;
+
+} // namespace
+
+speed_model::speed_model()
+    : firstToken(firstTokenPrior, speedDecay)
+    , outputToken(outputTokenPrior, speedDecay)
+{
+}
+
+void speed_models::addFirstToken(monotonic_time now, double uncachedTokens, double seconds) const
+{
+    for (auto* model : { endpoint, generation, pool }) {
+        model->firstToken.add(uncachedTokens, seconds);
+        model->lastSample = now;
+    }
+}
+
+void speed_models::addOutputToken(monotonic_time now, double concurrency, double secondsPerToken) const
+{
+    for (auto* model : { endpoint, generation, pool }) {
+        model->outputToken.add(concurrency, secondsPerToken);
+        model->lastSample = now;
+    }
+}
+
+double speed_models::firstTokenSeconds(double uncachedTokens) const
+{
+    return first().at(uncachedTokens);
+}
+
+double speed_models::secondsPerToken(double concurrency) const
+{
+    return output().at(concurrency);
+}
+
+double speed_models::prefillTokensPerSecond() const
+{
+    return 1 / std::max(1e-9, first().slope());
+}
+
+bool speed_models::learned(monotonic_time now) const
+{
+    return pool->lastSample != monotonic_time {} && now - pool->lastSample < sampleLifetime && first().samples() >= samplesNeeded;
+}
+
+const linear_fit& speed_models::first() const
+{
+    if (endpoint->firstToken.samples() >= samplesNeeded)
+        return endpoint->firstToken;
+    return generation->firstToken.samples() >= samplesNeeded ? generation->firstToken : pool->firstToken;
+}
+
+const linear_fit& speed_models::output() const
+{
+    if (endpoint->outputToken.samples() >= samplesNeeded)
+        return endpoint->outputToken;
+    return generation->outputToken.samples() >= samplesNeeded ? generation->outputToken : pool->outputToken;
+}
+
+recent_mean::recent_mean(double prior, double priorDeviation, double decay)
+    : m_mean(prior)
+    , m_deviation(priorDeviation)
+    , m_decay(decay)
+{
+}
+
+void recent_mean::add(double value)
+{
+    m_weight = m_weight * m_decay + 1;
+    const double distance = std::abs(value - m_mean);
+    m_mean += (value - m_mean) / m_weight;
+    // The first distance is that from the prior and says nothing about the spread of the values.
+    if (m_weight > 1)
+        m_deviation += (distance - m_deviation) / m_weight;
+}
+
+double expectedOutputShare(const recent_mean& team, const recent_mean& service)
+{
+    const double weight = team.samples() / (team.samples() + serviceWeight);
+    return weight * team.mean() + (1 - weight) * service.mean();
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/src/displacement.cpp
@@ -0,0 +1,221 @@
+#include "pool_state.h"
+
+#include <algorithm>
+
+namespace carawaylink {
+
+namespace {
+
+/// Time that a preemption needs until its slot is free: the message to the home, the cancellation and the release, and up to
+/// one period of tick(). A quarter of the cost is added because estimates of long requests are off by more.
+constexpr duration preemptionLead = std::chrono::milliseconds(250);
+constexpr double preemptionCostShare = 0.25;
+/// Pause before a request that found nothing to preempt looks again.
+constexpr duration retryPreemption = std::chrono::milliseconds(50);
+/// An empty list of endpoints may be a passing state of the VM list.
+constexpr duration noEndpointGrace = std::chrono::seconds(1);
+
+} // namespace
+
+bool pool_scheduler::implementation::admit(monotonic_time now, request_record& record, actions& out)
+{
+    auto& owner = record.owner->team;
+    if (now >= record.request.deadline) {
+        refuse(record, refusal_reason::deadline_passed, "the deadline had passed when the request arrived", out);
+        return false;
+    }
+    if (std::ranges::none_of(endpoints, [](const auto& entry) { return entry->eligible(); })) {
+        refuse(record, refusal_reason::no_endpoint, "the pool has no endpoint that accepts work", out);
+        return false;
+    }
+    if (owner.waiting >= owner.maxWaiting && !displaceOwn(record, out)) {
+        refuse(record, refusal_reason::team_queue_full,
+            "team " + owner.id.value + " has reached its limit of " + std::to_string(owner.maxWaiting) + " waiting requests", out);
+        return false;
+    }
+    // A preempted stream frees a slot soon, so one more request may wait for each of them.
+    if (waiting >= settings.maxWaiting + preempting && !makeRoom(now, record, out)) {
+        countInversion(now, record, true);
+        refuse(record, refusal_reason::queue_full,
+            "the pool has reached its limit of " + std::to_string(settings.maxWaiting) + " waiting requests", out);
+        return false;
+    }
+    const double cost = bestCost(now, record);
+    if (cost <= 0) {
+        enqueue(record);
+        setTimer(record, record.request.deadline);
+        return true;
+    }
+    const double wait = waitEstimate(record);
+    const double needed = cost * (wait > 0 ? 1 + margin() : 1);
+    if (now + fromSeconds(wait + needed) <= record.request.deadline) {
+        enqueue(record);
+        setTimer(record, record.request.deadline - fromSeconds(cost * (1 + margin() + preemptionCostShare)) - preemptionLead);
+        return true;
+    }
+    enqueue(record);
+    if (wait > 0 && preemptFor(now, record, out))
+        return true;
+    countInversion(now, record, false);
+    unqueue(record);
+    refuse(record, refusal_reason::deadline_unreachable,
+        "estimated wait " + milliseconds(wait) + " and run time " + milliseconds(needed) + " exceed the time left", out);
+    return false;
+}
+
+bool pool_scheduler::implementation::displaceOwn(request_record& record, actions& out)
+{
+    auto& ownFlows = record.owner->team.flows;
+    for (auto entry = ownFlows.rbegin(); entry != ownFlows.rend() && (*entry)->level > record.request.level; ++entry) {
+        if (auto* victim = (*entry)->last()) {
+            unqueue(*victim);
+            refuse(*victim, refusal_reason::displaced, "displaced by work of a more urgent tier of the same team", out);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool pool_scheduler::implementation::makeRoom(monotonic_time now, request_record& record, actions& out)
+{
+    // The least urgent work goes first, whether it waits or runs: refusing waiting work of a tier while a less urgent one is
+    // served would only move the inversion.
+    auto* runningVictim = findVictim(now, record, std::nullopt);
+    for (auto entry = tiers.rbegin(); entry != tiers.rend() && entry->first > record.request.level; ++entry) {
+        if (runningVictim && runningVictim->victims.begin()->request.level > entry->first)
+            break;
+        if (auto* victim = entry->second.last()) {
+            unqueue(*victim);
+            refuse(*victim, refusal_reason::displaced, "displaced by work of a more urgent tier", out);
+            return true;
+        }
+    }
+    if (!runningVictim)
+        return false;
+    preempt(*runningVictim->victims.begin(), out);
+    return true;
+}
+
+endpoint_record* pool_scheduler::implementation::findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start)
+{
+    if (!settings.preemption)
+        return nullptr;
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    endpoint_record* best = nullptr;
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->ejected || entry->victims.empty())
+            continue;
+        const auto& victim = *entry->victims.begin();
+        if (victim.request.level <= record.request.level || (best && !victim_order {}(victim, *best->victims.begin())))
+            continue;
+        if (start && modelsOf(*entry).learned(now)
+            && *start + fromSeconds(option(record, *entry, cached, true).cost) > record.request.deadline)
+            continue;
+        best = entry.get();
+    }
+    return best;
+}
+
+void pool_scheduler::implementation::preempt(request_record& victim, actions& out)
+{
+    auto& where = *victim.endpoint;
+    where.victims.erase(where.victims.iterator_to(victim));
+    --queueOf(victim).preemptible;
+    victim.preempting = true;
+    ++preempting;
+    out.emplace_back(slot_preemption { victim.request.id, victim.request.home });
+}
+
+bool pool_scheduler::implementation::preemptFor(monotonic_time now, request_record& record, actions& out)
+{
+    auto* where = findVictim(now, record, now);
+    if (!where)
+        return false;
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const auto choice = option(record, *where, cached, true);
+    preempt(*where->victims.begin(), out);
+    if (record.phase == request_phase::parked)
+        unpark(record);
+    record.charge = static_cast<double>(record.request.promptTokens.value - choice.cachedTokens) + record.expectedOutput;
+    // The slot is reserved until the deadline decides: without the reservation it would go to the next request in order, and
+    // this one would preempt again or be refused.
+    park(now, record, *where, 0);
+    record.parkedUntil = record.request.deadline;
+    setTimer(record, record.request.deadline - fromSeconds(choice.cost));
+    return true;
+}
+
+void pool_scheduler::implementation::countInversion(monotonic_time now, request_record& record, bool queueSpace)
+{
+    // Work that would miss its deadline even on an idle pool is not refused for lack of capacity.
+    if (!queueSpace && record.submitted + fromSeconds(bestCost(now, record)) > record.request.deadline)
+        return;
+    const bool lowerRunning = findVictim(now, record, queueSpace ? std::nullopt : std::optional(record.submitted)) != nullptr;
+    const bool lowerWaiting = queueSpace
+        && std::ranges::any_of(tiers, [&](const auto& entry) { return entry.first > record.request.level && entry.second.size() > 0; });
+    inversions += lowerRunning || lowerWaiting ? 1 : 0;
+}
+
+void pool_scheduler::implementation::checkWaiting(monotonic_time now, request_record& record, actions& out)
+{
+    const double cost = bestCost(now, record);
+    const auto latest = record.request.deadline - fromSeconds(cost);
+    const bool passed = now >= record.request.deadline;
+    const bool reserved = record.phase == request_phase::parked && record.parkedUntil >= record.request.deadline;
+    if (passed || now > latest) {
+        countInversion(now, record, false);
+        unqueue(record);
+        refuse(record, passed ? refusal_reason::deadline_passed : refusal_reason::deadline_unreachable,
+            "no slot was free in time: waited " + milliseconds(toSeconds(now - record.submitted)), out);
+        return;
+    }
+    if (cost <= 0 || reserved || (record.phase == request_phase::waiting && !findVictim(now, record, std::nullopt))) {
+        setTimer(record, latest + duration(1));
+        return;
+    }
+    if (!preemptFor(now, record, out))
+        setTimer(record, std::min(latest + duration(1), now + retryPreemption));
+}
+
+void pool_scheduler::implementation::runTimers(monotonic_time now, actions& out)
+{
+    while (!timers.empty() && timers.begin()->timer <= now) {
+        auto& record = *timers.begin();
+        if (record.phase != request_phase::running) {
+            checkWaiting(now, record, out);
+            continue;
+        }
+        // The timer of a running request is not moved with every progress message, but checked when it is due.
+        const auto silence = silenceLimit(record);
+        if (!record.homeLost && record.lastHeard + silence > now) {
+            setTimer(record, record.lastHeard + silence);
+            continue;
+        }
+        vacate(record);
+        forget(record, record.homeLost ? "slot freed after the loss of its home" : "slot freed: no progress was reported", true);
+    }
+}
+
+void pool_scheduler::implementation::refuseWithoutEndpoint(monotonic_time now, actions& out)
+{
+    const bool any = std::ranges::any_of(endpoints, [](const auto& entry) { return entry->eligible(); });
+    if (any || waiting == 0) {
+        noEndpointSince = {};
+        return;
+    }
+    if (noEndpointSince == monotonic_time {})
+        noEndpointSince = now;
+    if (now - noEndpointSince < noEndpointGrace)
+        return;
+    std::vector<request_record*> refused;
+    for (auto& [id, record] : requests) {
+        if (record.phase != request_phase::running)
+            refused.push_back(&record);
+    }
+    for (auto* record : refused) {
+        unqueue(*record);
+        refuse(*record, refusal_reason::no_endpoint, "the pool has no endpoint that accepts work", out);
+    }
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/src/placement.cpp
@@ -0,0 +1,249 @@
+#include "pool_state.h"
+
+#include "base/prompt_blocks.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawaylink {
+
+namespace {
+
+/// While other work waits, prefill that a cached prefix saves is also engine time for that work, so it counts this many times
+/// its own duration; without other work it only shortens the request itself.
+constexpr double crowdedPrefixWeight = 3;
+/// Share of the slots of an endpoint that may be reserved by requests waiting for its cached prefixes.
+constexpr std::size_t parkedShare = 4;
+/// Errors of the estimate beyond this are noise of the first samples and must not refuse work.
+constexpr double largestMargin = 0.5;
+constexpr double marginSamples = 5;
+/// A running request that nobody mentions for this many grant lifetimes is taken for lost.
+constexpr int silentLifetimes = 30;
+
+} // namespace
+
+std::size_t pool_scheduler::implementation::freeSlots(const endpoint_record& where, monotonic_time now) const
+{
+    if (!where.eligible())
+        return 0;
+    const auto circuit = where.breaker.state(now);
+    if (circuit == circuit_state::open)
+        return 0;
+    if (where.ejected)
+        return where.running == 0 && now >= where.nextProbe ? 1 : 0;
+    if (circuit == circuit_state::half_open)
+        return where.running == 0 ? 1 : 0;
+    const auto taken = where.running + *std::ranges::min_element(where.foreign.excess);
+    return where.description.maxRunning > taken ? where.description.maxRunning - taken : 0;
+}
+
+double pool_scheduler::implementation::nextSlotWait(const endpoint_record& where) const
+{
+    const auto ahead = static_cast<double>(where.parked.size() + 1);
+    if (where.running == 0)
+        return typicalWork.mean() * ahead;
+    const auto streams = static_cast<double>(where.running);
+    return where.work / streams / streams * ahead;
+}
+
+placement_option pool_scheduler::implementation::option(
+    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree)
+{
+    const auto prompt = record.request.promptTokens.value;
+    const auto blocks = where.position < prefix_index::maxEndpoints ? cached[where.position] : 0;
+    const auto models = modelsOf(where);
+    placement_option result;
+    result.endpoint = &where;
+    // The last token is always computed, also for a prompt that is cached completely.
+    result.cachedTokens = std::clamp<std::int64_t>(blocks * tokensPerBlock, 0, std::max<std::int64_t>(0, prompt - 1));
+    const double first = models.firstTokenSeconds(static_cast<double>(prompt - result.cachedTokens));
+    const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
+    result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
+    result.wait = isFree ? 0 : nextSlotWait(where);
+    const double saved = models.firstTokenSeconds(static_cast<double>(prompt)) - first;
+    result.score = result.wait + result.cost - (contended(record) ? (crowdedPrefixWeight - 1) * saved : 0);
+    return result;
+}
+
+double pool_scheduler::implementation::margin() const
+{
+    if (estimateError.samples() < marginSamples)
+        return 0;
+    return std::clamp(estimateError.mean() - 1 + estimateError.deviation(), 0.0, largestMargin);
+}
+
+bool pool_scheduler::implementation::contended(const request_record& record) const
+{
+    std::size_t others = 0;
+    for (const auto& [level, queue] : tiers) {
+        if (level > record.request.level)
+            break;
+        others += queue.size() + queue.parked;
+    }
+    return others > (record.phase == request_phase::waiting || record.phase == request_phase::parked ? 1U : 0U);
+}
+
+double pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
+{
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    double best = std::numeric_limits<double>::infinity();
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->ejected)
+            continue;
+        if (!modelsOf(*entry).learned(now))
+            return 0;
+        best = std::min(best, option(record, *entry, cached, true).cost);
+    }
+    return std::isinf(best) ? 0 : best;
+}
+
+double pool_scheduler::implementation::waitEstimate(request_record& record)
+{
+    if (slots == 0)
+        return 0;
+    double ahead = 0;
+    // Slots that are free or can be taken from lower tiers.
+    double available = static_cast<double>(slots) - static_cast<double>(running);
+    for (auto& [level, queue] : tiers) {
+        if (level < record.request.level)
+            ahead += queue.work();
+        else if (level == record.request.level)
+            ahead += queue.workAhead(*record.owner, record.request.deadline);
+        else if (settings.preemption)
+            available += static_cast<double>(queue.preemptible);
+        if (level <= record.request.level)
+            available -= static_cast<double>(queue.parked);
+    }
+    ahead *= std::clamp(workError.mean(), 0.1, 10.0);
+    const double typical = typicalWork.mean();
+    return std::max(0.0, ahead + typical * (1 - available)) / static_cast<double>(slots);
+}
+
+duration pool_scheduler::implementation::silenceLimit(const request_record& record) const
+{
+    return std::max<duration>(silentLifetimes * settings.grantLifetime, fromSeconds(2 * record.grantedCost));
+}
+
+request_record* pool_scheduler::implementation::next()
+{
+    for (auto& [level, queue] : tiers) {
+        if (queue.size() == 0)
+            continue;
+        if (auto* record = queue.next(longAllowed(level)))
+            return record;
+    }
+    return nullptr;
+}
+
+void pool_scheduler::implementation::dispatch(monotonic_time now, actions& out)
+{
+    while (waiting > 0) {
+        serveParked(now, out);
+        auto* record = next();
+        if (!record || std::ranges::none_of(endpoints, [&](const auto& entry) { return freeSlots(*entry, now) > 0; }))
+            return;
+        if (!place(now, *record, out))
+            return;
+    }
+}
+
+void pool_scheduler::implementation::serveParked(monotonic_time now, actions& out)
+{
+    for (const auto& entry : endpoints) {
+        while (!entry->parked.empty() && freeSlots(*entry, now) > 0) {
+            auto& record = *std::ranges::min_element(entry->parked, {}, [](const request_record& parked) { return parked.request.level; });
+            // More urgent work that is not tied to an endpoint goes first.
+            if (const auto* head = next(); head && head->request.level < record.request.level)
+                break;
+            const auto choice = option(record, *entry, prefixes.match(record.request.prefixBlocks), true);
+            if (modelsOf(*entry).learned(now) && now + fromSeconds(choice.cost) > record.request.deadline)
+                unpark(record);
+            else
+                grant(now, record, choice, out);
+        }
+    }
+}
+
+bool pool_scheduler::implementation::place(monotonic_time now, request_record& record, actions& out)
+{
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const double factor = contended(record) ? 1 + margin() : 1;
+    const auto fits = [&](const placement_option& choice) {
+        return !modelsOf(*choice.endpoint).learned(now) || now + fromSeconds(choice.wait + choice.cost * factor) <= record.request.deadline;
+    };
+    placement_option bestFree;
+    placement_option bestFull;
+    bool anyFree = false;
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->breaker.state(now) == circuit_state::open)
+            continue;
+        const bool isFree = freeSlots(*entry, now) > 0;
+        if (entry->ejected) {
+            // A probe may be slow: it is neither long nor a request that cannot be repeated.
+            if (!isFree || record.longRequest || record.request.nonIdempotent)
+                continue;
+            if (const auto choice = option(record, *entry, cached, true); fits(choice)) {
+                grant(now, record, choice, out);
+                return true;
+            }
+            continue;
+        }
+        anyFree = anyFree || isFree;
+        const auto choice = option(record, *entry, cached, isFree);
+        auto& best = isFree ? bestFree : bestFull;
+        if (fits(choice) && (!best.endpoint || choice.score < best.score))
+            best = choice;
+    }
+    if (!anyFree)
+        return false;
+    const bool mayPark = bestFull.endpoint && !record.hasParked && bestFull.score < bestFree.score
+        && bestFull.endpoint->parked.size() < std::max<std::size_t>(1, bestFull.endpoint->description.maxRunning / parkedShare);
+    if (bestFree.endpoint && !mayPark) {
+        grant(now, record, bestFree, out);
+    } else if (bestFull.endpoint) {
+        record.charge = static_cast<double>(record.request.promptTokens.value - bestFull.cachedTokens) + record.expectedOutput;
+        park(now, record, *bestFull.endpoint, bestFull.wait);
+    } else if (!preemptFor(now, record, out)) {
+        countInversion(now, record, false);
+        refuse(record, refusal_reason::deadline_unreachable, "no endpoint can finish the request before its deadline", out);
+    }
+    return true;
+}
+
+void pool_scheduler::implementation::grant(monotonic_time now, request_record& record, const placement_option& choice, actions& out)
+{
+    auto& where = *choice.endpoint;
+    auto& queue = queueOf(record);
+    if (record.phase == request_phase::parked) {
+        where.parked.erase(where.parked.iterator_to(record));
+        --queue.parked;
+        queue.longRunning -= record.longRequest ? 1 : 0;
+        --waiting;
+        --record.owner->team.waiting;
+    } else {
+        unqueue(record);
+        record.charge = static_cast<double>(record.request.promptTokens.value - choice.cachedTokens) + record.expectedOutput;
+        queue.serve(*record.owner);
+        queue.charge(*record.owner, record.charge);
+    }
+    const auto before = where.running;
+    where.breaker.allows(now);
+    record.probe = where.ejected;
+    record.grantedCost = choice.cost;
+    record.expectedCached = choice.cachedTokens;
+    record.waste = record.request.promptTokens.value - choice.cachedTokens;
+    occupy(now, record, where);
+    // The prompt counts as cached from the grant on, so that requests with the same prefix that arrive together are prefilled
+    // once; settlePrefix() takes this back where the request did not run.
+    if (where.position < prefix_index::maxEndpoints)
+        prefixes.insert(where.position, record.request.prefixBlocks);
+    setTimer(record, now + silenceLimit(record));
+    record.explanation = "estimated " + milliseconds(choice.cost) + ", " + std::to_string(choice.cachedTokens) + " of "
+        + std::to_string(record.request.promptTokens.value) + " prompt tokens cached, " + std::to_string(before) + " of "
+        + std::to_string(where.description.maxRunning) + " slots taken, waited " + milliseconds(toSeconds(now - record.request.arrival))
+        + (record.probe ? ", probe of a straggler" : "");
+    out.emplace_back(
+        slot_grant { record.request.id, record.request.home, where.description.id, tokens(choice.cachedTokens), record.explanation });
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/src/pool_state.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "prefix_index.h"
+#include "records.h"
+#include "straggler_detector.h"
+#include "tier_queue.h"
+
+#include "scheduling/pool_scheduler.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace carawaylink {
+
+using actions = std::vector<scheduling_action>;
+
+/// Where a request could run.
+struct placement_option {
+    endpoint_record* endpoint = nullptr;
+    /// Estimated seconds until a slot is free there, and on the endpoint.
+    double wait = 0;
+    double cost = 0;
+    /// Lower is better.
+    double score = 0;
+    std::int64_t cachedTokens = 0;
+};
+
+/// State and decisions of pool_scheduler. Members are declared so that sets are destroyed before the records they link.
+struct pool_scheduler::implementation {
+    explicit implementation(pool_scheduler_settings initial);
+
+    // pool_state.cpp: records and accounting.
+    team_record& team(const team_id& id);
+    flow& flowOf(team_record& owner, tier level);
+    /// Sets the flow, the estimates and the class of a new request.
+    void describe(request_record& record);
+    tier_queue& queueOf(const request_record& record) { return tiers.at(record.request.level); }
+    endpoint_record& endpoint(const endpoint_id& id);
+    void recount();
+    void setTimer(request_record& record, monotonic_time when);
+    bool longAllowed(tier level) const;
+    void enqueue(request_record& record);
+    void unqueue(request_record& record);
+    void park(monotonic_time now, request_record& record, endpoint_record& where, double wait);
+    void unpark(request_record& record);
+    void occupy(monotonic_time now, request_record& record, endpoint_record& where);
+    void vacate(request_record& record);
+    void refuse(request_record& record, refusal_reason reason, std::string message, actions& out);
+    void forget(request_record& record, std::string outcome, bool ran);
+    speed_models modelsOf(endpoint_record& where) { return { &where.speed, &where.generation->speed, &poolSpeed }; }
+
+    // placement.cpp: the order of grants and the choice of an endpoint.
+    std::size_t freeSlots(const endpoint_record& where, monotonic_time now) const;
+    void dispatch(monotonic_time now, actions& out);
+    void serveParked(monotonic_time now, actions& out);
+    request_record* next();
+    bool place(monotonic_time now, request_record& record, actions& out);
+    void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
+    placement_option option(request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree);
+    double nextSlotWait(const endpoint_record& where) const;
+    double bestCost(monotonic_time now, request_record& record);
+    double waitEstimate(request_record& record);
+    double margin() const;
+    /// Time without a message after which a running request is taken for lost.
+    duration silenceLimit(const request_record& record) const;
+    bool contended(const request_record& record) const;
+
+    // displacement.cpp: shedding, displacement and deadlines.
+    bool admit(monotonic_time now, request_record& record, actions& out);
+    bool makeRoom(monotonic_time now, request_record& record, actions& out);
+    bool displaceOwn(request_record& record, actions& out);
+    bool preemptFor(monotonic_time now, request_record& record, actions& out);
+    /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
+    /// request in time from then on are considered.
+    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
+    void preempt(request_record& victim, actions& out);
+    void countInversion(monotonic_time now, request_record& record, bool queueSpace);
+    void checkWaiting(monotonic_time now, request_record& record, actions& out);
+    void runTimers(monotonic_time now, actions& out);
+    void refuseWithoutEndpoint(monotonic_time now, actions& out);
+
+    // observation.cpp: what finished and running requests teach.
+    void observeProgress(monotonic_time now, const slot_progress& progress);
+    void learn(monotonic_time now, request_record& record, const slot_release& release);
+    void settleCharge(request_record& record, const slot_release& release);
+    void settlePrefix(request_record& record, const slot_release& release);
+    void judgeProbe(monotonic_time now, request_record& record, const slot_release& release);
+    void setLeaving(endpoint_record& where);
+    void observeLoad(const load_report& report);
+
+    pool_scheduler_settings settings;
+    monotonic_time lastNow {};
+
+    std::unordered_map<request_id, request_record> requests;
+    std::unordered_map<team_id, team_record> teams;
+    std::vector<std::unique_ptr<flow>> flows;
+    std::map<tier, tier_queue> tiers;
+    std::map<std::string, generation_record> generations;
+    std::vector<std::unique_ptr<endpoint_record>> endpoints;
+    std::unordered_map<endpoint_id, endpoint_record*> endpointsById;
+    timer_set timers;
+
+    prefix_index prefixes;
+    std::uint64_t usedPositions = 0;
+    straggler_detector stragglers;
+    speed_model poolSpeed;
+    recent_mean outputShare;
+    /// Observed total time divided by the estimate at the grant.
+    recent_mean estimateError;
+    /// Observed total time divided by request_record::work.
+    recent_mean workError;
+    /// Seconds of a typical request, for retry hints and waits.
+    recent_mean typicalWork;
+
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    std::size_t preempting = 0;
+    /// Sum of maxRunning of the endpoints that receive regular work.
+    std::size_t slots = 0;
+    std::uint64_t inversions = 0;
+    monotonic_time noEndpointSince {};
+
+    struct history_entry {
+        std::string text;
+        /// The request ran, so that a repeated submission must be ignored.
+        bool ran = false;
+    };
+    std::unordered_map<request_id, history_entry> history;
+    std::deque<request_id> historyOrder;
+};
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/scheduling/src/prefix_index.cpp
@@ -0,0 +1,111 @@
+#include "prefix_index.h"
+
+#include <bit>
+#include <ranges>
+
+namespace carawaylink {
+
+void prefix_index::setCapacity(std::size_t endpoint, std::size_t blocks)
+{
+    auto& self = m_caches[endpoint];
+    self.capacity = blocks;
+    while (self.positions.size() > self.capacity)
+        remove(endpoint, self.oldest);
+}
+
+void prefix_index::clear(std::size_t endpoint)
+{
+    const auto capacity = m_caches[endpoint].capacity;
+    setCapacity(endpoint, 0);
+    m_caches[endpoint] = {};
+    m_caches[endpoint].capacity = capacity;
+}
+
+void prefix_index::insert(std::size_t endpoint, std::span<const std::uint64_t> blocks)
+{
+    for (const auto block : blocks | std::views::reverse)
+        touch(endpoint, block);
+}
+
+void prefix_index::erase(std::size_t endpoint, std::uint64_t block)
+{
+    const auto& positions = m_caches[endpoint].positions;
+    if (const auto found = positions.find(block); found != positions.end())
+        remove(endpoint, found->second);
+}
+
+prefix_index::lengths prefix_index::match(std::span<const std::uint64_t> blocks) const
+{
+    lengths result {};
+    std::uint64_t found = 0;
+    for (std::size_t length = blocks.size(); length > 0; --length) {
+        const auto holders = m_holders.find(blocks[length - 1]);
+        if (holders == m_holders.end())
+            continue;
+        for (auto added = holders->second & ~found; added != 0; added &= added - 1)
+            result[static_cast<std::size_t>(std::countr_zero(added))] = static_cast<std::uint16_t>(length);
+        found |= holders->second;
+    }
+    return result;
+}
+
+std::size_t prefix_index::size(std::size_t endpoint) const
+{
+    return m_caches[endpoint].positions.size();
+}
+
+void prefix_index::touch(std::size_t endpoint, std::uint64_t block)
+{
+    auto& self = m_caches[endpoint];
+    if (self.capacity == 0)
+        return;
+    if (const auto found = self.positions.find(block); found != self.positions.end()) {
+        unlink(self, found->second);
+        linkNewest(self, found->second);
+        return;
+    }
+    if (self.positions.size() >= self.capacity)
+        remove(endpoint, self.oldest);
+    std::uint32_t position = 0;
+    if (self.unused.empty()) {
+        position = static_cast<std::uint32_t>(self.nodes.size());
+        self.nodes.emplace_back();
+    } else {
+        position = self.unused.back();
+        self.unused.pop_back();
+    }
+    self.nodes[position].block = block;
+    linkNewest(self, position);
+    self.positions.emplace(block, position);
+    m_holders[block] |= std::uint64_t { 1 } << endpoint;
+}
+
+void prefix_index::unlink(cache& self, std::uint32_t position)
+{
+    const auto [block, previous, next] = self.nodes[position];
+    (previous == none ? self.newest : self.nodes[previous].next) = next;
+    (next == none ? self.oldest : self.nodes[next].previous) = previous;
+}
+
+void prefix_index::linkNewest(cache& self, std::uint32_t position)
+{
+    self.nodes[position].previous = none;
+    self.nodes[position].next = self.newest;
+    (self.newest == none ? self.oldest : self.nodes[self.newest].previous) = position;
+    self.newest = position;
+}
+
+void prefix_index::remove(std::size_t endpoint, std::uint32_t position)
+{
+    auto& self = m_caches[endpoint];
+    const auto block = self.nodes[position].block;
+    unlink(self, position);
+    self.positions.erase(block);
+    self.unused.push_back(position);
+    const auto holders = m_holders.find(block);
+    holders->second &= ~(std::uint64_t { 1 } << endpoint);
+    if (holders->second == 0)
+        m_holders.erase(holders);
+}
+
+} // namespace carawaylink
