Test the pool scheduler against an engine model

Cause: the scheduler had no tests; preemption at the last start that the mean run time allows missed deadlines whenever outputs were longer than the mean. Change: fixture with simulated clock and engines; preemption is due while a run time three mean deviations above the estimate still fits.

--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 /// Time that a preemption needs until its slot is free: the message to the home, the cancellation and the release, and up to
-/// one period of tick(). A quarter of the cost is added because estimates of long requests are off by more.
+/// one period of tick().
 constexpr duration preemptionLead = std::chrono::milliseconds(250);
-constexpr double preemptionCostShare = 0.25;
+/// Preemption is due while a run time of this many mean deviations above the estimate still fits, about 99 in 100 requests.
+constexpr double preemptionDeviations = 3;
+constexpr double largestPreemptionFactor = 3;
 /// Pause before a request that found nothing to preempt looks again.
 constexpr duration retryPreemption = std::chrono::milliseconds(50);
 /// An empty list of endpoints may be a passing state of the VM list.
@@ -50,7 +52,9 @@
     const double needed = cost * (wait > 0 ? 1 + margin() : 1);
     if (now + fromSeconds(wait + needed) <= record.request.deadline) {
         enqueue(record);
-        setTimer(record, record.request.deadline - fromSeconds(cost * (1 + margin() + preemptionCostShare)) - preemptionLead);
+        const double factor
+            = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
+        setTimer(record, record.request.deadline - fromSeconds(cost * factor) - preemptionLead);
         return true;
     }
     enqueue(record);
--- /dev/null
+++ b/libs/scheduling/tests/pool_scheduler_tests.cpp
@@ -0,0 +1,441 @@
+#include "pool_driver.h"
+
+#include <gtest/gtest.h>
+#include <numeric>
+
+namespace carawaylink {
+namespace {
+
+class pool_scheduling : public testing::Test {
+protected:
+    /// Lets the cost model see enough requests for its estimates to refuse and preempt.
+    static void teach(pool_driver& driver, int count = 10)
+    {
+        for (int i = 0; i < count; ++i) {
+            driver.submit(driver.make("teacher", 0, 100 + 10 * i, 20));
+            driver.run(400ms);
+        }
+    }
+};
+
+// Guards against an engine queue building up because more requests are granted than the endpoint runs at once.
+TEST_F(pool_scheduling, full_endpoint_keeps_requests_waiting)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 2);
+    for (int i = 0; i < 5; ++i)
+        driver.submit(driver.make("a", 0, 100, 100));
+    EXPECT_EQ(driver.pool.status(driver.now).running, 2U);
+    EXPECT_EQ(driver.pool.status(driver.now).waiting, 3U);
+    driver.run(10s);
+    EXPECT_EQ(driver.count([](const auto& result) { return result.completed; }), 5U);
+    EXPECT_EQ(driver.engines[endpoint_id("e1")].mostRunning, 2U);
+}
+
+// Guards against a repeated submission taking a second slot, while the first waits, runs or has finished.
+TEST_F(pool_scheduling, repeated_submission_is_ignored)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    const auto running = driver.make("a", 0, 100, 50);
+    const auto waiting = driver.make("a", 0, 100, 50);
+    driver.submit(running);
+    driver.submit(waiting);
+    EXPECT_TRUE(driver.pool.submit(driver.now, running).empty());
+    EXPECT_TRUE(driver.pool.submit(driver.now, waiting).empty());
+    EXPECT_EQ(driver.pool.status(driver.now).waiting, 1U);
+    driver.run(5s);
+    EXPECT_TRUE(driver.pool.submit(driver.now, running).empty());
+    EXPECT_EQ(driver.results[running.id].grants, 1);
+    EXPECT_EQ(driver.results[waiting.id].grants, 1);
+}
+
+// Guards against a lower tier overtaking a higher one, and a later deadline an earlier one of the same team.
+TEST_F(pool_scheduling, freed_slot_goes_to_highest_tier_then_earliest_deadline)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    driver.submit(driver.make("a", 1, 100, 20));
+    const auto low = driver.submit(driver.make("a", 2, 100, 20, 20s));
+    const auto late = driver.submit(driver.make("a", 1, 100, 20, 40s));
+    const auto early = driver.submit(driver.make("a", 1, 100, 20, 30s));
+    const auto urgent = driver.submit(driver.make("a", 0, 100, 20, 50s));
+    driver.run(10s);
+    EXPECT_LT(driver.results[urgent].granted, driver.results[early].granted);
+    EXPECT_LT(driver.results[early].granted, driver.results[late].granted);
+    EXPECT_LT(driver.results[late].granted, driver.results[low].granted);
+}
+
+// Guards against prefill spent on a request that cannot finish in time.
+TEST_F(pool_scheduling, unreachable_deadline_is_refused_before_grant)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 2);
+    teach(driver);
+    const auto id = driver.submit(driver.make("a", 0, 100, 2000, 2s));
+    EXPECT_EQ(driver.results[id].grants, 0);
+    EXPECT_EQ(driver.results[id].reason, refusal_reason::deadline_unreachable);
+    const auto passed = driver.submit(driver.make("a", 0, 100, 20, -1s));
+    EXPECT_EQ(driver.results[passed].reason, refusal_reason::deadline_passed);
+}
+
+// Guards against requests that wait past their last start being granted all the same.
+TEST_F(pool_scheduling, waiting_request_is_refused_once_too_late_to_start)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    teach(driver);
+    // The team uses much less of its maximum than the request that blocks the slot.
+    driver.submit(driver.make("teacher", 0, 100, 20), 2000);
+    const auto id = driver.submit(driver.make("teacher", 0, 100, 20, 2s));
+    EXPECT_EQ(driver.results[id].refusals, 0);
+    driver.run(2s);
+    EXPECT_EQ(driver.results[id].grants, 0);
+    EXPECT_EQ(driver.results[id].refusals, 1);
+    EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+}
+
+// Guards against a pool that learned a slow phase refusing everything for ever.
+TEST_F(pool_scheduling, old_estimates_do_not_refuse)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 2, { 100, 0.5 });
+    teach(driver, 5);
+    driver.run(60s);
+    driver.engines[endpoint_id("e1")].speed = {};
+    const auto id = driver.submit(driver.make("teacher", 0, 200, 20, 2s));
+    driver.run(2s);
+    EXPECT_TRUE(driver.results[id].completed);
+}
+
+// Guards against an unbounded queue, per team and in total.
+TEST_F(pool_scheduling, queue_limits_refuse_with_their_reason)
+{
+    pool_driver driver({ .maxWaiting = 3 });
+    driver.addEndpoint("e1", 1);
+    const team_share limited { team_id("limited"), 1.0, 1 };
+    driver.pool.setTeams(std::span(&limited, 1));
+    driver.submit(driver.make("a", 1, 100, 100));
+    driver.submit(driver.make("limited", 1, 100, 100));
+    const auto overTeam = driver.submit(driver.make("limited", 1, 100, 100));
+    EXPECT_EQ(driver.results[overTeam].reason, refusal_reason::team_queue_full);
+    driver.submit(driver.make("a", 1, 100, 100));
+    driver.submit(driver.make("a", 1, 100, 100));
+    const auto overPool = driver.submit(driver.make("a", 1, 100, 100));
+    EXPECT_EQ(driver.results[overPool].reason, refusal_reason::queue_full);
+    EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+}
+
+// Guards against shedding a higher tier while lower-tier work waits: the lowest tier is refused in its place.
+TEST_F(pool_scheduling, full_queue_displaces_lowest_waiting_tier)
+{
+    pool_driver driver({ .maxWaiting = 2, .preemption = false });
+    driver.addEndpoint("e1", 1);
+    driver.submit(driver.make("a", 1, 100, 100));
+    const auto second = driver.submit(driver.make("a", 2, 100, 100));
+    const auto third = driver.submit(driver.make("b", 3, 100, 100));
+    const auto urgent = driver.submit(driver.make("c", 0, 100, 100));
+    EXPECT_EQ(driver.results[third].reason, refusal_reason::displaced);
+    EXPECT_EQ(driver.results[second].refusals, 0);
+    EXPECT_EQ(driver.results[urgent].refusals, 0);
+    EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+}
+
+// Guards against a queue full of higher tiers shedding while a lower-tier stream keeps its slot.
+TEST_F(pool_scheduling, full_queue_without_lower_tier_preempts_running_stream)
+{
+    pool_driver driver({ .maxWaiting = 1 });
+    driver.addEndpoint("e1", 1);
+    const auto running = driver.submit(driver.make("a", 2, 100, 5000));
+    driver.submit(driver.make("b", 0, 100, 10));
+    const auto urgent = driver.submit(driver.make("b", 0, 100, 10));
+    EXPECT_EQ(driver.results[running].preemptions, 1);
+    driver.run(2s);
+    EXPECT_TRUE(driver.results[urgent].completed);
+}
+
+// Guards against a higher tier missing its deadline behind lower-tier streams, and against preempting the costliest one.
+TEST_F(pool_scheduling, urgent_request_preempts_stream_with_least_wasted_prefill)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 2);
+    teach(driver);
+    const auto costly = driver.submit(driver.make("a", 2, 4000, 1000));
+    const auto cheap = driver.submit(driver.make("a", 2, 100, 1000));
+    driver.run(1s);
+    const auto patient = driver.submit(driver.make("b", 1, 100, 20, 50s));
+    EXPECT_EQ(driver.results[cheap].preemptions, 0);
+    const auto urgent = driver.submit(driver.make("b", 0, 100, 20, 600ms));
+    driver.run(600ms);
+    EXPECT_TRUE(driver.results[urgent].completed);
+    EXPECT_EQ(driver.results[cheap].preemptions, 1);
+    EXPECT_EQ(driver.results[costly].preemptions, 0);
+    EXPECT_EQ(driver.results[patient].refusals, 0);
+}
+
+// Guards against P5: a call that must run at most once is never interrupted by the scheduler.
+TEST_F(pool_scheduling, non_idempotent_request_is_never_preempted)
+{
+    pool_driver driver({ .maxWaiting = 1 });
+    driver.addEndpoint("e1", 1);
+    teach(driver);
+    auto order = driver.make("a", 3, 100, 1000);
+    order.nonIdempotent = true;
+    driver.submit(order);
+    const auto urgent = driver.submit(driver.make("b", 0, 100, 20, 600ms));
+    driver.run(1s);
+    EXPECT_EQ(driver.results[order.id].preemptions, 0);
+    EXPECT_EQ(driver.results[urgent].refusals, 1);
+    EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+}
+
+// Guards against shedding tier 0 at a rate that fits its slots, while lower tiers fill the queue and all slots.
+TEST_F(pool_scheduling, displacement_leaves_no_inversion)
+{
+    pool_driver driver({ .maxWaiting = 4 });
+    driver.addEndpoint("e1", 2);
+    teach(driver);
+    for (int i = 0; i < 6; ++i)
+        driver.submit(driver.make("a", 2, 200, 2000));
+    for (int i = 0; i < 12; ++i) {
+        driver.submit(driver.make("b", 0, 100, 20, 3s));
+        driver.run(200ms);
+    }
+    driver.run(5s);
+    EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+    EXPECT_EQ(driver.count([](const auto& result) { return result.request.level == tier(0) && result.refusals > 0; }), 0U);
+}
+
+// Guards against long requests holding every slot while short ones of the tier wait.
+TEST_F(pool_scheduling, long_requests_leave_slots_to_short_ones)
+{
+    pool_driver driver({ .longSlotShare = 0.5 });
+    driver.addEndpoint("e1", 4);
+    teach(driver, 20);
+    for (int i = 0; i < 20; ++i) {
+        driver.submit(driver.make("a", 0, 100, 2000, 500s));
+        driver.submit(driver.make("a", 0, 100, 20, 600s));
+    }
+    driver.run(8s);
+    EXPECT_EQ(driver.count([](const auto& result) { return result.request.maxOutputTokens == tokens(20) && !result.completed; }), 0U);
+}
+
+// Guards against P6: grants to an endpoint that said it leaves, by any of the three ways, until it was absent and came back.
+TEST_F(pool_scheduling, leaving_endpoint_receives_nothing)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 8);
+    driver.addEndpoint("e2", 8);
+    driver.pool.markLeaving(endpoint_id("e1"));
+    for (int i = 0; i < 20; ++i)
+        driver.submit(driver.make("a", 0, 100, 10));
+    driver.pool.setEndpoints(driver.now, driver.descriptions);
+    driver.run(5s);
+    EXPECT_EQ(driver.engines[endpoint_id("e1")].mostRunning, 0U);
+    EXPECT_EQ(driver.count([](const auto& result) { return result.completed; }), 20U);
+    driver.pool.setEndpoints(driver.now, std::span(driver.descriptions).last(1));
+    driver.pool.setEndpoints(driver.now, driver.descriptions);
+    driver.pool.observe(driver.now, load_report { .endpoint = endpoint_id("e2"), .leaving = true });
+    const auto id = driver.submit(driver.make("a", 0, 100, 10));
+    EXPECT_EQ(driver.results[id].endpoint, endpoint_id("e1"));
+    auto release = slot_release { .request = id, .outcome = release_outcome::rejected, .endpointLeaving = true };
+    driver.pool.release(driver.now, release);
+    const auto refused = driver.submit(driver.make("a", 0, 100, 10));
+    EXPECT_EQ(driver.results[refused].reason, refusal_reason::no_endpoint);
+}
+
+// Guards against waiting requests that nobody will ever serve once the last endpoint has gone.
+TEST_F(pool_scheduling, waiting_requests_are_refused_when_no_endpoint_is_left)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    driver.submit(driver.make("a", 0, 100, 1000));
+    const auto waiting = driver.submit(driver.make("a", 0, 100, 10));
+    driver.pool.markLeaving(endpoint_id("e1"));
+    driver.run(2s);
+    EXPECT_EQ(driver.results[waiting].reason, refusal_reason::no_endpoint);
+}
+
+// Guards against a prompt being prefilled again although a free endpoint has it cached.
+TEST_F(pool_scheduling, request_goes_where_its_prefix_is_cached)
+{
+    pool_driver driver;
+    for (const auto* name : { "e1", "e2", "e3", "e4" })
+        driver.addEndpoint(name, 4);
+    teach(driver);
+    std::vector<std::uint64_t> blocks(32);
+    std::iota(blocks.begin(), blocks.end(), 1000U);
+    const cache_event event { endpoint_id("e3"), blocks[15], true };
+    driver.pool.observe(std::span(&event, 1));
+    auto request = driver.make("a", 0, 2048, 20);
+    request.prefixBlocks = blocks;
+    const auto first = driver.submit(request);
+    EXPECT_EQ(driver.results[first].endpoint, endpoint_id("e3"));
+    driver.run(2s);
+    auto again = driver.make("b", 0, 2048, 20);
+    again.prefixBlocks = blocks;
+    EXPECT_EQ(driver.results[driver.submit(again)].endpoint, endpoint_id("e3"));
+}
+
+// Guards against a cached prefix drawing a request into a wait that costs more than prefilling it elsewhere.
+TEST_F(pool_scheduling, long_wait_outweighs_cached_prefix)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    teach(driver);
+    std::vector<std::uint64_t> blocks(4);
+    std::iota(blocks.begin(), blocks.end(), 1000U);
+    auto holder = driver.make("teacher", 0, 256, 2000);
+    holder.prefixBlocks = blocks;
+    driver.submit(holder);
+    driver.addEndpoint("e2", 1);
+    auto request = driver.make("teacher", 0, 256, 20);
+    request.prefixBlocks = blocks;
+    EXPECT_EQ(driver.results[driver.submit(request)].endpoint, endpoint_id("e2"));
+}
+
+// Guards against a short wait being refused in favour of prefilling a long cached prompt again.
+TEST_F(pool_scheduling, short_wait_for_cached_prefix_is_taken)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4, { 1000, 0.01 });
+    teach(driver);
+    std::vector<std::uint64_t> blocks(64);
+    std::iota(blocks.begin(), blocks.end(), 1000U);
+    auto request = driver.make("teacher", 0, 4096, 20);
+    request.prefixBlocks = blocks;
+    driver.submit(request);
+    driver.run(6s);
+    for (int i = 0; i < 4; ++i)
+        driver.submit(driver.make("teacher", 0, 100, 20));
+    driver.addEndpoint("e2", 4, { 1000, 0.01 });
+    request = driver.make("teacher", 0, 4096, 20);
+    request.prefixBlocks = blocks;
+    const auto id = driver.submit(request);
+    EXPECT_EQ(driver.results[id].grants, 0);
+    driver.run(2s);
+    EXPECT_TRUE(driver.results[id].completed);
+    EXPECT_EQ(driver.results[id].endpoint, endpoint_id("e1"));
+}
+
+// Guards against a slow endpoint ruining requests for good, and against never using it again after it recovered.
+TEST_F(pool_scheduling, straggler_is_ejected_and_returns_after_good_probes)
+{
+    pool_driver driver;
+    for (const auto* name : { "e1", "e2", "e3" })
+        driver.addEndpoint(name, 4);
+    driver.onTick = [&] {
+        if (driver.pool.status(driver.now).waiting < 4)
+            driver.submit(driver.make("a", 0, 50, 100));
+    };
+    const auto ejected = [&] { return driver.pool.endpoints().front().ejected; };
+    driver.run(4s);
+    EXPECT_FALSE(ejected());
+    driver.engines[endpoint_id("e1")].speed.secondsPerToken = 0.08;
+    driver.run(20s);
+    ASSERT_TRUE(ejected());
+    EXPECT_LE(driver.pool.endpoints().front().running, 1U);
+    driver.engines[endpoint_id("e1")].speed.secondsPerToken = 0.01;
+    driver.run(25s);
+    EXPECT_FALSE(ejected());
+    EXPECT_GT(driver.pool.endpoints().front().running, 1U);
+}
+
+// Guards against a slower hardware generation being taken for a straggler.
+TEST_F(pool_scheduling, slower_generation_is_not_a_straggler)
+{
+    pool_driver driver;
+    driver.addEndpoint("old1", 4, { 2000, 0.05 }, "old");
+    driver.addEndpoint("old2", 4, { 2000, 0.05 }, "old");
+    driver.addEndpoint("new1", 4);
+    driver.addEndpoint("new2", 4);
+    driver.onTick = [&] {
+        if (driver.pool.status(driver.now).waiting < 4)
+            driver.submit(driver.make("a", 0, 50, 50));
+    };
+    driver.run(20s);
+    EXPECT_TRUE(std::ranges::none_of(driver.pool.endpoints(), &endpoint_status::ejected));
+}
+
+// Guards against a new owner granting slots that the previous one had given away.
+TEST_F(pool_scheduling, restored_grant_occupies_its_slot)
+{
+    pool_driver driver;
+    const auto request = driver.make("a", 0, 100, 100);
+    driver.results[request.id].request = request;
+    driver.pool.restore(driver.now, request, endpoint_id("e1"), tokens(10));
+    driver.addEndpoint("e1", 1);
+    const auto waiting = driver.submit(driver.make("a", 0, 100, 100));
+    EXPECT_EQ(driver.results[waiting].grants, 0);
+    EXPECT_TRUE(driver.pool.submit(driver.now, request).empty());
+    const auto actions = driver.pool.release(driver.now, { .request = request.id });
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<slot_grant>(actions.front()).request, waiting);
+}
+
+// Guards against requests of a dead node waiting or holding slots for ever, and against freeing slots the engine still uses.
+TEST_F(pool_scheduling, lost_home_frees_queue_at_once_and_slots_later)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    teach(driver);
+    auto running = driver.make("teacher", 0, 100, 200);
+    running.home = node_id("home-2:1");
+    driver.pool.submit(driver.now, running);
+    auto waiting = driver.make("teacher", 0, 100, 200);
+    waiting.home = node_id("home-2:1");
+    driver.pool.submit(driver.now, waiting);
+    const auto other = driver.submit(driver.make("teacher", 0, 100, 20));
+    driver.pool.homeLost(driver.now, node_id("home-2:1"));
+    EXPECT_EQ(driver.pool.status(driver.now).waiting, 1U);
+    driver.run(1s);
+    EXPECT_EQ(driver.results[other].grants, 0);
+    driver.run(5s);
+    EXPECT_TRUE(driver.results[other].completed);
+}
+
+// Guards against a failing endpoint attracting all requests because it is always free.
+TEST_F(pool_scheduling, failing_endpoint_is_taken_out_of_rotation)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4);
+    int grants = 0;
+    for (int i = 0; i < 50; ++i) {
+        const auto request = driver.make("a", 0, 100, 10);
+        const auto actions = driver.pool.submit(driver.now, request);
+        if (actions.empty())
+            continue;
+        ++grants;
+        driver.pool.release(driver.now, { .request = request.id, .outcome = release_outcome::failed });
+    }
+    EXPECT_EQ(grants, 5);
+}
+
+// Guards against slots being granted twice while another owner or a lost home still uses them.
+TEST_F(pool_scheduling, foreign_load_is_subtracted_from_slots)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4);
+    for (int i = 0; i < 3; ++i)
+        driver.pool.observe(driver.now, load_report { .endpoint = endpoint_id("e1"), .running = 3 });
+    driver.submit(driver.make("a", 0, 100, 10));
+    driver.submit(driver.make("a", 0, 100, 10));
+    EXPECT_EQ(driver.pool.status(driver.now).running, 1U);
+}
+
+// Guards against `carawaylink explain` having nothing to say about a request in any state.
+TEST_F(pool_scheduling, explain_covers_waiting_running_and_finished)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 1);
+    const auto running = driver.submit(driver.make("a", 0, 100, 10));
+    const auto waiting = driver.submit(driver.make("a", 1, 100, 10));
+    EXPECT_TRUE(driver.pool.explain(running)->starts_with("running"));
+    EXPECT_TRUE(driver.pool.explain(waiting)->starts_with("waiting"));
+    driver.run(2s);
+    EXPECT_NE(driver.pool.explain(running)->find("completed"), std::string::npos);
+    EXPECT_FALSE(driver.pool.explain({ 1, 1 }).has_value());
+}
+
+} // namespace
+} // namespace carawaylink
