Add first working version of the ticket and membership libraries

Cause: the daemon needs tickets, the witness table, the failure detector and the ownership functions. Change: key ring, home table, witness table with watermarks, SWIM detector with local health, seeds, state exchange, rendezvous ownership; a simulated network for tests.

--- /dev/null
+++ b/libs/membership/src/failure_detector.cpp
@@ -0,0 +1,262 @@
+#include "membership/failure_detector.h"
+
+#include "base/error.h"
+#include "detector.h"
+#include "membership/packet_size.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaylink {
+namespace {
+
+// A state exchange among 750 members takes about 100 datagrams; more joins are refused by silence and repeated elsewhere.
+constexpr unsigned maxJoinAnswersPerSecond = 20;
+constexpr duration pullInterval = std::chrono::seconds(5);
+constexpr duration joinCheckDelay = std::chrono::seconds(2);
+constexpr std::size_t maxDepartureNotices = 16;
+// Bounds the memory of probes made for others; at 4 packets/s a member handles a few at a time.
+constexpr std::size_t maxRelayedProbes = 256;
+
+} // namespace
+
+failure_detector::implementation::implementation(member_update initial, failure_detector_settings initialSettings, std::uint64_t seed)
+    : self(std::move(initial))
+    , settings(initialSettings)
+    , random(seed)
+{
+    self.state = member_state::alive;
+    lastSequence = static_cast<std::uint32_t>(random());
+}
+
+std::vector<membership_action> failure_detector::implementation::takeActions()
+{
+    return std::exchange(actions, {});
+}
+
+void failure_detector::implementation::send(packet_kind kind, std::uint32_t sequence, const node_id& to, const node_id& target)
+{
+    membership_packet packet { kind, sequence, self, target, {} };
+    // A member that is taken for suspect or dead is told so, whatever gossip is due, and can refute.
+    const auto found = members.find(to);
+    if (found != members.end() && found->second.info.state != member_state::alive)
+        packet.updates.push_back(found->second.info);
+    gossip.fill(packet, to, settings.maxUpdates, transmissionLimit(liveMembers()));
+    actions.push_back(send_packet { to, std::move(packet) });
+}
+
+std::uint32_t failure_detector::implementation::ping(const node_id& to)
+{
+    send(packet_kind::ping, ++lastSequence, to);
+    return lastSequence;
+}
+
+void failure_detector::implementation::receive(monotonic_time now, const membership_packet& packet)
+{
+    const auto& from = packet.sender.node;
+    if (from == self.node || from.value.empty())
+        return;
+    const auto known = members.find(from);
+    if (known != members.end() && packet.sender.run < known->second.info.run)
+        return;
+    const bool isNew = known == members.end();
+    const auto refutation = self.refutation;
+    apply(now, packet.sender, update_source::direct);
+    if (const auto found = members.find(from); found != members.end())
+        found->second.heard = now;
+    for (const auto& update : packet.updates) {
+        if (encodedSize(update) <= maxUpdateBytes)
+            apply(now, update, update_source::gossip);
+    }
+    // A member found other than by its own join may belong to a group that was started apart; its view is fetched once.
+    if (isNew && joined && packet.kind != packet_kind::join && nextPull <= now && packet.sender.state == member_state::alive) {
+        nextPull = now + pullInterval;
+        send(packet_kind::join, ++lastSequence, from);
+    }
+
+    switch (packet.kind) {
+    case packet_kind::ping:
+        send(packet_kind::ack, packet.sequence, from);
+        break;
+    case packet_kind::ping_request:
+        // Tells the requester that it is heard, whether or not the target answers.
+        send(packet_kind::ack, packet.sequence, from);
+        if (relayed.size() < maxRelayedProbes && packet.target != self.node) {
+            const auto sequence = ping(packet.target);
+            relayed.emplace(sequence, relayed_probe { from, packet.sequence, packet.target, now + 10 * settings.probeTimeout });
+        }
+        break;
+    case packet_kind::ack:
+        receiveAck(now, packet);
+        break;
+    case packet_kind::join:
+        answerJoin(now, packet);
+        break;
+    case packet_kind::join_answer:
+        joined = true;
+        if (joinExpected == 0) {
+            joinReceived = 0;
+            joinCheck = now + joinCheckDelay;
+        }
+        joinExpected = std::max<std::size_t>(joinExpected, packet.sequence);
+        joinReceived += packet.updates.size();
+        break;
+    }
+    // A ping was answered with the refutation already; other packets are not answered otherwise.
+    if (self.refutation != refutation && packet.kind != packet_kind::ping)
+        ping(from);
+}
+
+void failure_detector::implementation::receiveAck(monotonic_time now, const membership_packet& packet)
+{
+    const auto& from = packet.sender.node;
+    if (const auto found = relayed.find(packet.sequence); found != relayed.end() && found->second.target == from) {
+        if (found->second.expires >= now)
+            send(packet_kind::ack, found->second.requesterSequence, found->second.requester, found->second.target);
+        relayed.erase(found);
+        return;
+    }
+    if (!current || current->sequence != packet.sequence)
+        return;
+    if (from == current->target || packet.target == current->target) {
+        current.reset();
+        healthScore -= healthScore > 0 ? 1 : 0;
+    } else if (std::ranges::find(current->helpersHeard, from) == current->helpersHeard.end()) {
+        current->helpersHeard.push_back(from);
+    }
+}
+
+/// Sends all live members in as many datagrams as needed; the sequence of the answers is the number of members in all of them.
+void failure_detector::implementation::answerJoin(monotonic_time now, const membership_packet& packet)
+{
+    if (joinAnswerWindow + std::chrono::seconds(1) <= now) {
+        joinAnswerWindow = now;
+        joinAnswersInWindow = 0;
+    }
+    if (++joinAnswersInWindow > maxJoinAnswersPerSecond || self.state == member_state::left)
+        return;
+    const auto& to = packet.sender.node;
+    std::vector<member_update> updates;
+    for (const auto& [node, record] : members) {
+        const auto state = record.info.state;
+        if (node != to && (state == member_state::alive || state == member_state::suspect))
+            updates.push_back(record.info);
+    }
+    membership_packet answer { packet_kind::join_answer, static_cast<std::uint32_t>(updates.size()), self, {}, {} };
+    auto bytes = datagramSize(answer);
+    const auto emptyBytes = bytes;
+    const auto flush = [&] {
+        actions.push_back(send_packet { to, answer });
+        answer.updates.clear();
+        bytes = emptyBytes;
+    };
+    for (auto& update : updates) {
+        const auto size = encodedSize(update);
+        if (answer.updates.size() >= settings.maxUpdates || bytes + size > maxDatagramBytes)
+            flush();
+        bytes += size;
+        answer.updates.push_back(std::move(update));
+    }
+    if (!answer.updates.empty() || updates.empty())
+        flush();
+}
+
+failure_detector::failure_detector(member_update self, failure_detector_settings settings, std::uint64_t seed)
+{
+    const auto refuse
+        = [](const std::string& message, const std::string& remedy) { throw error(error_kind::invalid_settings, message, remedy); };
+    if (self.node.value.empty())
+        refuse("the node id is empty", "set the address of the peer port");
+    if (encodedSize(self) > maxUpdateBytes)
+        refuse("node id, failure domain, region and HTTP address need " + std::to_string(encodedSize(self)) + " bytes in a datagram",
+            "shorten them to at most " + std::to_string(maxUpdateBytes) + " bytes together");
+    if (settings.probeTimeout <= duration::zero() || settings.probeInterval < 2 * settings.probeTimeout)
+        refuse("the probe interval is shorter than two probe timeouts", "use an interval of at least twice the timeout");
+    if (settings.suspicionTimeout <= duration::zero() || settings.deadProbeInterval <= duration::zero()
+        || settings.forgetAfter <= duration::zero() || settings.maxUpdates == 0)
+        refuse("a membership timeout or max_updates is 0", "use positive values");
+    m_implementation = std::make_unique<implementation>(std::move(self), settings, seed);
+}
+
+failure_detector::~failure_detector() = default;
+
+std::vector<membership_action> failure_detector::addSeeds(monotonic_time now, const std::vector<node_id>& seeds)
+{
+    auto& state = *m_implementation;
+    std::vector<node_id> unknown;
+    std::ranges::copy_if(seeds, std::back_inserter(unknown), [&](const auto& node) { return !state.members.contains(node); });
+    state.seeds.add(now, unknown, state.self.node);
+    state.trySeeds(now);
+    return state.takeActions();
+}
+
+std::vector<membership_action> failure_detector::receive(monotonic_time now, const membership_packet& packet)
+{
+    m_implementation->receive(now, packet);
+    return m_implementation->takeActions();
+}
+
+std::vector<membership_action> failure_detector::tick(monotonic_time now)
+{
+    m_implementation->tick(now);
+    return m_implementation->takeActions();
+}
+
+std::vector<membership_action> failure_detector::setDraining(monotonic_time now)
+{
+    auto& state = *m_implementation;
+    if (!state.self.draining) {
+        state.self.draining = true;
+        // A higher refutation makes the update supersede the one that members have.
+        ++state.self.refutation;
+        state.announceSelf();
+        state.push(now);
+    }
+    return state.takeActions();
+}
+
+std::vector<membership_action> failure_detector::setConfigVersion(monotonic_time, config_version version)
+{
+    // Not gossiped: 750 members times 11,000 changes a day would be 370 KB/s per node. Every datagram carries its sender's
+    // version, which is enough for members to find a newer one.
+    m_implementation->self.config = std::max(m_implementation->self.config, version);
+    return {};
+}
+
+std::vector<membership_action> failure_detector::leave(monotonic_time)
+{
+    auto& state = *m_implementation;
+    state.self.state = member_state::left;
+    state.gossip.add(state.self);
+    // The process ends soon, so the departure must not depend on later datagrams.
+    for (const auto& node : state.randomMembers(maxDepartureNotices, {}))
+        state.ping(node);
+    return state.takeActions();
+}
+
+std::vector<membership_action> failure_detector::confirmDead(monotonic_time now, const node_id& node, incarnation run)
+{
+    auto& state = *m_implementation;
+    const auto found = state.members.find(node);
+    if (found != state.members.end() && found->second.info.run == run
+        && (found->second.info.state == member_state::alive || found->second.info.state == member_state::suspect)) {
+        state.changeState(now, found->second, member_state::dead);
+        state.push(now);
+    }
+    return state.takeActions();
+}
+
+const member_update& failure_detector::self() const
+{
+    return m_implementation->self;
+}
+
+std::vector<member_update> failure_detector::members() const
+{
+    std::vector<member_update> result;
+    for (const auto& [node, record] : m_implementation->members)
+        result.push_back(record.info);
+    return result;
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/membership/src/gossip_queue.cpp
@@ -0,0 +1,51 @@
+#include "gossip_queue.h"
+
+#include "membership/packet_size.h"
+
+#include <algorithm>
+#include <bit>
+#include <vector>
+
+namespace carawaylink {
+
+void gossip_queue::add(member_update update)
+{
+    auto& item = m_entries[update.node];
+    item = { std::move(update), 0 };
+}
+
+void gossip_queue::fill(membership_packet& packet, const node_id& to, std::size_t maxUpdates, std::size_t limit)
+{
+    if (m_entries.empty())
+        return;
+    std::vector<entry*> candidates;
+    candidates.reserve(m_entries.size());
+    for (auto& [node, item] : m_entries) {
+        // The receiver knows more about itself, unless it has to refute.
+        const bool known = node == to && item.update.state == member_state::alive;
+        const bool present = std::ranges::find(packet.updates, node, &member_update::node) != packet.updates.end();
+        if (!known && !present)
+            candidates.push_back(&item);
+    }
+    std::ranges::stable_sort(candidates, {}, &entry::transmissions);
+    std::size_t bytes = datagramSize(packet);
+    for (auto* item : candidates) {
+        if (packet.updates.size() >= maxUpdates)
+            break;
+        const auto size = encodedSize(item->update);
+        if (bytes + size > maxDatagramBytes)
+            continue;
+        bytes += size;
+        packet.updates.push_back(item->update);
+        if (++item->transmissions >= limit)
+            m_entries.erase(item->update.node);
+    }
+}
+
+std::size_t transmissionLimit(std::size_t members)
+{
+    // bit_width(n) is ceil(log2(n + 1)).
+    return 3 * static_cast<std::size_t>(std::bit_width(members));
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/membership/src/gossip_queue.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "membership/failure_detector.h"
+
+#include <cstddef>
+#include <map>
+
+namespace carawaylink {
+
+/// Updates that are still to be spread, at most one per node. Each is sent a bounded number of times; the least sent go first.
+class gossip_queue {
+public:
+    /// Replaces an older update about the same node.
+    void add(member_update update);
+    void remove(const node_id& node) { m_entries.erase(node); }
+    bool contains(const node_id& node) const { return m_entries.contains(node); }
+    std::size_t size() const { return m_entries.size(); }
+    /// Appends updates to the packet until it has maxUpdates or is full. transmissionLimit: times an update is sent in all.
+    void fill(membership_packet& packet, const node_id& to, std::size_t maxUpdates, std::size_t transmissionLimit);
+
+private:
+    struct entry {
+        member_update update;
+        std::size_t transmissions = 0;
+    };
+    std::map<node_id, entry> m_entries;
+};
+
+/// Times that an update is sent by each member: 3 * ceil(log2(members + 1)), which reaches all members with high probability.
+std::size_t transmissionLimit(std::size_t members);
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/membership/src/packet_size.cpp
@@ -0,0 +1,39 @@
+#include "membership/packet_size.h"
+
+namespace carawaylink {
+namespace {
+
+// FlatBuffers sizes for schema/messages.fbs; a test compares them with the encoder. A string takes a length of 4 bytes, its
+// text, a terminating zero and padding to 4; empty strings are not written.
+std::size_t stringBytes(std::size_t length)
+{
+    return length == 0 ? 0 : 4 + (length + 1 + 3) / 4 * 4;
+}
+
+// Table of member_update: offset to its vtable 4, incarnation 8, config_version 8, refutation 4, four string offsets 16, two
+// single bytes, padding; and the offset that refers to the table.
+constexpr std::size_t updateTableBytes = 4 + 8 + 8 + 4 + 16 + 4 + 8 + 4;
+// The vtable of 9 fields is shared by updates that set the same fields; the two layouts that gossip mixes are counted per packet.
+constexpr std::size_t updateVtableBytes = 3 * (4 + 2 * 9 + 2);
+// Root offset, table of membership_packet, its vtable, the length of the vector of updates, padding.
+constexpr std::size_t packetTableBytes = 4 + 32 + 20 + 4 + 8;
+constexpr std::size_t macBytes = 4 + 32;
+
+} // namespace
+
+std::size_t encodedSize(const member_update& update)
+{
+    return updateTableBytes + stringBytes(update.node.value.size()) + stringBytes(update.domain.value.size())
+        + stringBytes(update.region.size()) + stringBytes(update.httpAddress.size());
+}
+
+std::size_t datagramSize(const membership_packet& packet)
+{
+    std::size_t bytes = datagramHeaderBytes + packetTableBytes + updateVtableBytes + macBytes + stringBytes(maxClusterNameBytes)
+        + stringBytes(packet.target.value.size()) + encodedSize(packet.sender);
+    for (const auto& update : packet.updates)
+        bytes += encodedSize(update);
+    return bytes;
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/membership/src/probing.cpp
@@ -0,0 +1,208 @@
+#include "detector.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <ranges>
+
+namespace carawaylink {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The caller ticks every 50 ms; a longer gap means that this process was paused and its timeouts say nothing about others.
+constexpr duration pauseThreshold = milliseconds(250);
+// With more members the longest-unheard one is the next in probing order anyway.
+constexpr std::size_t maxMembersForUnheardFirst = 32;
+// Failed probes without a sign of life from any helper that are blamed on this process before others are suspected.
+constexpr unsigned silentHelperTolerance = 2;
+// Members that are told at once of a death, a refutation or a drain; gossip reaches the rest.
+constexpr std::size_t pushFanout = 3;
+constexpr duration pushInterval = milliseconds(200);
+constexpr std::size_t seedsPerTry = 2;
+constexpr double maxDeadProbesPerSecond = 1;
+// Each dead member is probed by someone about this many times per deadProbeInterval.
+constexpr double deadProbeFactor = 2;
+constexpr duration joinCheckDelay = seconds(2);
+constexpr unsigned maxJoinRepeats = 3;
+
+} // namespace
+
+void failure_detector::implementation::tick(monotonic_time now)
+{
+    const duration elapsed = lastTick ? now - *lastTick : duration::zero();
+    if (!lastTick) {
+        nextProbe = now + duration(std::uniform_int_distribution<duration::rep>(0, settings.probeInterval.count())(random));
+        deadProbeCredit = std::uniform_real_distribution<double>(0, 1)(random);
+    } else if (elapsed > pauseThreshold) {
+        compensatePause(now, elapsed);
+    }
+    lastTick = now;
+    if (self.state == member_state::left)
+        return;
+    endSuspicions(now);
+    if (current && current->stageEnds <= now)
+        continueProbe(now);
+    if (!current && nextProbe <= now)
+        startProbe(now);
+    noticeSuspects(now);
+    probeDead(std::min(elapsed, pauseThreshold));
+    trySeeds(now);
+    checkJoin(now);
+    push(now);
+    if (nextSweep <= now) {
+        nextSweep = now + seconds(1);
+        forgetOldMembers(now);
+        seeds.dropStale(now, settings.forgetAfter);
+        std::erase_if(relayed, [&](const auto& item) { return item.second.expires < now; });
+    }
+}
+
+void failure_detector::implementation::compensatePause(monotonic_time now, duration pause)
+{
+    for (auto& [node, record] : members)
+        record.suspectUntil += pause;
+    if (current)
+        current->stageEnds += pause;
+    nextProbe = std::max(nextProbe, now);
+    healthScore = std::min(healthScore + 1, maxHealthScore);
+}
+
+std::optional<node_id> failure_detector::implementation::nextTarget()
+{
+    if (probeOrder.empty())
+        return std::nullopt;
+    ++probeCount;
+    // Every second probe goes to the member that was not heard for longest, which finds a dead one sooner in a small cluster.
+    // The others keep the order, because a member that sends but does not receive is heard all the time.
+    if (probeCount % 2 == 0 && probeOrder.size() <= maxMembersForUnheardFirst)
+        return *std::ranges::min_element(probeOrder, {}, [&](const auto& node) { return members.at(node).heard; });
+    if (probeIndex >= probeOrder.size())
+        probeIndex = 0;
+    return probeOrder[probeIndex++];
+}
+
+void failure_detector::implementation::startProbe(monotonic_time now)
+{
+    const auto interval = settings.probeInterval * (1 + healthScore);
+    // The spread keeps members that started together from probing in step.
+    const auto spread = interval.count() / 10;
+    nextProbe = now + interval + duration(std::uniform_int_distribution<duration::rep>(-spread, spread)(random));
+    const auto target = nextTarget();
+    if (!target)
+        return;
+    current = probe { *target, ping(*target), now + settings.probeTimeout * (1 + healthScore), false, 0, {} };
+}
+
+void failure_detector::implementation::continueProbe(monotonic_time now)
+{
+    if (current->indirect) {
+        failProbe(now);
+        return;
+    }
+    current->indirect = true;
+    current->stageEnds = now + settings.probeTimeout * (1 + healthScore);
+    const auto helpers = randomMembers(settings.indirectProbes, current->target);
+    current->helpers = helpers.size();
+    for (const auto& helper : helpers)
+        send(packet_kind::ping_request, current->sequence, helper, current->target);
+    // Repeated directly as well: most probes fail because one datagram was lost.
+    send(packet_kind::ping, current->sequence, current->target);
+}
+
+void failure_detector::implementation::failProbe(monotonic_time now)
+{
+    const auto failed = *std::exchange(current, std::nullopt);
+    const unsigned score = healthScore;
+    const std::size_t silent = failed.helpers - std::min(failed.helpers, failed.helpersHeard.size());
+    const auto penalty = static_cast<unsigned>(failed.helpers == 0 ? 1 : silent);
+    healthScore = std::min(healthScore + penalty, maxHealthScore);
+    // When no helper reacts either, this process is more likely the one that is cut off.
+    if (failed.helpers > 0 && failed.helpersHeard.empty() && score < silentHelperTolerance)
+        return;
+    auto& record = members.at(failed.target);
+    if (record.info.state != member_state::alive)
+        return;
+    suspect(now, record, score);
+    record.nextNotice = now;
+}
+
+/// Tells members suspected here so, that they can refute without waiting for gossip.
+void failure_detector::implementation::noticeSuspects(monotonic_time now)
+{
+    for (auto& [node, record] : members) {
+        if (record.info.state != member_state::suspect || !record.nextNotice || *record.nextNotice > now)
+            continue;
+        record.nextNotice = now + 2 * settings.probeTimeout;
+        ping(node);
+    }
+}
+
+void failure_detector::implementation::probeDead(duration elapsed)
+{
+    std::vector<const node_id*> dead;
+    for (const auto& [node, record] : members) {
+        if (record.info.state == member_state::dead)
+            dead.push_back(&node);
+    }
+    if (dead.empty())
+        return;
+    // The live members share the work, so that neither a lost failure domain nor a lost vm of many causes a storm of probes.
+    const double perSecond = deadProbeFactor * static_cast<double>(dead.size()) / static_cast<double>(liveMembers())
+        / std::chrono::duration<double>(settings.deadProbeInterval).count();
+    deadProbeCredit += std::min(perSecond, maxDeadProbesPerSecond) * std::chrono::duration<double>(elapsed).count();
+    if (deadProbeCredit < 1)
+        return;
+    deadProbeCredit -= 1;
+    ping(*dead[std::uniform_int_distribution<std::size_t>(0, dead.size() - 1)(random)]);
+}
+
+void failure_detector::implementation::trySeeds(monotonic_time now)
+{
+    if (nextSeedTry > now || seeds.empty())
+        return;
+    nextSeedTry = now + settings.probeInterval;
+    for (const auto& node : seeds.takeDue(now, seedsPerTry, settings.probeInterval, random)) {
+        if (members.contains(node))
+            seeds.remove(node);
+        else if (joined)
+            ping(node);
+        else
+            send(packet_kind::join, ++lastSequence, node);
+    }
+}
+
+void failure_detector::implementation::checkJoin(monotonic_time now)
+{
+    if (joinExpected <= joinReceived || joinCheck > now)
+        return;
+    // A part of the exchange was lost; another member is asked for all of it.
+    joinExpected = 0;
+    if (joinRepeats++ < maxJoinRepeats) {
+        for (const auto& node : randomMembers(1, {}))
+            send(packet_kind::join, ++lastSequence, node);
+    }
+    joinCheck = now + joinCheckDelay;
+}
+
+void failure_detector::implementation::push(monotonic_time now)
+{
+    if (!pushDue || nextPush > now)
+        return;
+    pushDue = false;
+    nextPush = now + pushInterval;
+    for (const auto& node : randomMembers(pushFanout, {}))
+        ping(node);
+}
+
+std::vector<node_id> failure_detector::implementation::randomMembers(std::size_t count, const node_id& except)
+{
+    std::vector<node_id> chosen;
+    auto alive = probeOrder
+        | std::views::filter([&](const node_id& node) { return node != except && members.at(node).info.state == member_state::alive; });
+    std::ranges::sample(alive, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), random);
+    return chosen;
+}
+
+} // namespace carawaylink
--- a/libs/ticket/include/ticket/home_table.h
+++ b/libs/ticket/include/ticket/home_table.h
@@ -56,10 +56,13 @@
     request_id holder;
 };
 
-/// Tickets of one home incarnation. Bounded in memory; not thread-safe; does no I/O and reads no clock.
+/// Tickets of one home incarnation. Bounded in memory: only expired unused, closed and answered tickets are forgotten. A
+/// claimed ticket stays until it is closed or answered, so the holder of a claim must end it. Not thread-safe; does no I/O and
+/// reads no clock.
 class home_table {
 public:
-    /// capacity: tickets remembered at a time. lifetime: how long a ticket may be used, on this process' monotonic clock.
+    /// capacity: tickets remembered at a time. lifetime: how long after its issue a ticket may be claimed, on this process'
+    /// monotonic clock. Throws error(invalid_argument) for a capacity or lifetime of 0.
     home_table(process_identity self, std::size_t capacity, duration lifetime);
     ~home_table();
 
--- a/libs/ticket/include/ticket/ticket.h
+++ b/libs/ticket/include/ticket/ticket.h
@@ -35,10 +35,12 @@
         std::string secret;
     };
 
-    /// Throws error(invalid_settings) for an empty list, an id used twice, or a secret shorter than 16 bytes.
+    /// Throws error(invalid_settings) for an empty list, an id used twice, an id that is not 1 to 32 letters, digits, '-' or
+    /// '_', or a secret shorter than 16 bytes.
     explicit key_ring(std::vector<key> keys);
 
-    /// Writes a ticket as printable text with its key id and HMAC-SHA256.
+    /// Writes a ticket as printable text with its key id and HMAC-SHA256; letters, digits, '-', '_' and '.' only. Throws
+    /// error(invalid_argument) for a node id above 255 bytes.
     std::string seal(const ticket& value) const;
     /// Reads and verifies a ticket; throws error(unauthorized) where it is malformed, altered or of an unknown key.
     ticket open(std::string_view text) const;
