Put the load library into a namespace of its own and leave refused receipts out of P1 and P4

Cause: stand-ins and node have classes of the same names (history, history_writer), which breaks the one-definition rule in a program that links two of them. The engine stand-in writes received before refused, and a node may offer a refused request to another endpoint. Change: namespace carawaylink::load; a receipt that the same endpoint refused counts neither as dispatch nor as run.

--- a/libs/load/include/load/answer_checker.h
+++ b/libs/load/include/load/answer_checker.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// What an answer has shown so far.
 struct answer_state {
@@ -61,4 +61,4 @@
 /// Returns false where the JSON body names another call; a body without the field "call" is taken as own.
 bool bodyNamesCall(std::string_view body, std::string_view callId);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/checker.h
+++ b/libs/load/include/load/checker.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 struct checker_settings {
     /// Time that a message between nodes needs: lower-tier work that ends or starts this close to a refusal is no inversion.
@@ -38,4 +38,4 @@
 /// "P1 ok checked=N", or "P1 breach ..." followed by the trace, one line each.
 std::string promiseText(const promise_result& result);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/entry_cache.h
+++ b/libs/load/include/load/entry_cache.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// A ticket and the address that issued it; that node is its home.
 struct held_ticket {
@@ -63,4 +63,4 @@
     std::map<std::string, monotonic_time> m_avoidUntil;
 };
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/fairness.h
+++ b/libs/load/include/load/fairness.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Jain index of numbers: 1 where all are equal, 1/n where one has everything. Nothing for fewer than two numbers.
 std::optional<double> jainIndex(const std::vector<double>& values);
@@ -19,4 +19,4 @@
 std::optional<double> weightedJain(
     const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/generator.h
+++ b/libs/load/include/load/generator.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 struct team_share {
     team_id team;
@@ -54,4 +54,4 @@
 /// Poisson arrivals; the same settings give the same trace.
 std::vector<trace_call> generateTrace(const generator_settings& settings);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/history.h
+++ b/libs/load/include/load/history.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 enum class history_source {
     caller,
@@ -129,4 +129,4 @@
     std::ofstream m_out;
 };
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/latency_histogram.h
+++ b/libs/load/include/load/latency_histogram.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Counts of durations in log-linear buckets: 32 per power of two, so a percentile is at most 3.2% above the true value.
 class latency_histogram {
@@ -78,4 +78,4 @@
     std::int64_t m_total = 0;
 };
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/metrics.h
+++ b/libs/load/include/load/metrics.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Figures of a tier, a service or of all calls.
 struct group_metrics {
@@ -57,4 +57,4 @@
 /// Throws error(invalid_settings) for a malformed file.
 std::vector<std::string> compareOutcomes(const load_metrics& metrics, const std::string& path);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/outcomes.h
+++ b/libs/load/include/load/outcomes.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 enum class call_result {
     /// Whole and correct; call_outcome::inTime says whether before the deadline.
@@ -63,4 +63,4 @@
 /// reports it, else with its whole uncached prompt.
 std::vector<prefill_use> collectPrefills(const history& merged, const std::vector<call_outcome>& outcomes);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/prompt.h
+++ b/libs/load/include/load/prompt.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Words of a prompt that are shared by all calls with the same prefix: 60% of the prompt in whole cache blocks.
 tokens sharedPrefixTokens(const trace_call& call);
@@ -14,4 +14,4 @@
 /// the call id. The first unshared word is "output_tokens=N", which the engine stand-in obeys.
 std::string buildPrompt(const trace_call& call, std::string_view callId);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/replay.h
+++ b/libs/load/include/load/replay.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 struct replay_settings {
     /// Addresses "ip:port" that are asked for the entry.
@@ -48,4 +48,4 @@
 /// Throws error(invalid_argument) for settings that cannot work.
 replay_totals replayTrace(const replay_settings& settings, const std::vector<trace_call>& calls, history_writer& writer);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/include/load/trace.h
+++ b/libs/load/include/load/trace.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// One call of a workload trace.
 struct trace_call {
@@ -32,4 +32,4 @@
 std::vector<trace_call> readTraceFile(const std::string& path);
 void writeTrace(std::ostream& out, const std::vector<trace_call>& calls);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/answer_checker.cpp
+++ b/libs/load/src/answer_checker.cpp
@@ -4,7 +4,7 @@
 
 #include <charconv>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
@@ -176,4 +176,4 @@
     return textField(value.get_object(), "call") == callId;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/checker.cpp
+++ b/libs/load/src/checker.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 bool isCaller(const history_record& record, std::string_view event)
@@ -12,9 +12,24 @@
     return record.source == history_source::caller && record.event == event;
 }
 
-bool isReceipt(const history_record& record)
+/// Requests that engines took. A receipt that the same endpoint refused is left out: the engine certified that the request
+/// did not run, and a node may offer it to another endpoint.
+record_list takenReceipts(const record_list& records)
 {
-    return record.source == history_source::engine && record.event == "received";
+    record_list result;
+    for (const auto* record : records) {
+        if (record->source != history_source::engine)
+            continue;
+        if (record->event == "received") {
+            result.push_back(record);
+        } else if (record->event == "refused") {
+            const auto taken = std::find_if(result.rbegin(), result.rend(),
+                [&](const auto* receipt) { return receipt->endpoint == record->endpoint && receipt->request == record->request; });
+            if (taken != result.rend())
+                result.erase(std::next(taken).base());
+        }
+    }
+    return result;
 }
 
 bool isExecution(const history_record& record)
@@ -83,7 +98,7 @@
 {
     verdict result(1);
     for (const auto& [call, records] : index.byCall) {
-        const auto receipts = select(records, isReceipt);
+        const auto receipts = takenReceipts(records);
         if (receipts.empty())
             continue;
         result.check();
@@ -140,7 +155,8 @@
         if (!linked && earlierMayHaveRun)
             continue;
         result.check();
-        auto arrivals = select(records, [](const auto& record) { return isReceipt(record) || isExecution(record); });
+        auto arrivals = takenReceipts(records);
+        std::ranges::copy(select(records, isExecution), std::back_inserter(arrivals));
         if (arrivals.empty())
             continue;
         const auto endpoint = arrivals.front()->endpoint;
@@ -190,4 +206,4 @@
     return text;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/checker_fleet.cpp
+++ b/libs/load/src/checker_fleet.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 // A node's exit may reach a caller a moment after the node wrote drain_end.
@@ -231,4 +231,4 @@
     return result.result();
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/checker_parts.h
+++ b/libs/load/src/checker_parts.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 using record_list = std::vector<const history_record*>;
 
@@ -70,4 +70,4 @@
 promise_result checkDrains(const history& merged, const node_lives& lives);
 promise_result checkConfiguration(const history& merged, const node_lives& lives, const checker_settings& settings);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/checker_tiers.cpp
+++ b/libs/load/src/checker_tiers.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 // Reasons of nodes that mean a lack of capacity; the others concern limits of the team, the key or the node itself.
@@ -132,4 +132,4 @@
     return result.result();
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/entry_cache.cpp
+++ b/libs/load/src/entry_cache.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 // Long enough that the calls of one second do not all wait for the connect timeout of a dead address.
@@ -111,4 +111,4 @@
     std::erase_if(m_tickets, [&](const held_ticket& ticket) { return ticket.issuer == issuer; });
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/expectations.cpp
+++ b/libs/load/src/expectations.cpp
@@ -2,7 +2,7 @@
 
 #include "yaml_fields.h"
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 class expectation_reader {
@@ -82,4 +82,4 @@
     return shortfalls;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/fairness.cpp
+++ b/libs/load/src/fairness.cpp
@@ -5,7 +5,7 @@
 #include <numeric>
 #include <unordered_map>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 constexpr std::int64_t windowUs = 1'000'000;
@@ -150,4 +150,4 @@
     return served > 0 ? std::optional(sum / served) : std::nullopt;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/generator.cpp
+++ b/libs/load/src/generator.cpp
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <random>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 constexpr double unlimited = 1e9;
@@ -155,4 +155,4 @@
     return calls;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/history.cpp
+++ b/libs/load/src/history.cpp
@@ -8,7 +8,7 @@
 #include <sstream>
 #include <xxhash.h>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 history_record parseRecord(std::string_view line, const std::string& where)
@@ -201,4 +201,4 @@
     m_out.flush();
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/json_fields.h
+++ b/libs/load/src/json_fields.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Readers of optional fields: the fallback is returned where the field is absent or has another type.
 inline std::string textField(const boost::json::object& object, std::string_view key)
@@ -42,4 +42,4 @@
     return value != nullptr && value->is_bool() ? value->get_bool() : fallback;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/metrics.cpp
+++ b/libs/load/src/metrics.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 void addOutcome(group_metrics& group, const call_outcome& outcome)
@@ -73,4 +73,4 @@
     return metrics;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/metrics_text.cpp
+++ b/libs/load/src/metrics_text.cpp
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 #include <cstdio>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 std::string decimal(double value, int digits)
@@ -121,4 +121,4 @@
     return extra.empty() ? line : line + " " + extra;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/outcomes.cpp
+++ b/libs/load/src/outcomes.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <unordered_map>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 bool isCorrect(const history_record& record)
@@ -162,4 +162,4 @@
     return uses;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/prompt.cpp
+++ b/libs/load/src/prompt.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <xxhash.h>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 constexpr std::int64_t sharedPercent = 60;
@@ -49,4 +49,4 @@
     return text;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/replay.cpp
+++ b/libs/load/src/replay.cpp
@@ -9,7 +9,7 @@
 #include <condition_variable>
 #include <mutex>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 // Gives every thread the time to arm its first timer before the first arrival.
@@ -113,4 +113,4 @@
     return totals;
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/replay_driver.cpp
+++ b/libs/load/src/replay_driver.cpp
@@ -8,7 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 using std::chrono::duration_cast;
@@ -510,4 +510,4 @@
     scheduleNext();
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/replay_driver.h
+++ b/libs/load/src/replay_driver.h
@@ -16,7 +16,7 @@
 #include <unordered_set>
 #include <vector>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Plays one thread's share of the trace. All members run on the thread of the event loop.
 class replay_driver {
@@ -78,4 +78,4 @@
     replay_totals m_totals;
 };
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/report.cpp
+++ b/libs/load/src/report.cpp
@@ -16,7 +16,7 @@
 
 extern char** environ;
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 namespace fs = std::filesystem;
@@ -248,4 +248,4 @@
     report_writer(merged, teamWeights, directory).write();
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/trace.cpp
+++ b/libs/load/src/trace.cpp
@@ -9,7 +9,7 @@
 #include <limits>
 #include <ostream>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 class line_reader {
@@ -108,4 +108,4 @@
     }
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/libs/load/src/yaml_fields.h
+++ b/libs/load/src/yaml_fields.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <yaml-cpp/yaml.h>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 /// Reads the fields of one YAML map; every error names file, line, field and accepted range.
 class yaml_fields {
@@ -79,4 +79,4 @@
     }
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/tools/carawaylink-load/check_command.cpp
+++ b/tools/carawaylink-load/check_command.cpp
@@ -7,7 +7,7 @@
 #include <iostream>
 #include <memory>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 void addCheckCommand(CLI::App& app, int& status)
 {
@@ -36,4 +36,4 @@
     });
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/tools/carawaylink-load/commands.h
+++ b/tools/carawaylink-load/commands.h
@@ -8,7 +8,7 @@
 class App;
 }
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 struct load_metrics;
 
@@ -35,4 +35,4 @@
 /// Prints the figures and compares them with the expected outcomes. Returns the exit status: 1 where one fell short.
 int printSummary(const load_metrics& metrics, const summary_options& options, const std::string& extra);
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/tools/carawaylink-load/generate_command.cpp
+++ b/tools/carawaylink-load/generate_command.cpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <optional>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 struct generate_options {
@@ -54,4 +54,4 @@
     command->callback([options] { generate(*options); });
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/tools/carawaylink-load/main.cpp
+++ b/tools/carawaylink-load/main.cpp
@@ -9,6 +9,7 @@
 int main(int argc, char** argv)
 {
     using namespace carawaylink;
+    using namespace carawaylink::load;
     startLog("carawaylink-load");
     CLI::App app("Open-loop load generator and history checker for Carawaylink");
     app.require_subcommand(1);
--- a/tools/carawaylink-load/run_command.cpp
+++ b/tools/carawaylink-load/run_command.cpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <sstream>
 
-namespace carawaylink {
+namespace carawaylink::load {
 namespace {
 
 struct run_options : summary_options {
@@ -68,4 +68,4 @@
     command->callback([options, &status] { status = run(*options); });
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
--- a/tools/carawaylink-load/summary_command.cpp
+++ b/tools/carawaylink-load/summary_command.cpp
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <memory>
 
-namespace carawaylink {
+namespace carawaylink::load {
 
 std::pair<std::string, std::string> splitPair(const std::string& text, const std::string& option)
 {
@@ -85,4 +85,4 @@
     });
 }
 
-} // namespace carawaylink
+} // namespace carawaylink::load
