--- a/libs/load/src/outcomes.cpp
+++ b/libs/load/src/outcomes.cpp
@@ -125,7 +125,9 @@
         run.endpoint = record.endpoint;
         run.prompt = std::max(run.prompt, record.promptTokens);
         run.cached = std::max(run.cached, record.cachedTokens);
-        run.reported = std::max(run.reported, record.prefilledTokens);
+        // A started event precedes the work; an endpoint that dies after it reports no figure for what it computed.
+        if (record.event != "started" && record.event != "received")
+            run.reported = std::max(run.reported, record.prefilledTokens);
         if (record.event == "started")
             run.startedUs = record.timeUs;
         else if (record.event == "first_token")
