--- /dev/null
+++ b/libs/node/src/admin_interface.cpp
@@ -0,0 +1,142 @@
+#include "base/error.h"
+#include "base/log.h"
+#include "node_state.h"
+
+#include <boost/json.hpp>
+
+namespace carawaylink {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto appendLimit = std::chrono::seconds(3);
+constexpr std::string_view recordsPath = "/admin/config/records";
+constexpr std::string_view explainPath = "/admin/explain/";
+
+http_response adminError(unsigned status, std::string_view type, const std::string& message, const std::string& remedy)
+{
+    return jsonResponse(status,
+        json::serialize(json::object { { "error", json::object { { "type", type }, { "message", message }, { "remedy", remedy } } } }));
+}
+
+json::object memberObject(const member_update& member)
+{
+    return { { "node", member.node.value }, { "state", memberStateNames.name(member.state) }, { "incarnation", member.run.value },
+        { "http_address", member.httpAddress }, { "failure_domain", member.domain.value }, { "region", member.region },
+        { "draining", member.draining }, { "config_version", member.config.value } };
+}
+
+json::object endpointObject(const endpoint_status& endpoint)
+{
+    return { { "endpoint", endpoint.id.value }, { "running", endpoint.running }, { "max_running", endpoint.maxRunning },
+        { "leaving", endpoint.leaving }, { "ejected", endpoint.ejected }, { "prefill_tokens_per_s", endpoint.prefillTokensPerSecond },
+        { "ms_per_token", endpoint.millisecondsPerToken } };
+}
+
+} // namespace
+
+void node::implementation::admin(const http_request& request, admin_callback callback)
+{
+    const auto path = request.path();
+    const bool isGet = request.method == "GET";
+    const bool isPost = request.method == "POST";
+    try {
+        if (path == "/admin/status" && isGet)
+            callback(statusPage());
+        else if (path == "/admin/config" && isGet)
+            callback(jsonResponse(200,
+                json::serialize(json::object { { "version", config->fold().version().value }, { "next_offset", config->fold().stateOffset().value },
+                    { "document", config->fold().document() } })));
+        else if (path == recordsPath && isPost)
+            appendConfig(request, callback);
+        else if (path.starts_with(recordsPath) && path.size() > recordsPath.size() + 1 && isGet) {
+            const std::string id(path.substr(recordsPath.size() + 1));
+            callback(configResult(id, config->fold().find(id)));
+        } else if (path.starts_with(explainPath) && isGet)
+            callback(explainPage(std::string(path.substr(explainPath.size()))));
+        else if (path == "/admin/drain" && isPost) {
+            callback(jsonResponse(202, R"({"draining":true})"));
+            beginDrain();
+        } else if (path == "/admin/usage" && isGet)
+            usagePage(callback);
+        else if (path == "/admin/orders" && isGet)
+            callback(jsonResponse(200, R"({"orders":[]})"));
+        else
+            callback(adminError(404, "unknown_path", request.method + " " + std::string(path) + " is not served", "see docs/cli.md"));
+    } catch (const error& failure) {
+        callback(adminError(400, errorKindNames.name(failure.kind()), failure.message(), failure.remedy()));
+    }
+}
+
+http_response node::implementation::statusPage()
+{
+    json::array members;
+    auto own = membership->self();
+    own.draining = draining;
+    own.config = config->fold().version();
+    members.push_back(memberObject(own));
+    for (const auto& member : membership->members())
+        members.push_back(memberObject(member));
+    json::array pools;
+    for (const auto& pool : host->status(std::chrono::steady_clock::now())) {
+        json::array endpoints;
+        for (const auto& endpoint : pool.endpoints)
+            endpoints.push_back(endpointObject(endpoint));
+        pools.push_back(json::object { { "service", pool.pool.service.value }, { "pool", pool.pool.number }, { "owner", self.node.value },
+            { "ready", pool.ready }, { "waiting", pool.status.waiting }, { "running", pool.status.running }, { "slots", pool.status.slots },
+            { "inversions", pool.status.inversions }, { "endpoints", std::move(endpoints) } });
+    }
+    return jsonResponse(200,
+        json::serialize(json::object { { "node", self.node.value }, { "incarnation", self.run.value },
+            { "version", config->fold().version().value }, { "draining", draining }, { "pending", dispatch->pendingRequests() },
+            { "members", std::move(members) }, { "pools", std::move(pools) } }));
+}
+
+http_response node::implementation::explainPage(const std::string& request)
+{
+    const auto text = host->explain(parseRequestId(request));
+    if (!text)
+        return adminError(404, "unknown_request", "no pool of this node remembers request " + request,
+            "ask the node that owns the service's pool, or ask sooner after the request");
+    return jsonResponse(200, json::serialize(json::object { { "request", request }, { "text", *text } }));
+}
+
+void node::implementation::appendConfig(const http_request& request, const admin_callback& callback)
+{
+    const auto change = parseConfigRecord(request.body);
+    settings_report report;
+    if (!loadFleetConfiguration(change.document, report)) {
+        callback(adminError(400, "invalid_settings", toString(report), "correct the file; carawaylink config check FILE shows every fault"));
+        return;
+    }
+    log_event("config_change_received").field("change", change.id).field("author", change.author).field("base_version", change.baseVersion);
+    config->append(change, appendLimit, [this, callback, id = change.id](const std::optional<config_result>& result) { callback(configResult(id, result)); });
+}
+
+http_response node::implementation::configResult(const std::string& id, const std::optional<config_result>& result) const
+{
+    std::string_view outcome = "pending";
+    if (result) {
+        const bool accepted = result->outcome == config_outcome::accepted || result->outcome == config_outcome::duplicate;
+        outcome = accepted ? "accepted" : result->outcome == config_outcome::refused ? "refused" : "pending";
+    }
+    return jsonResponse(200,
+        json::serialize(json::object { { "id", id }, { "result", outcome },
+            { "version", result ? result->version.value : config->fold().version().value }, { "message", result ? result->message : std::string() } }));
+}
+
+void node::implementation::usagePage(const admin_callback& callback)
+{
+    usage->readAll([this, callback](bool complete) {
+        json::array teams;
+        for (const auto& [key, counters] : usage->ledger().total()) {
+            teams.push_back(json::object { { "team", key.first.value }, { "tier", key.second.value }, { "requests", counters.requests },
+                { "prompt_tokens", counters.promptTokens }, { "cached_tokens", counters.cachedTokens },
+                { "output_tokens", counters.outputTokens }, { "cost_ms", counters.endpointMicroseconds / 1000 } });
+        }
+        callback(jsonResponse(200, json::serialize(json::object { { "complete", complete }, { "teams", std::move(teams) } })));
+    });
+}
+
+} // namespace carawaylink
--- a/libs/node/src/dispatch_control.cpp
+++ b/libs/node/src/dispatch_control.cpp
@@ -487,7 +487,7 @@
                 outstanding.emplace_back(
                     toSchedulingRequest(entry.request, m_self.node), entry.endpoint, tokens(entry.request.progress->outputTokens));
         }
-        m_host.sync(now, m_self.node, pool, std::move(waiting), std::move(outstanding));
+        m_host.sync(now, m_self.node, pool, std::move(waiting), std::move(outstanding), true);
         return;
     }
     // Each frame holds a part of the list, so that it stays below the frame limit with many long prefixes.
--- a/libs/node/src/dispatch_control.h
+++ b/libs/node/src/dispatch_control.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace carawaylink {
--- a/libs/node/src/fleet_view.cpp
+++ b/libs/node/src/fleet_view.cpp
@@ -1,6 +1,6 @@
 #include "fleet_view.h"
 
-#include "config/resolve.h"
+#include "config/exceptions.h"
 
 namespace carawaylink {
 
--- /dev/null
+++ b/libs/node/src/node.cpp
@@ -0,0 +1,347 @@
+#include "node/node.h"
+
+#include "base/error.h"
+#include "base/log.h"
+#include "membership/ownership.h"
+#include "node_state.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace carawaylink {
+
+namespace {
+
+constexpr auto schedulerTick = std::chrono::milliseconds(20);
+constexpr auto dispatchTick = std::chrono::milliseconds(100);
+constexpr auto drainCheck = std::chrono::milliseconds(50);
+constexpr auto viewRefresh = std::chrono::seconds(1);
+constexpr auto leaveGrace = std::chrono::milliseconds(200);
+// Callers' answers of /v1/entry may be this much older than their lifetime says.
+constexpr auto entryLag = std::chrono::milliseconds(500);
+constexpr std::size_t entryAddressCount = 3;
+// Up to this many members every node keeps a connection to every other, so that a killed process is noticed at once.
+constexpr std::size_t maxFullMesh = 32;
+
+incarnation newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
+}
+
+} // namespace
+
+node::implementation::implementation(const schema::daemon_settingsT& values)
+    : settings(values)
+    , self { node_id(values.node_address), newIncarnation() }
+    , frontThreads(values.io_threads)
+    , record(values.history_file, values.node_address, self.run.value)
+    , view(std::make_shared<const fleet_view>())
+{
+}
+
+node::implementation::~implementation()
+{
+    if (server)
+        server->stopAccepting();
+    frontThreads.stop();
+    control.stop();
+}
+
+void node::implementation::start()
+{
+    startFront();
+    std::promise<void> wired;
+    runOnControl([&] {
+        try {
+            startMesh();
+            startScheduling();
+            startConfiguration();
+            wired.set_value();
+        } catch (...) {
+            wired.set_exception(std::current_exception());
+        }
+    });
+    wired.get_future().get();
+    ready = true;
+    record.record("started", {});
+    log_event("started").field("node", self.node).field("http", httpAddress).field("incarnation", self.run).field("failure_domain", settings.failure_domain);
+}
+
+std::vector<member_update> node::implementation::liveMembers() const
+{
+    auto members = membership->members();
+    std::erase_if(members, [](const member_update& member) { return member.state == member_state::dead || member.state == member_state::left; });
+    for (auto& member : members)
+        member.draining = member.draining || drainingPeers.contains(member.node);
+    auto own = membership->self();
+    own.draining = draining;
+    members.push_back(own);
+    return members;
+}
+
+void node::implementation::memberChanged(const member_changed& change)
+{
+    const auto& member = change.member;
+    if (member.node == self.node)
+        return;
+    if (change.before != member.state || knownRuns[member.node] != member.run)
+        log_event("member_changed").field("member", member.node).field("state", memberStateNames.name(member.state)).field("incarnation", member.run);
+    const bool gone = member.state == member_state::dead || member.state == member_state::left;
+    const auto known = knownRuns.find(member.node);
+    const bool replaced = known != knownRuns.end() && known->second.value != 0 && known->second != member.run;
+    knownRuns[member.node] = member.run;
+    if (gone || replaced) {
+        host->homeLost(std::chrono::steady_clock::now(), member.node);
+        drainingPeers.erase(member.node);
+    }
+    if (gone)
+        mesh->forget(member.node);
+    config->peerHas(member.node, member.config);
+    scheduleViewUpdate();
+}
+
+void node::implementation::scheduleViewUpdate()
+{
+    if (std::exchange(viewUpdatePending, true))
+        return;
+    runOnControl([this] { updateView(); });
+}
+
+void node::implementation::updateView()
+{
+    viewUpdatePending = false;
+    const auto now = std::chrono::steady_clock::now();
+    const auto utc = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+    const auto& fold = config->fold();
+    auto next = fold.configuration() ? buildFleetView(*fold.configuration(), fold.version(), utc) : fleet_view {};
+    next.members = liveMembers();
+    next.leavingEndpoints = directory->leaving();
+    next.draining = draining;
+    next.closed = closed;
+
+    std::set<service_id> plain;
+    std::unique_lock retryLock(retryMutex);
+    for (const auto& [service, policy] : next.services) {
+        if (policy.definition.kind == schema::service_kind::plain)
+            plain.insert(service);
+        retryBudgets.try_emplace(service, policy.defaults.retry_budget_share, 1.0);
+    }
+    retryLock.unlock();
+    directory->setPlainServices(std::move(plain));
+    // A team's limit is fleet-wide; its callers are spread over this many nodes.
+    const auto spread = static_cast<double>(std::min(entryAddressCount, next.members.size()));
+    std::vector<team_limit> limits;
+    for (const auto& [hash, policy] : next.teamsByKeyHash)
+        limits.push_back({ policy.team, policy.requestsPerSecond / spread, policy.tokensPerSecond / spread });
+    rateLimit.setLimits(limits);
+
+    std::set<node_id> peers;
+    for (const auto& member : next.members) {
+        if (member.node != self.node && member.state == member_state::alive)
+            peers.insert(member.node);
+    }
+    mesh->keepConnected(peers.size() < maxFullMesh ? peers : std::set<node_id> {});
+    config->setMembers(next.members);
+
+    const auto shared = std::make_shared<const fleet_view>(std::move(next));
+    view.replace(std::make_unique<const std::shared_ptr<const fleet_view>>(shared));
+    if (settings.policy == schema::scheduling_policy::pool)
+        host->update(now, *shared, *directory);
+    dispatch->update(now, shared, *directory);
+}
+
+void node::implementation::startScheduling()
+{
+    const auto policyIsPool = settings.policy == schema::scheduling_policy::pool;
+    tasks.push_back(std::make_unique<periodic_task>(
+        control.context(0), schedulerTick, [this] { host->tick(std::chrono::steady_clock::now()); }));
+    tasks.push_back(std::make_unique<periodic_task>(
+        control.context(0), dispatchTick, [this] { dispatch->tick(std::chrono::steady_clock::now()); }));
+    tasks.push_back(std::make_unique<periodic_task>(
+        control.context(0), std::chrono::milliseconds(settings.timing->progress_interval_ms), [this] { dispatch->reportProgress(); }));
+    // Exceptions expire with time, and the members' announcements are taken over.
+    tasks.push_back(std::make_unique<periodic_task>(control.context(0), viewRefresh, [this] {
+        updateGauges();
+        updateView();
+    }));
+    endpoint_monitor::handlers handlers;
+    handlers.endpoints = [this, policyIsPool] {
+        std::vector<endpoint_id> result;
+        const auto current = *view.read();
+        const auto wanted = policyIsPool ? host->ownedEndpoints() : std::vector<endpoint_id> {};
+        for (const auto& [id, entry] : directory->endpoints()) {
+            const auto service = current->services.find(entry.service);
+            const bool isEngine = service != current->services.end() && service->second.definition.kind == schema::service_kind::engine;
+            if (isEngine && (!policyIsPool || std::ranges::find(wanted, id) != wanted.end()))
+                result.push_back(id);
+        }
+        return result;
+    };
+    handlers.onLoad = [this](const load_report& report) {
+        if (report.leaving)
+            directory->markLeaving(report.endpoint);
+        host->observe(std::chrono::steady_clock::now(), report);
+    };
+    handlers.onCacheEvents = [this](const std::vector<cache_event>& events) { host->observe(events); };
+    monitor = std::make_unique<endpoint_monitor>(
+        control.context(0), std::chrono::milliseconds(settings.timing->endpoint_poll_ms), policyIsPool, std::move(handlers));
+    placeDirectly();
+}
+
+void node::implementation::startConfiguration()
+{
+    std::vector<node_id> seeds;
+    std::ranges::transform(settings.seeds, std::back_inserter(seeds), [](const std::string& seed) { return node_id(seed); });
+    std::erase(seeds, self.node);
+    membership->addSeeds(seeds);
+    directory->start();
+    config->start();
+    updateView();
+}
+
+void node::implementation::acquire(dispatch_request request, std::size_t thread, dispatch_callback callback)
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto reply = [this, thread, callback = std::move(callback)](dispatch_decision decision) {
+        frontThreads.post(thread, [callback, decision = std::move(decision)]() mutable { callback(std::move(decision)); });
+    };
+    {
+        const std::lock_guard lock(retryMutex);
+        const auto budget = retryBudgets.find(request.service);
+        if (budget != retryBudgets.end())
+            budget->second.recordRequest(now);
+    }
+    const auto estimated = tokens(request.promptTokens.value + request.maxOutputTokens.value);
+    if (const auto wait = rateLimit.tryTake(now, request.team, estimated)) {
+        reply(refusal { 429, "team_rate_limit", "team " + request.team.value + " is above its limit", ran_state::no,
+            "send fewer requests, or ask the operators to raise team_requests_per_s or team_tokens_per_s", *wait });
+        return;
+    }
+    dispatch->acquire(now, std::move(request), std::move(reply));
+}
+
+http_response node::implementation::entry(const team_id& team, std::size_t ticketCount)
+{
+    const auto members = liveMembers();
+    boost::json::array addresses;
+    for (const auto& member : entryAddresses(team, members, entryAddressCount))
+        addresses.push_back(boost::json::string(member.httpAddress));
+    boost::json::array sealed;
+    const auto now = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < ticketCount && !closed; ++i) {
+        const auto text = tickets->issue(now, membership->self(), members);
+        if (!text)
+            break;
+        sealed.push_back(boost::json::string(*text));
+    }
+    if (ticketCount > 0 && sealed.empty())
+        return jsonResponse(503,
+            R"({"error":{"type":"ticket_table_full","message":"this node cannot issue a ticket now","ran":"no","remedy":"ask another entry address"}})");
+    return jsonResponse(200,
+        boost::json::serialize(boost::json::object { { "addresses", std::move(addresses) },
+            { "lifetime_ms", settings.timing->entry_lifetime_ms }, { "tickets", std::move(sealed) } }));
+}
+
+void node::implementation::beginDrain()
+{
+    if (std::exchange(draining, true))
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    const auto members = liveMembers();
+    const bool alone = std::ranges::none_of(members, [this](const member_update& member) { return member.node != self.node && !member.draining; });
+    // Callers keep using this address until their entry answer has expired; they are served meanwhile.
+    closeAt = alone ? now : now + std::chrono::milliseconds(settings.timing->entry_lifetime_ms) + entryLag;
+    drainLimit = now + std::chrono::milliseconds(settings.timing->drain_limit_ms);
+    log_event("drain_begin").field("running", front->running()).field("alone", alone);
+    record.record("drain_begin", { { "http", httpAddress } });
+    membership->setDraining();
+    updateView();
+    tasks.push_back(std::make_unique<periodic_task>(control.context(0), drainCheck, [this] { continueDrain(); }));
+}
+
+void node::implementation::continueDrain()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (stopReported)
+        return;
+    if (!closed && now >= closeAt) {
+        closed = true;
+        log_event("drain_closed").field("running", front->running());
+        updateView();
+        return;
+    }
+    const bool idle = closed && front->running() == 0 && dispatch->pendingRequests() == 0;
+    if (idle || now >= drainLimit)
+        finishDrain(idle);
+}
+
+void node::implementation::finishDrain(bool complete)
+{
+    stopReported = true;
+    log_event("drain_end", complete ? log_level::info : log_level::warning).field("complete", complete).field("running", front->running());
+    record.record("drain_end", { { "complete", complete } });
+    server->stopAccepting();
+    membership->leave();
+    usage->flush([this, complete] {
+        auto timer = std::make_shared<boost::asio::steady_timer>(control.context(0), leaveGrace);
+        timer->async_wait([this, timer, complete](boost::system::error_code) { stopped.set_value(complete); });
+    });
+}
+
+void node::implementation::updateGauges()
+{
+    measured.setGauge("config_version", {}, static_cast<double>(config->fold().version().value));
+    measured.setGauge("members", {}, static_cast<double>(liveMembers().size()));
+    measured.setGauge("pending_requests", {}, static_cast<double>(dispatch->pendingRequests()));
+    measured.setGauge("peer_connections", {}, static_cast<double>(mesh->connections()));
+    for (std::size_t kind = 0; kind <= static_cast<std::size_t>(wire::message::MAX); ++kind) {
+        const auto name = std::string(wire::EnumNamemessage(static_cast<wire::message>(kind)));
+        const auto& out = mesh->sent().at(kind);
+        const auto& in = mesh->received().at(kind);
+        measured.setGauge("mesh_sent_messages", name, static_cast<double>(out.messages));
+        measured.setGauge("mesh_sent_bytes", name, static_cast<double>(out.bytes));
+        measured.setGauge("mesh_received_messages", name, static_cast<double>(in.messages));
+        measured.setGauge("mesh_received_bytes", name, static_cast<double>(in.bytes));
+    }
+    for (std::size_t kind = 0; kind <= static_cast<std::size_t>(wire::membership_kind::MAX); ++kind) {
+        const auto name = std::string(wire::EnumNamemembership_kind(static_cast<wire::membership_kind>(kind)));
+        measured.setGauge("membership_sent_bytes", name, static_cast<double>(membership->sent().at(kind).bytes));
+        measured.setGauge("membership_sent_messages", name, static_cast<double>(membership->sent().at(kind).messages));
+        measured.setGauge("membership_received_bytes", name, static_cast<double>(membership->received().at(kind).bytes));
+    }
+}
+
+node::node(const schema::daemon_settingsT& settings)
+    : m_implementation(std::make_unique<implementation>(settings))
+{
+}
+
+node::~node() = default;
+
+void node::start()
+{
+    m_implementation->start();
+}
+
+std::string node::httpAddress() const
+{
+    return m_implementation->httpAddress;
+}
+
+std::string node::nodeAddress() const
+{
+    return m_implementation->self.node.value;
+}
+
+void node::drain()
+{
+    m_implementation->runOnControl([state = m_implementation.get()] { state->beginDrain(); });
+}
+
+bool node::waitUntilStopped()
+{
+    return m_implementation->stopped.get_future().get();
+}
+
+} // namespace carawaylink
--- a/libs/node/src/peer_channel.h
+++ b/libs/node/src/peer_channel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/enum_table.h"
 #include "peer_mesh.h"
 
 #include <boost/asio.hpp>
--- /dev/null
+++ b/libs/node/src/platform_log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/ids.h"
+#include "http/message.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carawaylink {
+
+struct log_record {
+    log_offset offset;
+    std::string id;
+    std::string data;
+};
+
+/// One answer of the platform log to a read.
+struct log_page {
+    /// Oldest offset that the log still holds.
+    log_offset first;
+    log_offset next;
+    std::vector<log_record> records;
+};
+
+/// Request that appends a record to a stream.
+http_request appendRequest(std::string_view stream, std::string_view id, std::string data);
+/// Target that reads a stream from an offset and waits for new records.
+std::string readTarget(std::string_view stream, log_offset from, duration wait);
+/// Throws error(invalid_message) where the body is no answer of the log.
+log_page parseLogPage(const std::string& body);
+
+} // namespace carawaylink
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -231,7 +231,7 @@
 }
 
 void pool_host::sync(monotonic_time now, const node_id& home, const pool_id& id, std::vector<scheduling_request> waiting,
-    std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding)
+    std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding, bool complete)
 {
     const auto found = m_pools.find(id);
     if (found == m_pools.end())
@@ -248,7 +248,8 @@
     }
     for (auto& request : waiting)
         submit(now, id, std::move(request));
-    pool.awaited.erase(home);
+    if (complete)
+        pool.awaited.erase(home);
     if (!pool.ready && pool.awaited.empty())
         becomeReady(pool, now);
 }
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -41,7 +41,7 @@
     void progress(monotonic_time now, const node_id& home, const std::vector<slot_progress>& entries);
     void release(monotonic_time now, const slot_release& release);
     void sync(monotonic_time now, const node_id& home, const pool_id& pool, std::vector<scheduling_request> waiting,
-        std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding);
+        std::vector<std::tuple<scheduling_request, endpoint_id, tokens>> outstanding, bool complete);
     void homeLost(monotonic_time now, const node_id& home);
     void markLeaving(const endpoint_id& endpoint);
     void observe(monotonic_time now, const load_report& report);
--- a/libs/settings/src/field_rules.h
+++ b/libs/settings/src/field_rules.h
@@ -60,6 +60,7 @@
     { "timing.vm_list_poll_ms", presence::optional, 10, 60000, "ms" },
     { "timing.log_poll_ms", presence::optional, 10, 60000, "ms" },
     { "timing.usage_flush_ms", presence::optional, 100, 600000, "ms" },
+    { "timing.config_snapshot_ms", presence::optional, 1000, 86400000, "ms" },
     { "timing.entry_lifetime_ms", presence::optional, 100, 3600000, "ms" },
     { "timing.ticket_lifetime_ms", presence::optional, 1000, 86400000, "ms" },
     { "timing.intent_timeout_ms", presence::optional, 10, 60000, "ms" },
