--- a/libs/node/src/admin_interface.cpp
+++ b/libs/node/src/admin_interface.cpp
@@ -46,8 +46,8 @@
             callback(statusPage());
         else if (path == "/admin/config" && isGet)
             callback(jsonResponse(200,
-                json::serialize(json::object { { "version", config->fold().version().value }, { "next_offset", config->fold().stateOffset().value },
-                    { "document", config->fold().document() } })));
+                json::serialize(json::object { { "version", config->fold().version().value },
+                    { "next_offset", config->fold().stateOffset().value }, { "document", config->fold().document() } })));
         else if (path == recordsPath && isPost)
             appendConfig(request, callback);
         else if (path.starts_with(recordsPath) && path.size() > recordsPath.size() + 1 && isGet) {
@@ -107,11 +107,13 @@
     const auto change = parseConfigRecord(request.body);
     settings_report report;
     if (!loadFleetConfiguration(change.document, report)) {
-        callback(adminError(400, "invalid_settings", toString(report), "correct the file; carawaylink config check FILE shows every fault"));
+        callback(
+            adminError(400, "invalid_settings", toString(report), "correct the file; carawaylink config check FILE shows every fault"));
         return;
     }
     log_event("config_change_received").field("change", change.id).field("author", change.author).field("base_version", change.baseVersion);
-    config->append(change, appendLimit, [this, callback, id = change.id](const std::optional<config_result>& result) { callback(configResult(id, result)); });
+    config->append(change, appendLimit,
+        [this, callback, id = change.id](const std::optional<config_result>& result) { callback(configResult(id, result)); });
 }
 
 http_response node::implementation::configResult(const std::string& id, const std::optional<config_result>& result) const
@@ -123,7 +125,8 @@
     }
     return jsonResponse(200,
         json::serialize(json::object { { "id", id }, { "result", outcome },
-            { "version", result ? result->version.value : config->fold().version().value }, { "message", result ? result->message : std::string() } }));
+            { "version", result ? result->version.value : config->fold().version().value },
+            { "message", result ? result->message : std::string() } }));
 }
 
 void node::implementation::usagePage(const admin_callback& callback)
--- a/libs/node/src/config_follower.cpp
+++ b/libs/node/src/config_follower.cpp
@@ -63,8 +63,8 @@
     if (m_members.size() <= maxReaders || m_fold.version().value == 0)
         return true;
     const auto own = rendezvousWeight("config-reader", m_self);
-    const auto heavier
-        = std::ranges::count_if(m_members, [&](const member_update& member) { return rendezvousWeight("config-reader", member.node) > own; });
+    const auto heavier = std::ranges::count_if(
+        m_members, [&](const member_update& member) { return rendezvousWeight("config-reader", member.node) > own; });
     return static_cast<std::size_t>(heavier) < maxReaders;
 }
 
@@ -76,12 +76,13 @@
     // The log answers at the latest when its wait ends.
     options.idleTimeout = m_settings.pollInterval + std::chrono::seconds(1);
     const auto target = readTarget(configStream, m_fold.nextOffset(), m_settings.pollInterval);
-    m_readCall = m_client.send(m_settings.logAddress, { "GET", target, {}, {} }, options, [this, alive = m_alive](const http_result& result) {
-        if (!*alive)
-            return;
-        m_readCall.reset();
-        readEnded(result);
-    });
+    m_readCall
+        = m_client.send(m_settings.logAddress, { "GET", target, {}, {} }, options, [this, alive = m_alive](const http_result& result) {
+              if (!*alive)
+                  return;
+              m_readCall.reset();
+              readEnded(result);
+          });
 }
 
 void config_follower::readEnded(const http_result& result)
@@ -106,8 +107,10 @@
         }
         for (const auto& record : page.records) {
             const auto folded = m_fold.apply(record.offset, record.data);
-            log_event("config_record").field("offset", record.offset).field("outcome", configOutcomeNames.name(folded.outcome)).field(
-                "version", folded.version);
+            log_event("config_record")
+                .field("offset", record.offset)
+                .field("outcome", configOutcomeNames.name(folded.outcome))
+                .field("version", folded.version);
         }
     } catch (const error& failure) {
         log_event("config_log_malformed", log_level::warning).field("error", failure.what());
@@ -187,8 +190,10 @@
                 return;
             // A lost answer is found again by the record's id when it is folded.
             if (!result.ok() || result.response.status != 200)
-                log_event("config_append_unconfirmed", log_level::warning).field("change", id).field("detail", result.detail).field(
-                    "status", result.response.status);
+                log_event("config_append_unconfirmed", log_level::warning)
+                    .field("change", id)
+                    .field("detail", result.detail)
+                    .field("status", result.response.status);
             read();
         });
     answerWaiting();
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -65,13 +65,18 @@
     wired.get_future().get();
     ready = true;
     record.record("started", {});
-    log_event("started").field("node", self.node).field("http", httpAddress).field("incarnation", self.run).field("failure_domain", settings.failure_domain);
+    log_event("started")
+        .field("node", self.node)
+        .field("http", httpAddress)
+        .field("incarnation", self.run)
+        .field("failure_domain", settings.failure_domain);
 }
 
 std::vector<member_update> node::implementation::liveMembers() const
 {
     auto members = membership->members();
-    std::erase_if(members, [](const member_update& member) { return member.state == member_state::dead || member.state == member_state::left; });
+    std::erase_if(
+        members, [](const member_update& member) { return member.state == member_state::dead || member.state == member_state::left; });
     for (auto& member : members)
         member.draining = member.draining || drainingPeers.contains(member.node);
     auto own = membership->self();
@@ -86,7 +91,10 @@
     if (member.node == self.node)
         return;
     if (change.before != member.state || knownRuns[member.node] != member.run)
-        log_event("member_changed").field("member", member.node).field("state", memberStateNames.name(member.state)).field("incarnation", member.run);
+        log_event("member_changed")
+            .field("member", member.node)
+            .field("state", memberStateNames.name(member.state))
+            .field("incarnation", member.run);
     const bool gone = member.state == member_state::dead || member.state == member_state::left;
     const auto known = knownRuns.find(member.node);
     const bool replaced = known != knownRuns.end() && known->second.value != 0 && known->second != member.run;
@@ -154,10 +162,10 @@
 void node::implementation::startScheduling()
 {
     const auto policyIsPool = settings.policy == schema::scheduling_policy::pool;
-    tasks.push_back(std::make_unique<periodic_task>(
-        control.context(0), schedulerTick, [this] { host->tick(std::chrono::steady_clock::now()); }));
-    tasks.push_back(std::make_unique<periodic_task>(
-        control.context(0), dispatchTick, [this] { dispatch->tick(std::chrono::steady_clock::now()); }));
+    tasks.push_back(
+        std::make_unique<periodic_task>(control.context(0), schedulerTick, [this] { host->tick(std::chrono::steady_clock::now()); }));
+    tasks.push_back(
+        std::make_unique<periodic_task>(control.context(0), dispatchTick, [this] { dispatch->tick(std::chrono::steady_clock::now()); }));
     tasks.push_back(std::make_unique<periodic_task>(
         control.context(0), std::chrono::milliseconds(settings.timing->progress_interval_ms), [this] { dispatch->reportProgress(); }));
     // Exceptions expire with time, and the members' announcements are taken over.
@@ -249,7 +257,8 @@
         return;
     const auto now = std::chrono::steady_clock::now();
     const auto members = liveMembers();
-    const bool alone = std::ranges::none_of(members, [this](const member_update& member) { return member.node != self.node && !member.draining; });
+    const bool alone
+        = std::ranges::none_of(members, [this](const member_update& member) { return member.node != self.node && !member.draining; });
     // Callers keep using this address until their entry answer has expired; they are served meanwhile.
     closeAt = alone ? now : now + std::chrono::milliseconds(settings.timing->entry_lifetime_ms) + entryLag;
     drainLimit = now + std::chrono::milliseconds(settings.timing->drain_limit_ms);
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -18,8 +18,9 @@
 std::vector<key_ring::key> ringKeys(const schema::daemon_settingsT& settings)
 {
     std::vector<key_ring::key> keys;
-    std::ranges::transform(
-        settings.cluster_keys, std::back_inserter(keys), [](const auto& key) { return key_ring::key { key->id, key->secret }; });
+    std::ranges::transform(settings.cluster_keys, std::back_inserter(keys), [](const auto& key) {
+        return key_ring::key { key->id, key->secret };
+    });
     return keys;
 }
 
@@ -75,10 +76,11 @@
         return heartbeat;
     };
     mesh = std::make_unique<peer_mesh>(control.context(0), identity, meshSettings, std::move(handlers));
-    self.node = node_id(mesh->listen(settings.node_address));
-    auto bound = identity;
-    bound.process = self;
-    mesh->setSelf(bound);
+    const auto bound = mesh->listen(settings.node_address);
+    self.node = node_id(settings.advertise_address.empty() ? bound : settings.advertise_address);
+    auto advertised = identity;
+    advertised.process = self;
+    mesh->setSelf(advertised);
 
     ticket_service_settings ticketSettings;
     ticketSettings.keys = meshSettings.keys;
@@ -104,7 +106,8 @@
             message.lifetime_ms = settings.timing->grant_lifetime_ms;
             mesh->send(home, std::move(message));
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
-            mesh->send(home, encodeRefusal(refused->request, refusalReasonNames.name(refused->reason), refused->message, refused->retryAfter));
+            mesh->send(
+                home, encodeRefusal(refused->request, refusalReasonNames.name(refused->reason), refused->message, refused->retryAfter));
         } else {
             wire::slot_preemptT message;
             message.request = encodeKey(std::get<slot_preemption>(action).request);
@@ -172,7 +175,7 @@
     detector.suspicionTimeout = milliseconds(timing.suspicion_ms);
     membership = std::make_unique<membership_transport>(
         control.context(0), settings.cluster, meshSettings.keys, [this](const member_changed& change) { memberChanged(change); });
-    membership->start(self.node.value, own, detector);
+    membership->start(bound, own, detector);
 }
 
 void node::implementation::placeDirectly()
@@ -204,15 +207,17 @@
     } else if (const auto* request = body.Asslot_request()) {
         host->submit(now, { service_id(request->service), request->pool }, decodeSlotRequest(*request, peer, now));
     } else if (const auto* grant = body.Asslot_grant()) {
-        dispatch->deliver(now, peer, slot_grant { decodeKey(grant->request), self.node, endpoint_id(grant->endpoint), tokens(grant->expected_cached_tokens), grant->explanation });
+        dispatch->deliver(now, peer,
+            slot_grant { decodeKey(grant->request), self.node, endpoint_id(grant->endpoint), tokens(grant->expected_cached_tokens),
+                grant->explanation });
     } else if (const auto* refused = body.Asslot_refusal()) {
         const auto id = decodeKey(refused->request);
         if (refused->reason == notOwnerReason)
             dispatch->ownerRejected(now, peer, id);
         else
             dispatch->deliver(now, peer,
-                slot_refusal { id, self.node, refusalReasonNames.parse(refused->reason).value_or(refusal_reason::unavailable), refused->message,
-                    milliseconds(refused->retry_after_ms) });
+                slot_refusal { id, self.node, refusalReasonNames.parse(refused->reason).value_or(refusal_reason::unavailable),
+                    refused->message, milliseconds(refused->retry_after_ms) });
     } else if (const auto* preempt = body.Asslot_preempt()) {
         dispatch->deliver(now, peer, slot_preemption { decodeKey(preempt->request), self.node });
     } else if (const auto* cancel = body.Asslot_cancel()) {
@@ -242,7 +247,8 @@
             waiting.push_back(decodeSlotRequest(*entry, peer, now));
         for (const auto& entry : sync->outstanding) {
             if (entry->request)
-                outstanding.emplace_back(decodeSlotRequest(*entry->request, peer, now), endpoint_id(entry->endpoint), tokens(entry->output_tokens));
+                outstanding.emplace_back(
+                    decodeSlotRequest(*entry->request, peer, now), endpoint_id(entry->endpoint), tokens(entry->output_tokens));
         }
         host->sync(now, peer, { service_id(sync->service), sync->pool }, std::move(waiting), std::move(outstanding), !sync->more);
     } else if (const auto* intent = body.Asticket_intent()) {
--- a/libs/node/src/platform_log.cpp
+++ b/libs/node/src/platform_log.cpp
@@ -20,8 +20,8 @@
 std::string decodeBase64(std::string_view text)
 {
     std::string bytes(text.size() / 4 * 3, '\0');
-    const auto size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()),
-        static_cast<int>(text.size()));
+    const auto size = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
     if (size < 0)
         malformed("record data is not base64");
     const auto padding = std::min<std::size_t>(2, text.size() - std::min(text.size(), text.find_last_not_of('=') + 1));
--- a/libs/node/src/usage_ledger.cpp
+++ b/libs/node/src/usage_ledger.cpp
@@ -57,7 +57,8 @@
     counters.promptTokens += static_cast<std::uint64_t>(release.promptTokens.value);
     counters.cachedTokens += static_cast<std::uint64_t>(release.cachedTokens.value);
     counters.outputTokens += static_cast<std::uint64_t>(release.outputTokens.value);
-    counters.endpointMicroseconds += static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(release.total).count());
+    counters.endpointMicroseconds
+        += static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(release.total).count());
     m_changed = true;
 }
 
--- a/libs/node/src/usage_publisher.cpp
+++ b/libs/node/src/usage_publisher.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr std::string_view usageStream = "usage";
 constexpr auto logTimeout = std::chrono::seconds(2);
-}
+} // namespace
 
 usage_publisher::usage_publisher(
     boost::asio::io_context& context, process_identity self, usage_publisher_settings settings, std::function<bool()> compactsForAll)
@@ -54,7 +54,10 @@
         [id, callback = std::move(callback)](const http_result& result) {
             // Totals are cumulative: the next flush holds what a failed one did not deliver.
             if (!result.ok() || result.response.status != 200)
-                log_event("usage_append_failed", log_level::warning).field("id", id).field("status", result.response.status).field("detail", result.detail);
+                log_event("usage_append_failed", log_level::warning)
+                    .field("id", id)
+                    .field("status", result.response.status)
+                    .field("detail", result.detail);
             if (callback)
                 callback();
         });
--- a/libs/node/src/usage_publisher.h
+++ b/libs/node/src/usage_publisher.h
@@ -20,8 +20,8 @@
 /// what it used since its last flush. Runs on the control thread.
 class usage_publisher {
 public:
-    usage_publisher(boost::asio::io_context& context, process_identity self, usage_publisher_settings settings,
-        std::function<bool()> compactsForAll);
+    usage_publisher(
+        boost::asio::io_context& context, process_identity self, usage_publisher_settings settings, std::function<bool()> compactsForAll);
     ~usage_publisher();
 
     usage_ledger& ledger() { return m_ledger; }
--- a/libs/settings/src/daemon_checks.cpp
+++ b/libs/settings/src/daemon_checks.cpp
@@ -72,6 +72,8 @@
 {
     checkAddress(settings.node_address, "node_address", true, result);
     checkAddress(settings.http_address, "http_address", true, result);
+    if (!settings.advertise_address.empty())
+        checkAddress(settings.advertise_address, "advertise_address", false, result);
     checkAddress(settings.log_address, "log_address", false, result);
     checkAddress(settings.vm_list_address, "vm_list_address", false, result);
     for (std::size_t i = 0; i < settings.seeds.size(); ++i)
