Repeat refusals that concern the node or the ticket, as their remedy asks

Cause: nodes answer 503 with ran "no" while they drain, have no owner yet or lost a witness; a real caller then sends the request again, with a new ticket where it needs one. Overload is refused with 429 and is not repeated. The ticket hash and the address of a node are read as carawaylinkd writes them. Test change: the stand-in of the tests refused overload with 503; it uses 429 as carawaylinkd does, and the expectation that overload is not repeated stays.

--- a/libs/load/include/load/history.h
+++ b/libs/load/include/load/history.h
@@ -42,6 +42,7 @@
     std::string request;
     std::string team;
     std::string service;
+    /// Address that callers connect to; the field "http" of nodes.
     std::string address;
     std::string endpoint;
     std::string node;
@@ -113,7 +114,7 @@
 /// Current time in the unit of the histories.
 std::int64_t historyTimeUs();
 
-/// Short hash of a ticket: histories never hold a ticket itself. 8 hexadecimal digits, the upper half of XXH3.
+/// Hash of a ticket as nodes write it, XXH3 in decimal digits: histories never hold a ticket itself.
 std::string ticketHash(std::string_view ticket);
 
 /// Appends lines to a file from several threads.
--- a/libs/load/src/checker_fleet.cpp
+++ b/libs/load/src/checker_fleet.cpp
@@ -45,13 +45,13 @@
         }
         if (record.source != history_source::node)
             continue;
+        if (!record.address.empty())
+            m_nodeByAddress[record.address] = record.node;
         if (record.event == "started") {
             auto& lives = m_lives[record.node];
             if (!lives.empty())
                 lives.back().end = std::min(lives.back().end, record.timeUs);
             lives.push_back({ record.timeUs });
-            if (!record.address.empty())
-                m_nodeByAddress[record.address] = record.node;
         } else if (record.event == "drain_begin") {
             current(record).drainBegin = record.timeUs;
             current(record).drainRecord = &record;
--- a/libs/load/src/checker_parts.h
+++ b/libs/load/src/checker_parts.h
@@ -51,7 +51,7 @@
     explicit node_lives(const history& merged);
 
     const std::map<std::string, std::vector<life>>& all() const { return m_lives; }
-    /// Node whose callers connect to that address: the address of a started event, else the only node with the same ip.
+    /// Node whose callers connect to that address: the address that a node event names, else the only node with the same ip.
     std::string nodeOfAddress(const std::string& address) const;
 
 private:
--- a/libs/load/src/history.cpp
+++ b/libs/load/src/history.cpp
@@ -30,7 +30,7 @@
     record.request = textField(object, "request");
     record.team = textField(object, "team");
     record.service = textField(object, "service");
-    record.address = textField(object, "address");
+    record.address = textField(object, object.contains("http") ? "http" : "address");
     record.endpoint = textField(object, "endpoint");
     record.node = textField(object, "node");
     record.incarnation = textField(object, "incarnation");
@@ -174,12 +174,7 @@
 
 std::string ticketHash(std::string_view ticket)
 {
-    constexpr std::string_view digits = "0123456789abcdef";
-    auto bits = XXH3_64bits(ticket.data(), ticket.size());
-    std::string text;
-    for (int i = 0; i < 8; ++i, bits <<= 4)
-        text += digits[bits >> 60];
-    return text;
+    return std::to_string(XXH3_64bits(ticket.data(), ticket.size()));
 }
 
 history_writer::history_writer(const std::string& path)
--- a/libs/load/src/replay_driver.cpp
+++ b/libs/load/src/replay_driver.cpp
@@ -19,6 +19,8 @@
 // node's death.
 constexpr auto entryIdle = std::chrono::seconds(1);
 constexpr auto entryRetryDelay = milliseconds(100);
+// A caller with a deadline of seconds does not wait longer for another attempt.
+constexpr auto longestRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t mostTicketsPerRequest = 64;
 // A lookup may be repeated once, so that a call costs the fleet at most twice its offered load.
 constexpr int lookupRetries = 1;
@@ -39,12 +41,16 @@
     std::size_t connectFailures = 0;
     std::optional<held_ticket> ticket;
     bool ticketUsed = false;
+    /// An attempt ended without the certainty that it did not run.
+    bool mayHaveRun = false;
+    std::unique_ptr<boost::asio::steady_timer> retryTimer;
     std::string address;
 
     // State of the current attempt.
     unsigned status = 0;
     std::string request;
     std::string body;
+    std::int64_t retryAfterMs = 0;
     std::unique_ptr<answer_checker> answer;
     monotonic_time lastToken;
     std::int64_t firstTokenUs = -1;
@@ -143,7 +149,7 @@
 void replay_driver::proceed(const call_pointer& call)
 {
     if (m_abandoned) {
-        closeUnsent(call);
+        closeUnsent(call, "abandoned");
         return;
     }
     auto& team = *call->team;
@@ -154,7 +160,7 @@
         refreshEntry(team, m_settings.entry.size() + team.cache.addressCount());
     if (!team.cache.usable(now) || !stocked) {
         if (now >= call->deadline()) {
-            closeUnsent(call);
+            closeUnsent(call, "no_entry");
             return;
         }
         team.waiting.push_back(call);
@@ -172,6 +178,7 @@
     call->status = 0;
     call->request.clear();
     call->body.clear();
+    call->retryAfterMs = 0;
     call->firstTokenUs = -1;
     recordSent(*call);
     if (isPlain(*call->trace))
@@ -180,13 +187,13 @@
         sendModelCall(call);
 }
 
-void replay_driver::closeUnsent(const call_pointer& call)
+void replay_driver::closeUnsent(const call_pointer& call, std::string_view reason)
 {
     auto record = outcomeOf(*call);
     record.event = "broken";
-    record.reason = "no_entry";
-    record.ran = call->ticketUsed ? "unknown" : "no";
-    record.sent = call->ticketUsed;
+    record.reason = reason;
+    record.ran = call->mayHaveRun ? "unknown" : "no";
+    record.sent = call->mayHaveRun;
     m_writer.write(callerLine(record));
     finish(call);
 }
@@ -309,6 +316,7 @@
         record.event = "refused";
         record.reason = refusal.type;
         record.ran = refusal.ran;
+        call->retryAfterMs = refusal.retryAfterMs;
     } else if (state.failed && !state.done) {
         record.event = "refused";
         record.reason = state.errorType;
@@ -347,6 +355,7 @@
         record.event = "refused";
         record.reason = refusal.type;
         record.ran = refusal.ran;
+        call->retryAfterMs = refusal.retryAfterMs;
     }
     conclude(call, std::move(record));
 }
@@ -355,17 +364,23 @@
 {
     call->connection.reset();
     m_writer.write(callerLine(record));
-    if (!m_abandoned && retries(*call, record)) {
-        // Posted, since the client may report a failure from inside the call that starts the attempt.
-        boost::asio::post(m_context, [this, call] { proceed(call); });
+    if (record.sent && record.ran != "no")
+        call->mayHaveRun = true;
+    const auto delay = m_abandoned ? std::nullopt : retryDelay(*call, record);
+    if (!delay) {
+        finish(call);
         return;
     }
-    finish(call);
+    // Even without a delay the attempt starts from the event loop, since the client may report a failure from inside the
+    // call that starts an attempt. A cancelled timer lets proceed() close the call.
+    call->retryTimer = std::make_unique<boost::asio::steady_timer>(m_context, *delay);
+    call->retryTimer->async_wait([this, call](const boost::system::error_code&) { proceed(call); });
 }
 
-bool replay_driver::retries(active_call& call, const history_record& record)
+std::optional<duration> replay_driver::retryDelay(active_call& call, const history_record& record)
 {
     const auto now = std::chrono::steady_clock::now();
+    const auto allowed = [](bool condition) { return condition ? std::optional(duration::zero()) : std::nullopt; };
     auto& cache = call.team->cache;
     const bool unsent = record.event == "broken" && !record.sent;
     if (unsent) {
@@ -377,28 +392,29 @@
         call.ticketUsed = true;
     }
     if (record.event == "answered" || now >= call.deadline())
-        return false;
+        return std::nullopt;
     if (unsent)
-        return ++call.connectFailures <= cache.addressCount();
+        return allowed(++call.connectFailures <= cache.addressCount());
     const auto repeated = call.attempt - static_cast<std::int64_t>(call.connectFailures);
     if (record.event == "broken") {
         if (call.ticket)
-            return repeated <= m_settings.retries;
-        return isPlain(*call.trace) && call.trace->idempotent && repeated <= lookupRetries;
+            return allowed(repeated <= m_settings.retries);
+        return allowed(isPlain(*call.trace) && call.trace->idempotent && repeated <= lookupRetries);
     }
-    // A refusal that says "not run" and concerns the node or the ticket, not the load, is worth another attempt. The
-    // ticket is closed by then, so a new one is needed.
-    const bool elsewhere = record.reason == "draining" || record.reason.starts_with("ticket");
+    // A refusal that says "not run" and concerns the node (503) or the ticket, not the load (429), is worth another attempt.
+    // The ticket is closed by then, so a new one is needed.
+    const bool elsewhere = record.status == 503 || record.reason.starts_with("ticket_closed");
     if (record.ran != "no" || !elsewhere || repeated > m_settings.retries)
-        return false;
+        return std::nullopt;
     if (record.reason == "draining")
         cache.connectFailed(call.address, now);
     if (call.ticket) {
-        cache.dropTickets(call.ticket->issuer);
+        if (record.reason.starts_with("ticket_closed"))
+            cache.dropTickets(call.ticket->issuer);
         call.ticket.reset();
         call.ticketUsed = false;
     }
-    return true;
+    return std::clamp<duration>(milliseconds(call.retryAfterMs), duration::zero(), longestRetryAfter);
 }
 
 void replay_driver::finish(const call_pointer& call)
@@ -501,11 +517,13 @@
         team->waiting.clear();
     }
     for (const auto& call : waiting)
-        closeUnsent(call);
+        closeUnsent(call, "no_entry");
     const std::vector<call_pointer> open(m_open.begin(), m_open.end());
     for (const auto& call : open) {
         if (call->connection)
             call->connection->cancel();
+        if (call->retryTimer)
+            call->retryTimer->cancel();
     }
     scheduleNext();
 }
--- a/libs/load/src/replay_driver.h
+++ b/libs/load/src/replay_driver.h
@@ -44,7 +44,7 @@
     void playDue();
     void begin(std::size_t index);
     void proceed(const call_pointer& call);
-    void closeUnsent(const call_pointer& call);
+    void closeUnsent(const call_pointer& call, std::string_view reason);
     void sendModelCall(const call_pointer& call);
     void sendPlainCall(const call_pointer& call);
     void addCallerHeaders(const active_call& call, http_request& request) const;
@@ -55,7 +55,8 @@
     void plainDone(const call_pointer& call, const http_result& result);
     history_record outcomeOf(const active_call& call) const;
     void conclude(const call_pointer& call, history_record record);
-    bool retries(active_call& call, const history_record& record);
+    /// Time until the next attempt; nothing where the call has ended.
+    std::optional<duration> retryDelay(active_call& call, const history_record& record);
     void finish(const call_pointer& call);
     void refreshEntry(team_state& team, std::size_t triesLeft);
     void entryDone(team_state& team, const std::string& address, const http_result& result, std::size_t triesLeft);
--- a/libs/load/tests/fake_node.h
+++ b/libs/load/tests/fake_node.h
@@ -69,8 +69,8 @@
         const auto kind = m_times.fetch_sub(1) > 0 ? m_kind.load() : behaviour::whole;
         if (kind == behaviour::refuse_overload || kind == behaviour::refuse_draining) {
             const auto type = kind == behaviour::refuse_draining ? "draining" : "queue_full";
-            responder.send(
-                jsonResponse(503, std::string(R"({"error":{"type":")") + type + R"(","message":"no","ran":"no","retry_after_ms":10}})"));
+            responder.send(jsonResponse(kind == behaviour::refuse_draining ? 503 : 429,
+                std::string(R"({"error":{"type":")") + type + R"(","message":"no","ran":"no","retry_after_ms":10}})"));
             return;
         }
         if (request.path() == "/v1/completions") {
