--- a/libs/standins/include/standins/engine_model.h
+++ b/libs/standins/include/standins/engine_model.h
@@ -117,6 +117,11 @@
     cancelled,
     refused,
     leaving,
+    /// Takes work again.
+    live,
+    order_admitted,
+    order_refused,
+    /// An order took effect.
     order,
     /// A load or a transfer ended; not written to the history.
     task_done,
@@ -130,6 +135,9 @@
     { engine_event_kind::cancelled, "cancelled" },
     { engine_event_kind::refused, "refused" },
     { engine_event_kind::leaving, "leaving" },
+    { engine_event_kind::live, "live" },
+    { engine_event_kind::order_admitted, "order_admitted" },
+    { engine_event_kind::order_refused, "order_refused" },
     { engine_event_kind::order, "order" },
     { engine_event_kind::task_done, "task_done" },
 });
@@ -144,7 +152,7 @@
     std::int64_t outputTokens = 0;
     /// Execution or task that the event belongs to.
     std::uint64_t number = 0;
-    /// Reason of a refusal; for an order "admitted", "stale_fence" or "done".
+    /// Reason of a refusal.
     std::string detail;
     /// Prompt tokens that were computed rather than found in the cache.
     std::int64_t prefilledTokens = 0;
@@ -269,7 +277,7 @@
     void forgetExpired(monotonic_time now);
     void recordLoad(monotonic_time at);
     void emit(engine_event_kind kind, monotonic_time at, const engine_execution& execution);
-    void emitOrder(monotonic_time at, const engine_order& order, std::string_view result);
+    void emitOrder(engine_event_kind kind, monotonic_time at, const engine_order& order);
     std::uint64_t addTask(monotonic_time due, task added);
     bool drawn(engine_fault share);
 
--- a/libs/standins/src/engine_messages.cpp
+++ b/libs/standins/src/engine_messages.cpp
@@ -219,8 +219,7 @@
         line["kind"] = orderKindNames.name(event.order->kind);
         line["name"] = event.order->name;
         line["fence"] = event.order->fence;
-        line["result"] = event.detail;
-    } else if (event.kind != engine_event_kind::leaving) {
+    } else if (event.kind != engine_event_kind::leaving && event.kind != engine_event_kind::live) {
         line["request"] = event.request;
         line["user"] = event.user;
         line["prompt_tokens"] = event.promptTokens;
@@ -228,9 +227,9 @@
         line["prefilled_tokens"] = event.prefilledTokens;
         line["output_tokens"] = event.outputTokens;
         line["execution"] = event.number;
-        if (!event.detail.empty())
-            line["reason"] = event.detail;
     }
+    if (!event.detail.empty())
+        line["reason"] = event.detail;
     return json::serialize(line);
 }
 
--- a/libs/standins/src/engine_model.cpp
+++ b/libs/standins/src/engine_model.cpp
@@ -169,9 +169,7 @@
 
 void engine_model::leave(monotonic_time now)
 {
-    m_faults.set(engine_fault::leaving, 1);
-    m_events.push_back({ engine_event_kind::leaving, now });
-    recordLoad(now);
+    applyFaults(now, R"({"leaving":true})");
 }
 
 void engine_model::applyFaults(monotonic_time now, std::string_view json)
@@ -179,8 +177,7 @@
     const bool wasLeaving = m_faults.on(engine_fault::leaving);
     m_faults.apply(json);
     if (m_faults.on(engine_fault::leaving) != wasLeaving) {
-        if (!wasLeaving)
-            m_events.push_back({ engine_event_kind::leaving, now });
+        m_events.push_back({ wasLeaving ? engine_event_kind::live : engine_event_kind::leaving, now });
         recordLoad(now);
     }
     const bool pause = m_faults.on(engine_fault::pause);
@@ -221,7 +218,9 @@
     const bool stale = order.fence < m_fence;
     const bool admitted = !stale || !m_faults.on(engine_fault::enforce_fencing);
     m_fence = std::max(m_fence, order.fence);
-    emitOrder(now, order, admitted ? "admitted" : "stale_fence");
+    emitOrder(admitted ? engine_event_kind::order_admitted : engine_event_kind::order_refused, now, order);
+    if (!admitted)
+        m_events.back().detail = "stale_fence";
     return admitted;
 }
 
@@ -355,7 +354,7 @@
             m_role = name;
             break;
         }
-        emitOrder(at, *ended.order, "done");
+        emitOrder(engine_event_kind::order, at, *ended.order);
     }
     engine_event event { engine_event_kind::task_done, at };
     event.number = ended.number;
@@ -403,10 +402,9 @@
         execution.produced, execution.number, {}, execution.prefilled - execution.cachedTokens });
 }
 
-void engine_model::emitOrder(monotonic_time at, const engine_order& order, std::string_view result)
+void engine_model::emitOrder(engine_event_kind kind, monotonic_time at, const engine_order& order)
 {
-    engine_event event { engine_event_kind::order, at };
-    event.detail = result;
+    engine_event event { kind, at };
     event.order = order;
     m_events.push_back(std::move(event));
 }
--- a/libs/standins/src/service_server.cpp
+++ b/libs/standins/src/service_server.cpp
@@ -34,7 +34,7 @@
         , model(options.seed)
         , core({ .handle = [this](const http_request& request, const reply_pointer& answer) { handle(request, answer); },
               .faults = [this] { return model.faults().toJson(); },
-              .applyFaults = [this](std::string_view changes) { model.faults().apply(changes); },
+              .applyFaults = [this](std::string_view changes) { applyFaults(changes); },
               .paused = [this] { return model.faults().on(service_fault::pause); },
               .silent = [this] { return model.faults().on(service_fault::silent_connections); } })
     {
@@ -42,10 +42,18 @@
 
     ~implementation() { core.stop(); }
 
+    void applyFaults(std::string_view changes)
+    {
+        const bool wasLeaving = model.faults().on(service_fault::leaving);
+        model.faults().apply(changes);
+        if (model.faults().on(service_fault::leaving) != wasLeaving)
+            record(wasLeaving ? "live" : "leaving", {});
+    }
+
     void handle(const http_request& request, const reply_pointer& answer)
     {
         if (request.method == "POST" && request.path() == "/leave") {
-            model.faults().set(service_fault::leaving, 1);
+            applyFaults(R"({"leaving":true})");
             answer->send(jsonResponse(200, R"({"leaving":true})"));
             return;
         }
@@ -53,7 +61,7 @@
         const auto outcome = model.handle(hasEffect);
         const auto call = callId(request);
         if (outcome.execution > 0)
-            record(request, call, outcome.execution);
+            record("executed", { { "path", request.path() }, { "call", call }, { "execution", outcome.execution } });
         switch (outcome.result) {
         case service_outcome::kind::leaving: {
             auto response = errorAnswer(503, "leaving", "the service is leaving");
@@ -78,13 +86,15 @@
         core.sendAfter(model.delay(), answer, jsonResponse(200, json::serialize(body)));
     }
 
-    void record(const http_request& request, const std::string& call, std::uint64_t execution)
+    void record(std::string_view event, const json::object& fields)
     {
         if (!history->enabled())
             return;
-        history->append(json::serialize(json::object { { "source", "service" }, { "endpoint", core.address() },
-            { "t_us", steadyMicroseconds(std::chrono::steady_clock::now()) }, { "event", "executed" }, { "path", request.path() },
-            { "call", call }, { "execution", execution } }));
+        json::object line { { "source", "service" }, { "endpoint", core.address() },
+            { "t_us", steadyMicroseconds(std::chrono::steady_clock::now()) }, { "event", event } };
+        for (const auto& field : fields)
+            line.insert(field);
+        history->append(json::serialize(line));
     }
 
     service_server_options options;
--- a/libs/standins/tests/engine_server_tests.cpp
+++ b/libs/standins/tests/engine_server_tests.cpp
@@ -176,6 +176,8 @@
     EXPECT_EQ(refused.header("X-Engine-Leaving"), "1");
     EXPECT_THAT(client.send(address, { "GET", "/load" }).response.body, HasSubstr(R"("leaving":true)"));
     setFaults(address, R"({"leaving":false,"refuse_new":false,"fail_share":1})");
+    EXPECT_EQ(count(history.text(), R"("event":"leaving")"), 1U);
+    EXPECT_EQ(count(history.text(), R"("event":"live")"), 1U);
     EXPECT_EQ(client.send(address, completion("c", 3, false)).response.status, 500U);
 }
 
@@ -212,8 +214,10 @@
     EXPECT_EQ(loaded.response.status, 200U);
     EXPECT_THAT(loaded.response.body, HasSubstr(R"("model":"big")"));
     EXPECT_EQ(client.send(address, order("4")).response.status, 409U);
-    EXPECT_EQ(count(history.text(), R"("order":"o","kind":"load_model","name":"big","fence":5,"result":"done")"), 1U);
-    EXPECT_EQ(count(history.text(), R"("order":"o","kind":"load_model","name":"big","fence":4,"result":"stale_fence")"), 1U);
+    EXPECT_EQ(count(history.text(), R"("event":"order","order":"o","kind":"load_model","name":"big","fence":5)"), 1U);
+    EXPECT_EQ(
+        count(history.text(), R"("event":"order_refused","order":"o","kind":"load_model","name":"big","fence":4,"reason":"stale_fence")"),
+        1U);
     limits.weightLoads = 0;
     log_server busyStore(limits, history.writer());
     options.weightStore = busyStore.listen("127.0.0.1:0");
--- a/libs/standins/tests/outside_server_tests.cpp
+++ b/libs/standins/tests/outside_server_tests.cpp
@@ -45,7 +45,9 @@
     EXPECT_EQ(refused.header("X-Engine-Leaving"), "1");
     setFaults(address, R"({"leaving":false,"pause":true})");
     EXPECT_EQ(client.send(address, { "POST", "/x" }, 200ms).failure, http_failure::idle);
-    EXPECT_EQ(history.text(), "");
+    EXPECT_EQ(count(history.text(), "executed"), 0U);
+    EXPECT_EQ(count(history.text(), R"("event":"leaving")"), 1U);
+    EXPECT_EQ(count(history.text(), R"("event":"live")"), 1U);
 }
 
 class log_loopback : public testing::Test {
