Add the command line carawaylink

Operators need to check, compare and publish configurations, and to see and drain nodes, without knowing the node's paths. A lost answer is resolved by the id of the record; a change counts as done only when every live member reports its version.

--- /dev/null
+++ b/libs/cli/include/cli/commands.h
@@ -0,0 +1,295 @@
+#pragma once
+
+#include "cli/admin_client.h"
+#include "cli/command_line.h"
+#include "cli/documents.h"
+#include "cli/exit_code.h"
+#include "cli/report.h"
+#include "config/difference.h"
+#include "config/record.h"
+
+#include <memory>
+#include <optional>
+#include <ostream>
+
+namespace carawaylink {
+
+/// Carries out one request of an operator.
+template <http_transport Transport, cli_platform Platform> class command_runner {
+public:
+    command_runner(cli_request request, Transport& transport, Platform& platform, std::ostream& out, std::ostream& err)
+        : m_request(std::move(request))
+        , m_client(transport, m_request.nodes, m_request.key)
+        , m_platform(platform)
+        , m_out(out)
+        , m_err(err)
+    {
+    }
+
+    exit_code run()
+    {
+        try {
+            return dispatch();
+        } catch (const no_node_answered& failure) {
+            return fail(failure, exit_code::no_answer);
+        } catch (const error& failure) {
+            return fail(failure, failure.kind() == error_kind::invalid_argument ? exit_code::invalid : exit_code::failed);
+        }
+    }
+
+private:
+    // A response takes milliseconds; a node that needs longer than this is treated as silent.
+    static constexpr duration requestTimeout = std::chrono::seconds(3);
+    static constexpr duration pollInterval = std::chrono::milliseconds(200);
+
+    exit_code dispatch()
+    {
+        switch (m_request.verb) {
+        case cli_verb::config_check:
+            return check();
+        case cli_verb::config_diff:
+            return diff();
+        case cli_verb::config_apply:
+            return apply();
+        case cli_verb::config_status:
+            return configStatus();
+        case cli_verb::exception_add:
+            return addException();
+        case cli_verb::exception_remove:
+            return dropException();
+        case cli_verb::exception_list:
+            return print(reportExceptions(readDocument(fetchConfig().document), m_platform.utcNow(), m_request.output));
+        case cli_verb::status:
+            return print(reportStatus(m_client.get("/admin/status", requestTimeout), m_request.output));
+        case cli_verb::explain:
+            return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId, requestTimeout), m_request.output));
+        case cli_verb::drain:
+            m_client.postToFirst("/admin/drain", requestTimeout);
+            return print(reportDrain(m_request.nodes.front(), m_request.output));
+        case cli_verb::usage:
+            return print(reportUsage(m_client.get("/admin/usage", requestTimeout), m_request.output));
+        case cli_verb::orders:
+            return print(reportOrders(m_client.get("/admin/orders", requestTimeout), m_request.output));
+        }
+        throw error(error_kind::internal, "the verb has no command", "report this with the command line");
+    }
+
+    exit_code print(const std::string& text)
+    {
+        m_out << text;
+        return exit_code::done;
+    }
+
+    /// Errors go to standard error as text, and to standard output as JSON, where a script reads them.
+    std::ostream& errorStream() { return m_request.output == output_format::json ? m_out : m_err; }
+
+    exit_code fail(const error& failure, exit_code code)
+    {
+        errorStream() << reportError(failure, m_request.output);
+        return code;
+    }
+
+    exit_code failFaults(const settings_report& report, const std::string& file)
+    {
+        errorStream() << reportFaults(report, file, m_request.output);
+        return exit_code::invalid;
+    }
+
+    admin_config fetchConfig() { return parseAdminConfig(m_client.get("/admin/config", requestTimeout)); }
+
+    exit_code check()
+    {
+        const std::string text = readFile(m_request.file);
+        settings_report report;
+        const bool isValid
+            = m_request.isDaemonFile ? loadDaemonSettings(text, report).has_value() : loadFleetConfiguration(text, report).has_value();
+        return isValid ? print(reportValid(m_request.file, m_request.output)) : failFaults(report, m_request.file);
+    }
+
+    exit_code diff()
+    {
+        settings_report report;
+        const auto wanted = loadFleetConfiguration(readFile(m_request.file), report);
+        if (!wanted)
+            return failFaults(report, m_request.file);
+        const auto current = fetchConfig();
+        return print(reportDifferences(diffConfigurations(readDocument(current.document), *wanted), current.version, m_request.output));
+    }
+
+    exit_code configStatus()
+    {
+        const std::string config = m_client.get("/admin/config", requestTimeout);
+        if (m_request.printDocument && m_request.output == output_format::text)
+            return print(parseAdminConfig(config).document);
+        return print(reportConfigStatus(config, m_client.get("/admin/status", requestTimeout), m_request.output));
+    }
+
+    exit_code apply()
+    {
+        settings_report report;
+        const auto wanted = loadFleetConfiguration(readFile(m_request.file), report);
+        if (!wanted)
+            return failFaults(report, m_request.file);
+        return publish(fetchConfig(), *wanted);
+    }
+
+    exit_code addException()
+    {
+        const auto current = fetchConfig();
+        auto wanted = readDocument(current.document);
+        wanted.exceptions.push_back(std::make_unique<schema::exception_definitionT>(m_request.exception));
+        settings_report report;
+        if (!loadFleetConfiguration(toYaml(wanted), report))
+            return failFaults(report, "exception " + m_request.exception.id);
+        return publish(current, wanted);
+    }
+
+    exit_code dropException()
+    {
+        const auto current = fetchConfig();
+        auto wanted = readDocument(current.document);
+        removeException(wanted, m_request.exception.id);
+        return publish(current, wanted);
+    }
+
+    /// Shows the difference, sends the change on the version it was made on, and waits until it is in force.
+    exit_code publish(const admin_config& current, const schema::fleet_configurationT& wanted)
+    {
+        change_report change;
+        change.differences = diffConfigurations(readDocument(current.document), wanted);
+        change.version = current.version;
+        if (m_request.output == output_format::text)
+            m_out << reportDifferences(change.differences, current.version, output_format::text) << std::flush;
+        m_deadline = m_platform.now() + m_request.limit;
+        if (change.differences.empty()) {
+            // Repeating a command that ended with not_confirmed tells whether the change is in force everywhere by now.
+            change.result = "unchanged";
+            return confirm(change);
+        }
+        change.id = m_platform.newId();
+        const std::string document = toYaml(wanted);
+        const auto result = append({ change.id, m_request.author, current.version, config_record_kind::change, document, std::nullopt });
+        change.result = result.result;
+        change.message = result.message;
+        if (change.result == "undetermined")
+            resolve(change, document);
+        else if (change.result == "accepted")
+            change.version = result.version;
+        if (change.result == "refused")
+            return finish(change, exit_code::failed);
+        if (change.result != "accepted") {
+            change.result = "unknown";
+            return finish(change, exit_code::not_confirmed);
+        }
+        return confirm(change);
+    }
+
+    exit_code confirm(change_report& change)
+    {
+        change.notConfirmed = awaitVersion(change.version);
+        return finish(change, change.notConfirmed.empty() ? exit_code::done : exit_code::not_confirmed);
+    }
+
+    exit_code finish(const change_report& change, exit_code code)
+    {
+        auto& stream = code == exit_code::done || m_request.output == output_format::json ? m_out : m_err;
+        stream << reportChange(change, m_request.output);
+        return code;
+    }
+
+    /// Sends the record and returns its result. The answer may be lost after the record was appended, so the result is asked
+    /// for by id, and the record is sent again only where the node does not know that id: the fold ignores a repetition.
+    admin_record_result append(const config_record& record)
+    {
+        const std::string body = toJson(record);
+        admin_record_result result { "pending", record.baseVersion, "" };
+        bool mustSend = true;
+        while (true) {
+            try {
+                const auto response = mustSend ? m_client.send("POST", "/admin/config/records", body, remaining())
+                                               : m_client.send("GET", "/admin/config/records/" + record.id, "", remaining());
+                if (response.status == 404 && !mustSend) {
+                    mustSend = true;
+                } else if (response.status >= 500) {
+                    // The log or the node is out of order for a while.
+                    result.message = parseAdminFailure(response.status, response.body).message;
+                    mustSend = false;
+                } else {
+                    result = parseAdminRecordResult(m_client.expectSuccess(response));
+                    mustSend = false;
+                }
+            } catch (const no_node_answered& failure) {
+                result.message = failure.message();
+                mustSend = false;
+            }
+            if (result.result != "pending" || m_platform.now() + pollInterval >= m_deadline)
+                return result;
+            m_platform.sleep(pollInterval);
+        }
+    }
+
+    /// The node has forgotten who made the version in question; equal documents mean that the change is in force.
+    void resolve(change_report& change, const std::string& document)
+    {
+        const auto now = fetchConfig();
+        if (toYaml(readDocument(now.document)) != document)
+            return;
+        change.result = "accepted";
+        change.version = now.version;
+    }
+
+    /// Returns the live nodes that do not report the version when the time is over; empty when all do.
+    std::vector<std::string> awaitVersion(config_version version)
+    {
+        std::vector<std::string> missing { "unknown: no node answered" };
+        while (true) {
+            try {
+                missing = lagging(parseAdminStatus(m_client.get("/admin/status", remaining())), version);
+                if (missing.empty())
+                    return missing;
+            } catch (const no_node_answered&) {
+                // Keeps the last known list.
+            }
+            if (m_platform.now() + pollInterval >= m_deadline)
+                return missing;
+            m_platform.sleep(pollInterval);
+        }
+    }
+
+    static std::vector<std::string> lagging(const admin_status& status, config_version version)
+    {
+        std::vector<std::string> nodes;
+        for (const auto& member : status.members) {
+            if (member.isLive() && member.version < version)
+                nodes.push_back(member.node + " (" + member.state + ", version " + std::to_string(member.version.value) + ")");
+        }
+        if (nodes.empty() && status.version < version)
+            nodes.push_back("the node that answered (version " + std::to_string(status.version.value) + ")");
+        return nodes;
+    }
+
+    duration remaining() { return std::clamp<duration>(m_deadline - m_platform.now(), pollInterval, requestTimeout); }
+
+    cli_request m_request;
+    admin_client<Transport> m_client;
+    Platform& m_platform;
+    std::ostream& m_out;
+    std::ostream& m_err;
+    monotonic_time m_deadline {};
+};
+
+/// Parses the arguments and carries out the request; returns the exit code of the program.
+template <http_transport Transport, cli_platform Platform>
+int runCommandLine(std::vector<std::string> arguments, const std::map<std::string, std::string>& environment, Transport& transport,
+    Platform& platform, std::ostream& out, std::ostream& err)
+{
+    auto parsed = parseCommandLine(std::move(arguments), environment);
+    if (const auto* early = std::get_if<cli_early_exit>(&parsed)) {
+        (early->code == 0 ? out : err) << early->text;
+        return early->code;
+    }
+    command_runner<Transport, Platform> runner(std::move(std::get<cli_request>(parsed)), transport, platform, out, err);
+    return static_cast<int>(runner.run());
+}
+
+} // namespace carawaylink
--- /dev/null
+++ b/libs/cli/tests/cli_tests.cpp
@@ -0,0 +1,236 @@
+#include "cli/commands.h"
+#include "fake_fleet.h"
+
+#include <fstream>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace carawaylink {
+namespace {
+
+using testing::AllOf;
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::IsEmpty;
+using testing::Not;
+
+const std::string fleetText = R"(tiers: [{level: 0, name: urgent}, {level: 1, name: normal}]
+teams: [{name: choir-1, weight: 2}]
+services: [{name: rota-app, kind: plain}]
+)";
+
+class command_line : public testing::Test {
+protected:
+    void SetUp() override { write("fleet.yaml", fleetText); }
+
+    static std::string path(const std::string& name)
+    {
+        return testing::TempDir() + testing::UnitTest::GetInstance()->current_test_info()->name() + "-" + name;
+    }
+
+    static void write(const std::string& name, const std::string& text) { std::ofstream(path(name)) << text; }
+
+    int run(std::vector<std::string> arguments)
+    {
+        out.str("");
+        err.str("");
+        return runCommandLine(std::move(arguments), environment, fleet, platform, out, err);
+    }
+
+    int runAt(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), { "--node", "127.0.0.1:1", "--node", "127.0.0.1:2" });
+        return run(std::move(arguments));
+    }
+
+    int apply() { return runAt({ "config", "apply", path("fleet.yaml") }); }
+
+    static std::string record(const std::string& id, std::uint64_t base, const std::string& text)
+    {
+        settings_report report;
+        return toJson(
+            { id, "bo", config_version(base), config_record_kind::change, toYaml(*loadFleetConfiguration(text, report)), std::nullopt });
+    }
+
+    fake_fleet fleet;
+    fake_platform platform;
+    std::map<std::string, std::string> environment { { "CARAWAYLINK_OPERATOR_KEY", "operator-key" }, { "USER", "ana" } };
+    std::ostringstream out;
+    std::ostringstream err;
+};
+
+// Guards against a wrong call being taken for a refusal or for silence of the nodes by a script.
+TEST_F(command_line, wrong_usage_exits_with_2_and_sends_nothing)
+{
+    const std::vector<std::vector<std::string>> calls { {}, { "nonsense" }, { "status" }, { "--node", "localhost", "status" },
+        { "--node", "127.0.0.1:0", "status" }, { "--output", "xml", "--node", "127.0.0.1:1", "status" },
+        { "--node", "127.0.0.1:1", "explain", "../x" }, { "--node", "127.0.0.1:1", "--node", "127.0.0.1:2", "drain" },
+        { "--node", "127.0.0.1:1", "exception", "add", "--scope", "team", "--target", "choir-1", "--setting", "pool_size", "--value", "1",
+            "--author", "a" } };
+    for (const auto& call : calls)
+        EXPECT_EQ(run(call), 2) << (call.empty() ? "" : call.back());
+    environment.clear();
+    EXPECT_EQ(run({ "--node", "127.0.0.1:1", "status" }), 2);
+    EXPECT_THAT(fleet.requests, IsEmpty());
+}
+
+// Guards against help without the exit codes and verbs without an example.
+TEST_F(command_line, help_has_example_and_exit_codes)
+{
+    EXPECT_EQ(run({ "--help" }), 0);
+    EXPECT_THAT(out.str(), HasSubstr("4 not known to be in force"));
+    const std::vector<std::vector<std::string>> verbs { { "config", "check" }, { "config", "diff" }, { "config", "apply" },
+        { "config", "status" }, { "exception", "add" }, { "exception", "remove" }, { "exception", "list" }, { "status" }, { "explain" },
+        { "drain" }, { "usage" }, { "orders" } };
+    for (auto verb : verbs) {
+        verb.push_back("--help");
+        EXPECT_EQ(run(verb), 0);
+        EXPECT_THAT(out.str(), HasSubstr("Example: carawaylink ")) << verb.front();
+    }
+}
+
+// Guards against an invalid file reaching the log, and against faults without their place.
+TEST_F(command_line, invalid_file_exits_with_2_and_sends_nothing)
+{
+    write("fleet.yaml", fleetText + "serices: []\n");
+    EXPECT_EQ(run({ "config", "check", path("fleet.yaml") }), 2);
+    EXPECT_THAT(err.str(), HasSubstr("fleet.yaml: line 4: serices: unknown key \"serices\"; remedy: did you mean \"services\"?"));
+    EXPECT_EQ(apply(), 2);
+    EXPECT_EQ(run({ "config", "check", "--output", "json", path("fleet.yaml") }), 2);
+    EXPECT_THAT(out.str(), HasSubstr("\"valid\":false"));
+    EXPECT_EQ(run({ "config", "check", path("missing.yaml") }), 2);
+    EXPECT_THAT(fleet.requests, IsEmpty());
+}
+
+// Guards against a change being reported as done before it is in force, or without its difference.
+TEST_F(command_line, apply_shows_difference_and_waits_for_all_nodes)
+{
+    fleet.members["n2"].second = 1;
+    fleet.members["n3"] = { "dead", 1 };
+    platform.onSleep = [this] { fleet.members["n2"].second = 0; };
+    EXPECT_EQ(apply(), 0);
+    EXPECT_THAT(out.str(),
+        AllOf(HasSubstr("+ teams[choir-1].weight: 2"), HasSubstr("accepted as version 1"), HasSubstr("in force on all live nodes")));
+    EXPECT_EQ(apply(), 0);
+    EXPECT_THAT(out.str(), HasSubstr("no difference from version 1"));
+    EXPECT_EQ(fleet.fold.version(), config_version(1));
+}
+
+// Guards against a node that lags being overlooked, suspected ones included.
+TEST_F(command_line, apply_names_nodes_that_do_not_confirm)
+{
+    fleet.members["n2"] = { "suspect", 1 };
+    EXPECT_EQ(apply(), 4);
+    EXPECT_THAT(err.str(), AllOf(HasSubstr("n2 (suspect, version 0)"), Not(HasSubstr("n1"))));
+    EXPECT_GE(platform.now().time_since_epoch(), std::chrono::seconds(13));
+    EXPECT_LE(platform.now().time_since_epoch(), std::chrono::seconds(14));
+}
+
+// Guards against a change that undoes what another operator did in between.
+TEST_F(command_line, racing_apply_is_refused_with_what_changed)
+{
+    ASSERT_EQ(apply(), 0);
+    fleet.racingRecord = record("other", 1, "defaults: {pool_size: 32}\n" + fleetText);
+    write("fleet.yaml", "defaults: {pool_size: 16}\n" + fleetText);
+    EXPECT_EQ(apply(), 1);
+    EXPECT_THAT(err.str(), HasSubstr("version 2: bo changed defaults.pool_size"));
+    EXPECT_EQ(fleet.fold.configuration()->defaults->pool_size, 32U);
+}
+
+// Guards against lost answers, lost records and log outages making a change fail, be applied twice or stay unknown.
+TEST_F(command_line, lost_answers_are_resolved_by_id)
+{
+    fleet.lostAnswers = 2;
+    fleet.lostRecords = 3;
+    fleet.logOutage = 2;
+    fleet.pendingAnswers = 2;
+    EXPECT_EQ(apply(), 0);
+    EXPECT_THAT(out.str(), HasSubstr("accepted as version 1"));
+    EXPECT_EQ(fleet.fold.version(), config_version(1));
+}
+
+// Guards against an unknown result being reported as a refusal or as done.
+TEST_F(command_line, log_outage_beyond_the_limit_is_unknown)
+{
+    fleet.logOutage = 1000;
+    EXPECT_EQ(apply(), 4);
+    EXPECT_THAT(err.str(), AllOf(HasSubstr("not known"), HasSubstr("the log is down"), HasSubstr("record-1")));
+    EXPECT_EQ(runAt({ "--output", "json", "config", "apply", "--limit", "1", path("fleet.yaml") }), 4);
+    EXPECT_THAT(out.str(), HasSubstr("\"result\":\"unknown\""));
+}
+
+// Guards against one dead node making the fleet unreachable, and against silence looking like a refusal.
+TEST_F(command_line, silent_node_next_one_is_asked)
+{
+    fleet.silent = { "127.0.0.1:1" };
+    EXPECT_EQ(runAt({ "config", "status" }), 0);
+    EXPECT_THAT(
+        fleet.requests, ElementsAre("127.0.0.1:1 GET /admin/config", "127.0.0.1:2 GET /admin/config", "127.0.0.1:2 GET /admin/status"));
+    fleet.silent.push_back("127.0.0.1:2");
+    EXPECT_EQ(runAt({ "status" }), 3);
+    EXPECT_THAT(err.str(), AllOf(HasSubstr("127.0.0.1:1: cannot connect"), HasSubstr("127.0.0.1:2: cannot connect")));
+}
+
+// Guards against a drain that reaches another node than the one named.
+TEST_F(command_line, drain_asks_the_named_node_only)
+{
+    fleet.pages["POST /admin/drain"] = "{}";
+    EXPECT_EQ(run({ "--node", "127.0.0.1:9", "drain" }), 0);
+    EXPECT_THAT(fleet.requests, ElementsAre("127.0.0.1:9 POST /admin/drain"));
+    fleet.silent = { "127.0.0.1:9" };
+    EXPECT_EQ(run({ "--node", "127.0.0.1:9", "drain" }), 3);
+}
+
+// Guards against a refusal without its reason, and against the key being printed.
+TEST_F(command_line, unknown_key_exits_with_1_and_is_not_printed)
+{
+    EXPECT_EQ(run({ "--node", "127.0.0.1:1", "--key", "wrong-key", "usage" }), 1);
+    EXPECT_THAT(
+        err.str(), AllOf(HasSubstr("the operator key is not known"), HasSubstr("remedy: use another key"), Not(HasSubstr("wrong-key"))));
+}
+
+// Guards against exceptions that change anything else, lack a reason, or cannot be removed again.
+TEST_F(command_line, exception_is_added_listed_and_removed)
+{
+    ASSERT_EQ(apply(), 0);
+    const std::vector<std::string> addition { "exception", "add", "--scope", "team", "--target", "choir-1", "--setting",
+        "max_waiting_per_team", "--value", "5", "--author", "ana", "--expires", "2027-01-01T00:00:00Z", "--reason" };
+    auto blank = addition;
+    blank.push_back(" ");
+    EXPECT_EQ(runAt(blank), 2);
+    auto valid = addition;
+    valid.push_back("batch import");
+    EXPECT_EQ(runAt(valid), 0);
+    EXPECT_THAT(out.str(), HasSubstr("+ exceptions[team-choir-1-max_waiting_per_team].reason: batch import"));
+    EXPECT_EQ(runAt({ "exception", "list" }), 0);
+    EXPECT_THAT(out.str(), AllOf(HasSubstr("batch import"), HasSubstr("2027-01-01T00:00:00Z (expired)")));
+    EXPECT_EQ(runAt({ "exception", "remove", "nothing" }), 1);
+    EXPECT_THAT(err.str(), HasSubstr("use one of team-choir-1-max_waiting_per_team"));
+    EXPECT_EQ(runAt({ "exception", "remove", "team-choir-1-max_waiting_per_team" }), 0);
+    EXPECT_THAT(fleet.fold.configuration()->exceptions, IsEmpty());
+    EXPECT_EQ(fleet.fold.version(), config_version(3));
+}
+
+// Guards against pages of a node that scripts or people cannot read.
+TEST_F(command_line, pages_are_printed_as_table_and_as_json)
+{
+    fleet.pages["GET /admin/usage"]
+        = R"({"teams":[{"team":"choir-1","tier":0,"requests":12,"prompt_tokens":3,"cached_tokens":1,"output_tokens":4,"cost_ms":5.5}]})";
+    fleet.pages["GET /admin/orders"] = R"({"orders":[]})";
+    fleet.pages["GET /admin/explain/a-1"] = R"({"request":"a-1","text":"refused at once"})";
+    EXPECT_EQ(runAt({ "usage" }), 0);
+    EXPECT_THAT(out.str(), AllOf(HasSubstr("team     tier  requests"), HasSubstr("choir-1  0     12"), HasSubstr(" 5.5\n")));
+    EXPECT_EQ(runAt({ "usage", "--output", "json" }), 0);
+    EXPECT_EQ(out.str(), fleet.pages["GET /admin/usage"] + "\n");
+    EXPECT_EQ(runAt({ "orders" }), 0);
+    EXPECT_EQ(out.str(), "no orders\n");
+    EXPECT_EQ(runAt({ "explain", "a-1" }), 0);
+    EXPECT_EQ(out.str(), "refused at once\n");
+    EXPECT_EQ(runAt({ "explain", "a-2" }), 1);
+    EXPECT_EQ(runAt({ "status" }), 0);
+    EXPECT_THAT(out.str(), HasSubstr("node n1 incarnation - version 0"));
+}
+
+} // namespace
+} // namespace carawaylink
--- a/libs/config/src/fold.cpp
+++ b/libs/config/src/fold.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace carawaylink {
@@ -161,8 +160,8 @@
 {
     const auto differences = differencesOf(m_configuration ? *m_configuration : schema::fleet_configurationT(), configuration);
     accepted_change change { next(m_version), record.id, record.author, {}, differences.size() };
-    for (const auto& difference : differences | std::views::take(maxPathsPerChange))
-        change.paths.push_back(difference.path);
+    for (std::size_t i = 0; i < std::min(differences.size(), maxPathsPerChange); ++i)
+        change.paths.push_back(differences[i].path);
     m_changes.push_back(std::move(change));
     if (m_changes.size() > m_limits.rememberedChanges)
         m_changes.pop_front();
--- a/libs/crypto/src/digest.cpp
+++ b/libs/crypto/src/digest.cpp
@@ -12,8 +12,8 @@
 {
     digest result {};
     unsigned size = 0;
-    if (!HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-            result.data(), &size))
+    if (!HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), reinterpret_cast<const unsigned char*>(text.data()),
+            text.size(), result.data(), &size))
         throw error(error_kind::internal, "HMAC-SHA256 failed", "check the OpenSSL installation");
     return result;
 }
--- a/libs/load/src/checker.cpp
+++ b/libs/load/src/checker.cpp
@@ -12,7 +12,10 @@
     return record.source == history_source::caller && record.event == event;
 }
 
-bool isReceipt(const history_record& record) { return record.source == history_source::engine && record.event == "received"; }
+bool isReceipt(const history_record& record)
+{
+    return record.source == history_source::engine && record.event == "received";
+}
 
 bool isExecution(const history_record& record)
 {
@@ -96,7 +99,8 @@
 {
     verdict result(3);
     for (const auto& [call, records] : index.byCall) {
-        for (const auto* end : select(records, [](const auto& record) { return isCaller(record, "answered") || isCaller(record, "broken"); })) {
+        for (const auto* end :
+            select(records, [](const auto& record) { return isCaller(record, "answered") || isCaller(record, "broken"); })) {
             result.check();
             std::string fault;
             if (!end->own)
@@ -131,8 +135,8 @@
         const bool linked = std::ranges::any_of(records, [](const auto* record) {
             return record->source == history_source::caller && (!record->ticket.empty() || !record->idempotent);
         });
-        const bool earlierMayHaveRun = std::any_of(
-            ends.begin(), ends.end() - 1, [](const auto* record) { return record->sent && record->ran != "no"; });
+        const bool earlierMayHaveRun
+            = std::any_of(ends.begin(), ends.end() - 1, [](const auto* record) { return record->sent && record->ran != "no"; });
         if (!linked && earlierMayHaveRun)
             continue;
         result.check();
@@ -151,9 +155,8 @@
 {
     verdict result(5);
     for (const auto& [call, records] : index.byCall) {
-        const bool once = std::ranges::any_of(records, [](const auto* record) {
-            return record->source == history_source::caller && !record->idempotent;
-        });
+        const bool once = std::ranges::any_of(
+            records, [](const auto* record) { return record->source == history_source::caller && !record->idempotent; });
         const auto executions = select(records, isExecution);
         if (!once || executions.empty())
             continue;
@@ -171,7 +174,8 @@
     const record_index index(merged);
     const node_lives lives(merged);
     return { checkSingleDispatch(index), checkTierOrder(merged, lives, settings), checkWholeAnswers(index), checkNotRun(index),
-        checkSingleExecution(index), checkLeaving(merged, settings), checkDrains(merged, lives), checkConfiguration(merged, lives, settings) };
+        checkSingleExecution(index), checkLeaving(merged, settings), checkDrains(merged, lives),
+        checkConfiguration(merged, lives, settings) };
 }
 
 std::string promiseText(const promise_result& result)
@@ -179,7 +183,8 @@
     auto text = "P" + std::to_string(result.number);
     if (result.kept())
         return text + " ok checked=" + std::to_string(result.checked) + "\n";
-    text += " breach checked=" + std::to_string(result.checked) + " breaches=" + std::to_string(result.breaches) + " " + result.detail + "\n";
+    text += " breach checked=" + std::to_string(result.checked) + " breaches=" + std::to_string(result.breaches) + " " + result.detail
+        + "\n";
     for (const auto& line : result.trace)
         text += line + "\n";
     return text;
--- a/libs/load/src/checker_fleet.cpp
+++ b/libs/load/src/checker_fleet.cpp
@@ -9,7 +9,10 @@
 // A node's exit may reach a caller a moment after the node wrote drain_end.
 constexpr std::int64_t exitNoticeUs = 1'000'000;
 
-std::string_view ipOf(std::string_view address) { return address.substr(0, address.rfind(':')); }
+std::string_view ipOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
 
 bool isWork(const history_record& record)
 {
@@ -17,7 +20,10 @@
         || (record.source == history_source::service && record.event == "executed");
 }
 
-std::int64_t microseconds(std::chrono::milliseconds value) { return std::chrono::microseconds(value).count(); }
+std::int64_t microseconds(std::chrono::milliseconds value)
+{
+    return std::chrono::microseconds(value).count();
+}
 
 } // namespace
 
@@ -163,8 +169,8 @@
 
 bool reachesInTime(const record_list& reports, std::int64_t version, std::int64_t from, std::int64_t until)
 {
-    return std::ranges::any_of(reports,
-        [&](const auto* record) { return record->timeUs >= from && record->timeUs <= until && record->version >= version; });
+    return std::ranges::any_of(
+        reports, [&](const auto* record) { return record->timeUs >= from && record->timeUs <= until && record->version >= version; });
 }
 
 } // namespace
--- a/libs/load/tests/checker_tests.cpp
+++ b/libs/load/tests/checker_tests.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 /// Two nodes, one engine, one service; calls a (model), b (order with ticket), c (refused "not run").
-const std::string cleanHistory = R"({"source":"node","node":"127.0.0.1:7000","incarnation":"1","t_us":100,"event":"started","address":"127.0.0.1:8000"}
+const std::string cleanHistory
+    = R"({"source":"node","node":"127.0.0.1:7000","incarnation":"1","t_us":100,"event":"started","address":"127.0.0.1:8000"}
 {"source":"node","node":"127.0.0.2:7000","incarnation":"1","t_us":110,"event":"started","address":"127.0.0.2:8000"}
 {"source":"node","node":"127.0.0.1:7000","t_us":200,"event":"config_in_force","version":1,"digest":"d1"}
 {"source":"node","node":"127.0.0.2:7000","t_us":300,"event":"config_in_force","version":1,"digest":"d1"}
@@ -74,7 +75,8 @@
 // Guards against shedding urgent work beside displaceable work; a refusal near the edge of the lower stay is tolerated.
 TEST_F(promise_checks, shed_beside_lower_tier_work_breaks_p2)
 {
-    const std::string refusal = R"(,"event":"refused","request":"qz","service":"rota-llm","tier":1,"reason":"displaced","best_case_ms":50,"deadline_in_ms":60}
+    const std::string refusal
+        = R"(,"event":"refused","request":"qz","service":"rota-llm","tier":1,"reason":"displaced","best_case_ms":50,"deadline_in_ms":60}
 )";
     const std::string node = R"({"source":"node","node":"127.0.0.1:7000","t_us":)";
     const auto result = breachOf(2, node + "500000" + refusal);
@@ -86,7 +88,8 @@
 // Guards against a request that starved in the queue behind lower-tier work being counted as one that never fitted.
 TEST_F(promise_checks, deadline_passed_while_lower_tier_runs_breaks_p2)
 {
-    breachOf(2, R"({"source":"node","node":"127.0.0.1:7000","t_us":2000,"event":"queued","request":"qz","service":"rota-llm","tier":0,"deadline_in_ms":400}
+    breachOf(2,
+        R"({"source":"node","node":"127.0.0.1:7000","t_us":2000,"event":"queued","request":"qz","service":"rota-llm","tier":0,"deadline_in_ms":400}
 {"source":"node","node":"127.0.0.1:7000","t_us":402000,"event":"refused","request":"qz","service":"rota-llm","tier":0,"reason":"deadline_passed","best_case_ms":50,"deadline_in_ms":0}
 )");
 }
@@ -94,7 +97,8 @@
 // Guards against refusals that concern limits, or requests that fit no endpoint, being taken for inversions.
 TEST_F(promise_checks, refusal_for_other_reasons_keeps_p2)
 {
-    EXPECT_TRUE(check(R"({"source":"node","node":"127.0.0.1:7000","t_us":500000,"event":"refused","request":"qz","service":"rota-llm","tier":0,"reason":"team_rate_limit","best_case_ms":50,"deadline_in_ms":60}
+    EXPECT_TRUE(check(
+        R"({"source":"node","node":"127.0.0.1:7000","t_us":500000,"event":"refused","request":"qz","service":"rota-llm","tier":0,"reason":"team_rate_limit","best_case_ms":50,"deadline_in_ms":60}
 {"source":"node","node":"127.0.0.1:7000","t_us":500000,"event":"refused","request":"qy","service":"rota-llm","tier":0,"reason":"queue_full","best_case_ms":70,"deadline_in_ms":60}
 {"source":"node","node":"127.0.0.1:7000","t_us":500000,"event":"refused","request":"qx","service":"other","tier":0,"reason":"queue_full","best_case_ms":50,"deadline_in_ms":60}
 {"source":"node","node":"127.0.0.1:7000","t_us":500000,"event":"refused","request":"qw","service":"rota-llm","tier":2,"reason":"queue_full","best_case_ms":50,"deadline_in_ms":60}
@@ -158,9 +162,9 @@
 TEST_F(promise_checks, broken_attempt_during_drain_breaks_p7)
 {
     const auto attempt = [](const std::string& address, int sent, int broken) {
-        return R"({"source":"caller","event":"sent","call":"d","attempt":1,"address":")" + address + R"(:8000","t_us":)" + std::to_string(sent)
-            + "}\n" + R"({"source":"caller","event":"broken","ran":"unknown","call":"d","attempt":1,"address":")" + address
-            + R"(:8000","t_us":)" + std::to_string(broken) + "}\n";
+        return R"({"source":"caller","event":"sent","call":"d","attempt":1,"address":")" + address + R"(:8000","t_us":)"
+            + std::to_string(sent) + "}\n" + R"({"source":"caller","event":"broken","ran":"unknown","call":"d","attempt":1,"address":")"
+            + address + R"(:8000","t_us":)" + std::to_string(broken) + "}\n";
     };
     EXPECT_EQ(breachOf(7, attempt("127.0.0.2", 960000, 975000)).trace.size(), 3U);
     breachOf(7, attempt("127.0.0.2", 960000, 980500));
--- a/libs/node/src/dispatch_control.cpp
+++ b/libs/node/src/dispatch_control.cpp
@@ -31,8 +31,8 @@
 
 scheduling_request toSchedulingRequest(const dispatch_request& request, const node_id& home)
 {
-    return { request.id, home, request.team, request.level, request.promptTokens, request.maxOutputTokens, request.arrival, request.deadline,
-        request.nonIdempotent, request.prefixBlocks };
+    return { request.id, home, request.team, request.level, request.promptTokens, request.maxOutputTokens, request.arrival,
+        request.deadline, request.nonIdempotent, request.prefixBlocks };
 }
 
 refusal fromOwner(const slot_refusal& refused)
@@ -97,7 +97,8 @@
 
 std::size_t dispatch_control::dispatchedRequests() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_pending, [](const auto& entry) { return entry.second.at == stage::dispatched; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_pending, [](const auto& entry) { return entry.second.at == stage::dispatched; }));
 }
 
 void dispatch_control::update(monotonic_time now, std::shared_ptr<const fleet_view> view, const endpoint_directory& directory)
@@ -152,7 +153,8 @@
         attach(result, value, std::move(callback));
         break;
     case claim_result::closed:
-        callback(notRun(409, "ticket_closed", "the ticket was closed before its request ran", "get a new ticket from GET /v1/entry?tickets=1"));
+        callback(
+            notRun(409, "ticket_closed", "the ticket was closed before its request ran", "get a new ticket from GET /v1/entry?tickets=1"));
         break;
     case claim_result::unknown:
     case claim_result::foreign:
@@ -192,23 +194,24 @@
         callback(forward_to_home { home->httpAddress });
         return;
     }
-    m_tickets.queryWitness(value, request.ticket, [callback = std::move(callback), plain = request.plainService](const witness_answer& answer) {
-        switch (answer.state) {
-        case witness_state::closed:
-            callback(notRun(409, "ticket_closed", "the ticket's home is gone and the request did not run",
-                "get a new ticket from GET /v1/entry?tickets=1"));
-            break;
-        case witness_state::intent:
-            if (plain)
-                callback(unknownResult("the ticket's home is gone after the request may have been sent to the service"));
-            else
-                callback(attach_to_engine { answer.request, answer.endpoint });
-            break;
-        case witness_state::unknown:
-            callback(unknownResult("neither the ticket's home nor its witness can tell"));
-            break;
-        }
-    });
+    m_tickets.queryWitness(
+        value, request.ticket, [callback = std::move(callback), plain = request.plainService](const witness_answer& answer) {
+            switch (answer.state) {
+            case witness_state::closed:
+                callback(notRun(409, "ticket_closed", "the ticket's home is gone and the request did not run",
+                    "get a new ticket from GET /v1/entry?tickets=1"));
+                break;
+            case witness_state::intent:
+                if (plain)
+                    callback(unknownResult("the ticket's home is gone after the request may have been sent to the service"));
+                else
+                    callback(attach_to_engine { answer.request, answer.endpoint });
+                break;
+            case witness_state::unknown:
+                callback(unknownResult("neither the ticket's home nor its witness can tell"));
+                break;
+            }
+        });
 }
 
 void dispatch_control::enqueue(monotonic_time now, dispatch_request request, dispatch_callback callback, std::optional<ticket> opened)
@@ -230,7 +233,8 @@
     }
     choosePool(entry);
     if (!entry.owner) {
-        refuse(id, notRun(503, "no_owner", "no node owns the service's endpoints yet", "send the request again", std::chrono::milliseconds(200)));
+        refuse(id,
+            notRun(503, "no_owner", "no node owns the service's endpoints yet", "send the request again", std::chrono::milliseconds(200)));
         return;
     }
     sendRequest(now, entry);
@@ -342,7 +346,7 @@
     refuse(request,
         accepted ? notRun(504, "deadline_passed", "the deadline passed before the dispatch", "allow more time")
                  : notRun(503, "witness_unavailable", "the ticket's witness did not confirm the request",
-                       "send the request again with a new ticket", std::chrono::milliseconds(100)));
+                     "send the request again with a new ticket", std::chrono::milliseconds(100)));
 }
 
 void dispatch_control::permit(pending_request& entry)
--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -225,7 +225,7 @@
 {
     if (m_finished)
         return;
-    m_client.send(m_endpoint.value, { "DELETE", "/v1/streams/" + toString(m_request), {}, {} }, {}, [](const http_result&) { });
+    m_client.send(m_endpoint.value, { "DELETE", "/v1/streams/" + toString(m_request), {}, {} }, {}, [](const http_result&) {});
     finish(stream_outcome::cancelled, "cancelled");
 }
 
--- a/libs/node/src/front_request.cpp
+++ b/libs/node/src/front_request.cpp
@@ -116,8 +116,8 @@
 void readSchedulingHeaders(const fleet_view& view, const team_policy& team, const http_request& request, dispatch_request& result)
 {
     result.team = team.team;
-    result.level = tier(
-        static_cast<std::uint8_t>(readNumber(request, "X-Carawaylink-Tier", 0, UINT8_MAX).value_or(team.defaultTier.value)));
+    result.level
+        = tier(static_cast<std::uint8_t>(readNumber(request, "X-Carawaylink-Tier", 0, UINT8_MAX).value_or(team.defaultTier.value)));
     const auto defaultDeadline = view.tierDeadlines.find(result.level.value);
     if (defaultDeadline == view.tierDeadlines.end())
         refuse(400, "unknown_tier", "tier " + std::to_string(result.level.value) + " is not configured",
--- a/libs/node/src/membership_transport.cpp
+++ b/libs/node/src/membership_transport.cpp
@@ -38,8 +38,7 @@
     { packet_kind::join_answer, wire::membership_kind::join_answer },
 });
 
-template <typename Table, typename From>
-auto toWire(const Table& table, From value)
+template <typename Table, typename From> auto toWire(const Table& table, From value)
 {
     return std::ranges::find(table, value, &Table::value_type::first)->second;
 }
--- a/libs/node/src/metrics.cpp
+++ b/libs/node/src/metrics.cpp
@@ -33,10 +33,8 @@
                                                             .Name("carawaylink_requests_total")
                                                             .Help("Finished requests by service, tier and outcome")
                                                             .Register(registry);
-    prometheus::Family<prometheus::Counter>& outputTokens = prometheus::BuildCounter()
-                                                                .Name("carawaylink_output_tokens_total")
-                                                                .Help("Output tokens delivered by tier")
-                                                                .Register(registry);
+    prometheus::Family<prometheus::Counter>& outputTokens
+        = prometheus::BuildCounter().Name("carawaylink_output_tokens_total").Help("Output tokens delivered by tier").Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges
         = prometheus::BuildGauge().Name("carawaylink_node").Help("State of the node by name").Register(registry);
     histogram_family& waited = histogram("carawaylink_wait_seconds", "Time until the dispatch");
--- a/libs/node/src/peer_channel.cpp
+++ b/libs/node/src/peer_channel.cpp
@@ -135,8 +135,10 @@
         throw error(error_kind::invalid_message, "protocol version " + std::to_string(hello.protocol_version) + " is not supported",
             "run the same version of carawaylinkd on all nodes");
     if (hello.cluster != m_owner.settings->cluster)
-        throw error(error_kind::unauthorized, "peer belongs to cluster \"" + hello.cluster + "\"", "check the setting cluster and the seeds");
-    m_peer = { { node_id(hello.node), incarnation(hello.incarnation) }, failure_domain(hello.failure_domain), hello.region, hello.http_address };
+        throw error(
+            error_kind::unauthorized, "peer belongs to cluster \"" + hello.cluster + "\"", "check the setting cluster and the seeds");
+    m_peer = { { node_id(hello.node), incarnation(hello.incarnation) }, failure_domain(hello.failure_domain), hello.region,
+        hello.http_address };
     m_peerNonce = hello.nonce;
     const auto& key = m_owner.settings->keys.front();
     const auto mac = hmacSha256(key.secret, proofText(m_owner.self->process, m_peer.process, m_nonce, m_peerNonce));
--- a/libs/node/src/peer_channel.h
+++ b/libs/node/src/peer_channel.h
@@ -57,8 +57,8 @@
     void handleHello(const wire::helloT& hello);
     void handleProof(const wire::hello_proofT& proof);
     void write();
-    std::string proofText(const process_identity& sender, const process_identity& receiver, std::uint64_t senderNonce,
-        std::uint64_t receiverNonce) const;
+    std::string proofText(
+        const process_identity& sender, const process_identity& receiver, std::uint64_t senderNonce, std::uint64_t receiverNonce) const;
 
     boost::asio::ip::tcp::socket m_socket;
     owner m_owner;
--- a/libs/node/src/peer_mesh.cpp
+++ b/libs/node/src/peer_mesh.cpp
@@ -54,9 +54,7 @@
             if (isOutgoing)
                 outgoingReady(channel);
         };
-        result.onMessage = [this](peer_channel& channel, wire::envelopeT& envelope) {
-            handlers.onMessage(channel.peer(), envelope);
-        };
+        result.onMessage = [this](peer_channel& channel, wire::envelopeT& envelope) { handlers.onMessage(channel.peer(), envelope); };
         result.onEnd = [this, isOutgoing](peer_channel& channel, channel_end reason) {
             if (isOutgoing)
                 outgoingEnded(channel, reason);
@@ -288,8 +286,8 @@
         acceptor.bind(endpoint);
         acceptor.listen();
     } catch (const boost::system::system_error& failure) {
-        throw error(
-            error_kind::unavailable, "cannot listen on " + address + ": " + failure.code().message(), "choose a free port for node_address");
+        throw error(error_kind::unavailable, "cannot listen on " + address + ": " + failure.code().message(),
+            "choose a free port for node_address");
     }
     m_implementation->accept();
     const auto bound = acceptor.local_endpoint();
--- a/libs/node/src/peer_mesh.h
+++ b/libs/node/src/peer_mesh.h
@@ -66,8 +66,7 @@
     /// Sends a frame, dialing first where needed; false where the peer's queue is full and the frame was dropped.
     bool send(const node_id& peer, wire::message kind, wire::frame_bytes frame);
 
-    template <typename Body>
-    bool send(const node_id& peer, Body body)
+    template <typename Body> bool send(const node_id& peer, Body body)
     {
         return send(peer, wire::messageUnionTraits<Body>::enum_value, wire::encodeFrame(std::move(body)));
     }
--- a/libs/node/src/plain_exchange.cpp
+++ b/libs/node/src/plain_exchange.cpp
@@ -94,8 +94,8 @@
         }
         release(notTaken ? release_outcome::rejected : release_outcome::failed, std::nullopt);
         const bool repeatable = (notTaken && m_request.ticket.empty()) || !m_request.nonIdempotent;
-        if (repeatable && m_attempts < maxDispatchAttempts && std::chrono::steady_clock::now() < m_request.deadline && !m_responder->closed()
-            && (leaving || m_context->gateway.tryRetry(m_request.service))) {
+        if (repeatable && m_attempts < maxDispatchAttempts && std::chrono::steady_clock::now() < m_request.deadline
+            && !m_responder->closed() && (leaving || m_context->gateway.tryRetry(m_request.service))) {
             acquire();
             return;
         }
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -258,8 +258,11 @@
     pool.ready = true;
     auto deferred = std::move(pool.deferred);
     pool.deferred.clear();
-    log_event("pool_ready").field("service", pool.id.service).field("pool", pool.id.number).field("waiting", deferred.size()).field(
-        "outstanding", pool.granted.size());
+    log_event("pool_ready")
+        .field("service", pool.id.service)
+        .field("pool", pool.id.number)
+        .field("waiting", deferred.size())
+        .field("outstanding", pool.granted.size());
     for (auto& request : deferred)
         perform(pool, now, pool.scheduler.submit(now, std::move(request)));
 }
--- a/libs/node/src/request_front.cpp
+++ b/libs/node/src/request_front.cpp
@@ -78,7 +78,7 @@
             responder->send({ 200, { { "Content-Type", "text/plain" } }, "ok\n" });
         else if (path == "/readyz")
             responder->send(m_context->currentView()->ready() ? http_response { 200, { { "Content-Type", "text/plain" } }, "ready\n" }
-                                                               : http_response { 503, { { "Content-Type", "text/plain" } }, "not ready\n" });
+                                                              : http_response { 503, { { "Content-Type", "text/plain" } }, "not ready\n" });
         else if (path.starts_with(adminPrefix))
             handleAdmin(std::move(request), responder);
         else
@@ -132,7 +132,8 @@
         dispatch.nonIdempotent = true;
     if (dispatch.nonIdempotent && dispatch.ticket.empty())
         throw refused_request { { 428, "ticket_required", "a non-idempotent call needs a ticket", ran_state::no,
-            "get one from GET /v1/entry?tickets=1 and send it as X-Carawaylink-Ticket, or mark the call X-Carawaylink-Idempotent: true", {} } };
+            "get one from GET /v1/entry?tickets=1 and send it as X-Carawaylink-Ticket, or mark the call X-Carawaylink-Idempotent: true",
+            {} } };
     dispatch.id = { m_context->settings.requestOrigin, m_context->nextRequest++ };
     dispatch.service = service;
     dispatch.plainService = true;
@@ -167,8 +168,8 @@
     if (std::ranges::none_of(hashes, [&](const std::string& known) { return equalInConstantTime(known, hash); }))
         throw refused_request { { 401, "operator_key_required", "the request has no valid operator key", ran_state::no,
             "send \"Authorization: Bearer KEY\" with an operator key of the daemon's settings", {} } };
-    m_context->gateway.admin(std::move(request), responder->threadIndex(),
-        [responder](http_response response) { responder->send(std::move(response)); });
+    m_context->gateway.admin(
+        std::move(request), responder->threadIndex(), [responder](http_response response) { responder->send(std::move(response)); });
 }
 
 } // namespace carawaylink
--- a/libs/node/src/ticket_service.cpp
+++ b/libs/node/src/ticket_service.cpp
@@ -7,8 +7,7 @@
 
 namespace carawaylink {
 
-ticket_service::ticket_service(
-    boost::asio::io_context& context, process_identity self, ticket_service_settings settings, peer_mesh& mesh)
+ticket_service::ticket_service(boost::asio::io_context& context, process_identity self, ticket_service_settings settings, peer_mesh& mesh)
     : m_context(context)
     , m_self(self)
     , m_settings(std::move(settings))
@@ -21,8 +20,7 @@
 
 ticket_service::~ticket_service() = default;
 
-std::optional<std::string> ticket_service::issue(
-    monotonic_time now, const member_update& self, const std::vector<member_update>& members)
+std::optional<std::string> ticket_service::issue(monotonic_time now, const member_update& self, const std::vector<member_update>& members)
 {
     const auto chosen = chooseWitness(self, members, m_nextExchange++);
     const auto witness = chosen ? process_identity { chosen->node, chosen->run } : process_identity {};
@@ -44,8 +42,7 @@
     return number;
 }
 
-template <typename Answer>
-void ticket_service::finish(exchanges<Answer>& pending, std::uint64_t number, Answer answer)
+template <typename Answer> void ticket_service::finish(exchanges<Answer>& pending, std::uint64_t number, Answer answer)
 {
     auto entry = pending.extract(number);
     if (!entry.empty())
--- a/libs/node/src/ticket_service.h
+++ b/libs/node/src/ticket_service.h
@@ -48,18 +48,14 @@
     void receive(const wire::ticket_query_answerT& message);
 
 private:
-    template <typename Answer>
-    struct exchange {
+    template <typename Answer> struct exchange {
         std::function<void(Answer)> callback;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
-    template <typename Answer>
-    using exchanges = std::unordered_map<std::uint64_t, exchange<Answer>>;
+    template <typename Answer> using exchanges = std::unordered_map<std::uint64_t, exchange<Answer>>;
 
-    template <typename Answer>
-    std::uint64_t begin(exchanges<Answer>& pending, std::function<void(Answer)> callback, Answer onTimeout);
-    template <typename Answer>
-    static void finish(exchanges<Answer>& pending, std::uint64_t number, Answer answer);
+    template <typename Answer> std::uint64_t begin(exchanges<Answer>& pending, std::function<void(Answer)> callback, Answer onTimeout);
+    template <typename Answer> static void finish(exchanges<Answer>& pending, std::uint64_t number, Answer answer);
 
     boost::asio::io_context& m_context;
     process_identity m_self;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -49,9 +49,10 @@
 {
     return load<schema::fleet_configuration>(text, report, [&](const auto& configuration, reading& result) {
         checkFleet(configuration, result);
-        // The canonical form of an element names at most eight fields that the text may leave out, so it is never ten times as
+        // The canonical form names fields that the text may leave out, but without aliases it is never ten times as
         // long. Writing a large configuration costs as much as reading it.
-        if (!result.report.faults.empty() || text.size() * 10 < maxConfigurationBytes)
+        const bool isSmall = text.size() * 10 < maxConfigurationBytes && text.find('*') == std::string_view::npos;
+        if (!result.report.faults.empty() || isSmall)
             return;
         if (const auto size = toYaml(configuration).size(); size > maxConfigurationBytes)
             result.add("",
