Send a configuration record again while its result stays unknown

A node reports an id that it does not know as pending, so a record that was lost before the log would never have been sent again.

--- a/libs/cli/include/cli/commands.h
+++ b/libs/cli/include/cli/commands.h
@@ -41,6 +41,8 @@
     // A response takes milliseconds; a node that needs longer than this is treated as silent.
     static constexpr duration requestTimeout = std::chrono::seconds(3);
     static constexpr duration pollInterval = std::chrono::milliseconds(200);
+    // Longer than an append and its reading back take, so that a record is rarely appended twice.
+    static constexpr duration resendInterval = std::chrono::seconds(2);
 
     exit_code dispatch()
     {
@@ -171,7 +173,7 @@
         const auto result = append({ change.id, m_request.author, current.version, config_record_kind::change, document, std::nullopt });
         change.result = result.result;
         change.message = result.message;
-        if (change.result == "undetermined")
+        if (change.result == "undetermined" || change.result == "pending")
             resolve(change, document);
         else if (change.result == "accepted")
             change.version = result.version;
@@ -198,29 +200,28 @@
     }
 
     /// Sends the record and returns its result. The answer may be lost after the record was appended, so the result is asked
-    /// for by id, and the record is sent again only where the node does not know that id: the fold ignores a repetition.
+    /// for by id. Where that stays without result, the record may not have reached the log and is sent again: the fold ignores
+    /// a repetition.
     admin_record_result append(const config_record& record)
     {
         const std::string body = toJson(record);
         admin_record_result result { "pending", record.baseVersion, "" };
-        bool mustSend = true;
+        auto sendAt = m_platform.now();
         while (true) {
+            const bool sends = m_platform.now() >= sendAt;
+            if (sends)
+                sendAt = m_platform.now() + resendInterval;
             try {
-                const auto response = mustSend ? m_client.send("POST", "/admin/config/records", body, remaining())
-                                               : m_client.send("GET", "/admin/config/records/" + record.id, "", remaining());
-                if (response.status == 404 && !mustSend) {
-                    mustSend = true;
-                } else if (response.status >= 500) {
-                    // The log or the node is out of order for a while.
+                const auto response = sends ? m_client.send("POST", "/admin/config/records", body, remaining())
+                                            : m_client.send("GET", "/admin/config/records/" + record.id, "", remaining());
+                const bool isUnknownId = response.status == 404 && !sends;
+                // With a 5xx status, the log or the node is out of order for a while.
+                if (response.status >= 500)
                     result.message = parseAdminFailure(response.status, response.body).message;
-                    mustSend = false;
-                } else {
+                else if (!isUnknownId)
                     result = parseAdminRecordResult(m_client.expectSuccess(response));
-                    mustSend = false;
-                }
             } catch (const no_node_answered& failure) {
                 result.message = failure.message();
-                mustSend = false;
             }
             if (result.result != "pending" || m_platform.now() + pollInterval >= m_deadline)
                 return result;
@@ -228,14 +229,18 @@
         }
     }
 
-    /// The node has forgotten who made the version in question; equal documents mean that the change is in force.
+    /// The nodes do not know the result of the record; equal documents mean that the change is in force.
     void resolve(change_report& change, const std::string& document)
     {
-        const auto now = fetchConfig();
-        if (toYaml(readDocument(now.document)) != document)
-            return;
-        change.result = "accepted";
-        change.version = now.version;
+        try {
+            const auto now = fetchConfig();
+            if (toYaml(readDocument(now.document)) != document)
+                return;
+            change.result = "accepted";
+            change.version = now.version;
+        } catch (const no_node_answered&) {
+            // The result stays unknown.
+        }
     }
 
     /// Returns the live nodes that do not report the version when the time is over; empty when all do.
