--- a/libs/cli/include/cli/admin_client.h
+++ b/libs/cli/include/cli/admin_client.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,22 +49,23 @@
 /// Speaks to the operator interface of the first node that answers, and stays with it.
 template <http_transport Transport> class admin_client {
 public:
-    /// `nodes` must not be empty.
-    admin_client(Transport& transport, std::vector<std::string> nodes, const std::string& key)
+    /// `nodes` must not be empty for a request. `timeout` gives the time for one attempt and is asked before each.
+    admin_client(Transport& transport, std::vector<std::string> nodes, const std::string& key, std::function<duration()> timeout)
         : m_transport(transport)
         , m_nodes(std::move(nodes))
         , m_key(key)
+        , m_timeout(std::move(timeout))
     {
     }
 
     /// Returns the response whatever its status; tries the other nodes in turn where one does not answer.
     /// A request may have taken effect at a node that did not answer, so it has to be safe to repeat.
-    http_response send(const std::string& method, const std::string& target, const std::string& body, duration timeout)
+    http_response send(const std::string& method, const std::string& target, const std::string& body)
     {
         std::string failures;
         for (std::size_t tried = 0; tried < m_nodes.size(); ++tried) {
             try {
-                return sendTo(m_nodes.front(), method, target, body, timeout);
+                return sendTo(m_nodes.front(), method, target, body);
             } catch (const error& failure) {
                 if (failure.kind() != error_kind::unavailable && failure.kind() != error_kind::timeout)
                     throw;
@@ -76,13 +78,13 @@
     }
 
     /// As send(), and throws error with the message of the node for a status of 300 or more.
-    std::string get(const std::string& target, duration timeout) { return expectSuccess(send("GET", target, "", timeout)); }
+    std::string get(const std::string& target) { return expectSuccess(send("GET", target, "")); }
 
-    /// Asks the first node only: for requests that concern the node itself.
-    std::string postToFirst(const std::string& target, duration timeout)
+    /// As send(), but to the first node only: for requests that concern the node itself or must not be repeated.
+    http_response sendToFirst(const std::string& method, const std::string& target, const std::string& body)
     {
         try {
-            return expectSuccess(sendTo(m_nodes.front(), "POST", target, "", timeout));
+            return sendTo(m_nodes.front(), method, target, body);
         } catch (const error& failure) {
             if (failure.kind() == error_kind::unavailable || failure.kind() == error_kind::timeout)
                 throw no_node_answered(failure.kind(), failure.message(), failure.remedy());
@@ -103,18 +105,18 @@
     }
 
 private:
-    http_response sendTo(
-        const std::string& node, const std::string& method, const std::string& target, const std::string& body, duration timeout)
+    http_response sendTo(const std::string& node, const std::string& method, const std::string& target, const std::string& body)
     {
         http_request request { method, target, { { "Authorization", "Bearer " + m_key } }, body };
         if (!body.empty())
             request.headers.push_back({ "Content-Type", "application/json" });
-        return m_transport.send(node, request, timeout);
+        return m_transport.send(node, request, m_timeout());
     }
 
     Transport& m_transport;
     std::vector<std::string> m_nodes;
     std::string m_key;
+    std::function<duration()> m_timeout;
 };
 
 } // namespace carawaylink
--- a/libs/cli/include/cli/command_line.h
+++ b/libs/cli/include/cli/command_line.h
@@ -44,6 +44,7 @@
     std::string key; ///< never printed
     std::string file;
     bool isDaemonFile = false; ///< config check: the file holds settings of a daemon
+    bool isReset = false; ///< config apply: publish whatever the version in force
     bool printDocument = false; ///< config status: print the YAML in force
     std::string requestId;
     std::string author;
--- a/libs/cli/include/cli/commands.h
+++ b/libs/cli/include/cli/commands.h
@@ -19,7 +19,7 @@
 public:
     command_runner(cli_request request, Transport& transport, Platform& platform, std::ostream& out, std::ostream& err)
         : m_request(std::move(request))
-        , m_client(transport, m_request.nodes, m_request.key)
+        , m_client(transport, m_request.nodes, m_request.key, [this] { return attemptTimeout(); })
         , m_platform(platform)
         , m_out(out)
         , m_err(err)
@@ -38,8 +38,8 @@
     }
 
 private:
-    // A response takes milliseconds; a node that needs longer than this is treated as silent.
-    static constexpr duration requestTimeout = std::chrono::seconds(3);
+    // A node answers an append after 3 s at the latest, everything else within milliseconds.
+    static constexpr duration requestTimeout = std::chrono::seconds(5);
     static constexpr duration pollInterval = std::chrono::milliseconds(200);
     // Longer than an append and its reading back take, so that a record is rarely appended twice.
     static constexpr duration resendInterval = std::chrono::seconds(2);
@@ -62,16 +62,16 @@
         case cli_verb::exception_list:
             return print(reportExceptions(readDocument(fetchConfig().document), m_platform.utcNow(), m_request.output));
         case cli_verb::status:
-            return print(reportStatus(m_client.get("/admin/status", requestTimeout), m_request.output));
+            return print(reportStatus(m_client.get("/admin/status"), m_request.output));
         case cli_verb::explain:
-            return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId, requestTimeout), m_request.output));
+            return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId), m_request.output));
         case cli_verb::drain:
-            m_client.postToFirst("/admin/drain", requestTimeout);
+            m_client.expectSuccess(m_client.sendToFirst("POST", "/admin/drain", ""));
             return print(reportDrain(m_request.nodes.front(), m_request.output));
         case cli_verb::usage:
-            return print(reportUsage(m_client.get("/admin/usage", requestTimeout), m_request.output));
+            return print(reportUsage(m_client.get("/admin/usage"), m_request.output));
         case cli_verb::orders:
-            return print(reportOrders(m_client.get("/admin/orders", requestTimeout), m_request.output));
+            return print(reportOrders(m_client.get("/admin/orders"), m_request.output));
         }
         throw error(error_kind::internal, "the verb has no command", "report this with the command line");
     }
@@ -97,7 +97,7 @@
         return exit_code::invalid;
     }
 
-    admin_config fetchConfig() { return parseAdminConfig(m_client.get("/admin/config", requestTimeout)); }
+    admin_config fetchConfig() { return parseAdminConfig(m_client.get("/admin/config")); }
 
     exit_code check()
     {
@@ -120,10 +120,10 @@
 
     exit_code configStatus()
     {
-        const std::string config = m_client.get("/admin/config", requestTimeout);
+        const std::string config = m_client.get("/admin/config");
         if (m_request.printDocument && m_request.output == output_format::text)
             return print(parseAdminConfig(config).document);
-        return print(reportConfigStatus(config, m_client.get("/admin/status", requestTimeout), m_request.output));
+        return print(reportConfigStatus(config, m_client.get("/admin/status"), m_request.output));
     }
 
     exit_code apply()
@@ -163,14 +163,15 @@
         if (m_request.output == output_format::text)
             m_out << reportDifferences(change.differences, current.version, output_format::text) << std::flush;
         m_deadline = m_platform.now() + m_request.limit;
-        if (change.differences.empty()) {
+        if (change.differences.empty() && !m_request.isReset) {
             // Repeating a command that ended with not_confirmed tells whether the change is in force everywhere by now.
             change.result = "unchanged";
             return confirm(change);
         }
         change.id = m_platform.newId();
         const std::string document = toYaml(wanted);
-        const auto result = append({ change.id, m_request.author, current.version, config_record_kind::change, document, std::nullopt });
+        const auto kind = m_request.isReset ? config_record_kind::reset : config_record_kind::change;
+        const auto result = append({ change.id, m_request.author, current.version, kind, document, std::nullopt });
         change.result = result.result;
         change.message = result.message;
         if (change.result == "undetermined" || change.result == "pending")
@@ -201,19 +202,21 @@
 
     /// Sends the record and returns its result. The answer may be lost after the record was appended, so the result is asked
     /// for by id. Where that stays without result, the record may not have reached the log and is sent again: the fold ignores
-    /// a repetition.
+    /// a repetition. A reset is sent once only: a repetition would undo changes that were accepted in between.
     admin_record_result append(const config_record& record)
     {
         const std::string body = toJson(record);
         admin_record_result result { "pending", record.baseVersion, "" };
+        const bool isOnce = record.kind == config_record_kind::reset;
         auto sendAt = m_platform.now();
         while (true) {
             const bool sends = m_platform.now() >= sendAt;
             if (sends)
-                sendAt = m_platform.now() + resendInterval;
+                sendAt = isOnce ? monotonic_time::max() : m_platform.now() + resendInterval;
             try {
-                const auto response = sends ? m_client.send("POST", "/admin/config/records", body, remaining())
-                                            : m_client.send("GET", "/admin/config/records/" + record.id, "", remaining());
+                const auto response = !sends ? m_client.send("GET", "/admin/config/records/" + record.id, "")
+                    : isOnce                 ? m_client.sendToFirst("POST", "/admin/config/records", body)
+                                             : m_client.send("POST", "/admin/config/records", body);
                 const bool isUnknownId = response.status == 404 && !sends;
                 // With a 5xx status, the log or the node is out of order for a while.
                 if (response.status >= 500)
@@ -223,7 +226,7 @@
             } catch (const no_node_answered& failure) {
                 result.message = failure.message();
             }
-            if (result.result != "pending" || m_platform.now() + pollInterval >= m_deadline)
+            if (result.result != "pending" || isTimeOver())
                 return result;
             m_platform.sleep(pollInterval);
         }
@@ -249,13 +252,13 @@
         std::vector<std::string> missing { "unknown: no node answered" };
         while (true) {
             try {
-                missing = lagging(parseAdminStatus(m_client.get("/admin/status", remaining())), version);
+                missing = lagging(parseAdminStatus(m_client.get("/admin/status")), version);
                 if (missing.empty())
                     return missing;
             } catch (const no_node_answered&) {
                 // Keeps the last known list.
             }
-            if (m_platform.now() + pollInterval >= m_deadline)
+            if (isTimeOver())
                 return missing;
             m_platform.sleep(pollInterval);
         }
@@ -273,14 +276,20 @@
         return nodes;
     }
 
-    duration remaining() { return std::clamp<duration>(m_deadline - m_platform.now(), pollInterval, requestTimeout); }
+    /// While a change is under way, an attempt may not last beyond its limit.
+    duration attemptTimeout() const
+    {
+        return m_deadline ? std::clamp<duration>(*m_deadline - m_platform.now(), pollInterval, requestTimeout) : requestTimeout;
+    }
+
+    bool isTimeOver() const { return m_platform.now() + pollInterval >= *m_deadline; }
 
     cli_request m_request;
     admin_client<Transport> m_client;
     Platform& m_platform;
     std::ostream& m_out;
     std::ostream& m_err;
-    monotonic_time m_deadline {};
+    std::optional<monotonic_time> m_deadline; ///< set while a change is under way
 };
 
 /// Parses the arguments and carries out the request; returns the exit code of the program.
--- a/libs/cli/src/command_line.cpp
+++ b/libs/cli/src/command_line.cpp
@@ -105,6 +105,8 @@
         auto* apply = add(*config, "apply", cli_verb::config_apply, "Puts a file into force and waits until all live nodes report it.",
             "--node 127.0.0.1:8701 --node 127.0.0.1:8702 config apply fleet.yaml");
         addFile(*apply);
+        apply->add_flag("--reset", m_request.isReset,
+            "last resort where log records were lost before any node read them: replaces the configuration whatever its version");
         apply->add_option("--author", m_request.author, "who makes the change; default: USER");
         addLimit(*apply);
         add(*config, "status", cli_verb::config_status, "Shows the version on every node.", "--node 127.0.0.1:8701 config status")
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -158,6 +158,22 @@
     EXPECT_THAT(out.str(), HasSubstr("accepted as version 1"));
 }
 
+// Guards against a fleet that lost log records staying without changes for ever, and against a reset that is sent twice.
+TEST_F(command_line, reset_is_accepted_after_a_gap_and_sent_once)
+{
+    ASSERT_EQ(apply(), 0);
+    fleet.fold.truncated(log_offset(20));
+    write("fleet.yaml", "defaults: {pool_size: 16}\n" + fleetText);
+    EXPECT_EQ(apply(), 4);
+    fleet.requests.clear();
+    fleet.lostRecords = 1;
+    EXPECT_EQ(runAt({ "config", "apply", "--reset", path("fleet.yaml") }), 4);
+    EXPECT_EQ(std::ranges::count_if(fleet.requests, [](const auto& request) { return request.find("POST") != std::string::npos; }), 1);
+    EXPECT_EQ(runAt({ "config", "apply", "--reset", path("fleet.yaml") }), 0);
+    EXPECT_EQ(fleet.fold.configuration()->defaults->pool_size, 16U);
+    EXPECT_FALSE(fleet.fold.needsSnapshot());
+}
+
 // Guards against an unknown result being reported as a refusal or as done.
 TEST_F(command_line, log_outage_beyond_the_limit_is_unknown)
 {
--- a/libs/cli/tests/fake_fleet.h
+++ b/libs/cli/tests/fake_fleet.h
@@ -102,7 +102,8 @@
         append(body);
         if (lostAnswers > 0 && lostAnswers-- > 0)
             throw error(error_kind::timeout, "no response", "wait");
-        return result(parseConfigRecord(body).id);
+        const auto id = parseConfigRecord(body).id;
+        return fold.find(id) ? result(id) : jsonResponse(200, "{\"result\":\"pending\",\"version\":0}");
     }
 
     http_response result(const std::string& id)
--- a/libs/config/include/config/fold.h
+++ b/libs/config/include/config/fold.h
@@ -49,7 +49,8 @@
 /// The fleet configuration as the result of all records of the log stream `config`.
 ///
 /// Version and document after an offset depend on the records before it only, whether the fold read all of them, started
-/// from a snapshot or took a peer's state. A new fold is the state of offset 0: version 0 and no configuration.
+/// from a snapshot or took a peer's state. A new fold is the state of offset 0: version 0 and no configuration. A change
+/// raises the version by one; a reset at offset n sets it to n + 1, which no fold can have reached before.
 class configuration_fold {
 public:
     explicit configuration_fold(config_fold_limits limits = {});
@@ -58,7 +59,7 @@
     config_result apply(log_offset offset, std::string_view data);
 
     /// The log holds no record before `first`. Where that is above nextOffset(), the fold keeps its version in effect and
-    /// decides nothing until a snapshot that covers the gap or installSnapshot() closes it.
+    /// decides nothing until a snapshot that covers the gap, a reset or installSnapshot() closes it.
     void truncated(log_offset first);
 
     /// Takes over the state of a peer: the result of all records before `nextOffset`. Refused where it is older than the
@@ -102,6 +103,7 @@
 
     config_result fold(log_offset offset, std::string_view data);
     config_result foldChange(const config_record& record);
+    config_result foldReset(log_offset offset, const config_record& record);
     config_result foldSnapshot(log_offset offset, const config_record& record) const;
     config_result keepPending(log_offset offset, std::string_view data);
     bool closesGap(log_offset offset, const config_record& record) const;
@@ -109,7 +111,7 @@
     void rememberUndetermined(std::string_view data);
     void setState(config_version version, std::optional<schema::fleet_configurationT> configuration);
     void takeState(config_version version, std::optional<schema::fleet_configurationT> configuration);
-    void accept(const config_record& record, schema::fleet_configurationT configuration);
+    void accept(const config_record& record, config_version version, schema::fleet_configurationT configuration);
     void remember(const std::string& id, const config_result& result);
     config_result explainStale(const config_record& record) const;
     static std::string describe(const accepted_change& change);
--- a/libs/config/include/config/record.h
+++ b/libs/config/include/config/record.h
@@ -12,18 +12,20 @@
 enum class config_record_kind {
     change,
     snapshot,
+    reset, ///< last resort of an operator after records were lost unread; in force whatever the version before it
 };
 
 inline constexpr auto configRecordKindNames = enumTable<config_record_kind>({
     { config_record_kind::change, "change" },
     { config_record_kind::snapshot, "snapshot" },
+    { config_record_kind::reset, "reset" },
 });
 
 /// One record of the log stream `config`.
 struct config_record {
     std::string id; ///< chosen at random by the author's program; the same in every repetition of one append
     std::string author;
-    config_version baseVersion; ///< change: the version it was made on; snapshot: the version of its document
+    config_version baseVersion; ///< change: the version it was made on; snapshot: the version of its document; reset: not used
     config_record_kind kind = config_record_kind::change;
     std::string document; ///< canonical YAML of a fleet configuration
     /// Snapshots only: the document is the result of all records before this offset. Changes may stand between this offset
--- a/libs/config/src/fold.cpp
+++ b/libs/config/src/fold.cpp
@@ -74,8 +74,13 @@
     }
     try {
         const auto record = parseConfigRecord(data);
+        settings_report report;
+        if (record.kind == config_record_kind::reset && loadFleetConfiguration(record.document, report)) {
+            m_nextOffset = offset;
+            replayPending();
+            return { config_outcome::accepted, m_version, "" };
+        }
         if (record.kind == config_record_kind::snapshot && closesGap(offset, record)) {
-            settings_report report;
             if (auto configuration = loadFleetConfiguration(record.document, report)) {
                 takeState(record.baseVersion, std::move(configuration));
                 m_nextOffset = *record.nextOffset;
@@ -127,7 +132,15 @@
 {
     try {
         const auto record = parseConfigRecord(data);
-        return record.kind == config_record_kind::snapshot ? foldSnapshot(offset, record) : foldChange(record);
+        switch (record.kind) {
+        case config_record_kind::change:
+            return foldChange(record);
+        case config_record_kind::snapshot:
+            return foldSnapshot(offset, record);
+        case config_record_kind::reset:
+            return foldReset(offset, record);
+        }
+        throw error(error_kind::internal, "a record kind is not folded", "add it to configuration_fold::fold()");
     } catch (const error& failure) {
         return { config_outcome::refused, m_version, failure.message() };
     }
@@ -141,7 +154,7 @@
     settings_report report;
     auto configuration = fits ? loadFleetConfiguration(record.document, report) : std::nullopt;
     if (configuration) {
-        accept(record, std::move(*configuration));
+        accept(record, next(m_version), std::move(*configuration));
         return { config_outcome::accepted, m_version, "" };
     }
     const auto replaced = std::ranges::find(m_changes, next(record.baseVersion), &accepted_change::version);
@@ -156,20 +169,36 @@
     return result;
 }
 
-void configuration_fold::accept(const config_record& record, schema::fleet_configurationT configuration)
+void configuration_fold::accept(const config_record& record, config_version version, schema::fleet_configurationT configuration)
 {
     const auto differences = differencesOf(m_configuration ? *m_configuration : schema::fleet_configurationT(), configuration);
-    accepted_change change { next(m_version), record.id, record.author, {}, differences.size() };
+    accepted_change change { version, record.id, record.author, {}, differences.size() };
     for (std::size_t i = 0; i < std::min(differences.size(), maxPathsPerChange); ++i)
         change.paths.push_back(differences[i].path);
     m_changes.push_back(std::move(change));
     if (m_changes.size() > m_limits.rememberedChanges)
         m_changes.pop_front();
-    setState(next(m_version), std::move(configuration));
+    setState(version, std::move(configuration));
     m_lastAcceptedId = record.id;
     remember(record.id, { config_outcome::accepted, m_version, "" });
 }
 
+config_result configuration_fold::foldReset(log_offset offset, const config_record& record)
+{
+    settings_report report;
+    auto configuration = loadFleetConfiguration(record.document, report);
+    if (!configuration) {
+        const config_result result { config_outcome::refused, m_version, "the document is not valid:\n" + toString(report) };
+        remember(record.id, result);
+        return result;
+    }
+    // The records before `offset` have raised the version to `offset` at most, so this version is new to every fold, also to
+    // one that does not know all of them.
+    m_changes.clear();
+    accept(record, config_version(offset.value + 1), std::move(*configuration));
+    return { config_outcome::accepted, m_version, "" };
+}
+
 config_result configuration_fold::explainStale(const config_record& record) const
 {
     const std::string head
@@ -220,6 +249,8 @@
             "state of version " + number(version) + " at offset " + number(nextOffset) + " " + reason + " the own state of version "
                 + number(m_version) + " at offset " + number(m_nextOffset) };
     };
+    if (version.value > nextOffset.value)
+        return refuse("is impossible and cannot replace");
     if (version < m_version || nextOffset < m_nextOffset)
         return refuse(version > m_version ? "contradicts" : "is older than");
     if (nextOffset == m_nextOffset && version > m_version)
--- a/libs/config/src/record.cpp
+++ b/libs/config/src/record.cpp
@@ -65,13 +65,16 @@
     record.baseVersion = config_version(readNumber(object, "base_version"));
     const auto kind = configRecordKindNames.parse(readText(object, "kind", maxNameBytes));
     if (!kind)
-        failField("kind", "is neither change nor snapshot");
+        failField("kind", "is none of change, snapshot, reset");
     record.kind = *kind;
     record.document = readText(object, "document", maxConfigurationBytes);
     if (record.kind == config_record_kind::snapshot) {
         record.nextOffset = log_offset(readNumber(object, "next_offset"));
         if (record.baseVersion.value == 0)
             failField("base_version", "is 0, a version that has no document");
+        // Every record raises the version by one at most, and a reset sets it to the number of records up to itself.
+        if (record.baseVersion.value > record.nextOffset->value)
+            failField("base_version", "is larger than next_offset");
     }
     return record;
 }
--- a/libs/config/tests/fold_tests.cpp
+++ b/libs/config/tests/fold_tests.cpp
@@ -140,6 +140,27 @@
     EXPECT_EQ(m_fold.document(), documentWith(2));
 }
 
+// Guards against a fleet in which every node waits for a snapshot that none can write, because all missed the same records.
+TEST_F(configuration_folds, reset_after_a_gap_is_in_force_everywhere)
+{
+    append(change("a", 0, documentWith(1)));
+    append(change("b", 1, documentWith(2)));
+    configuration_fold behind;
+    behind.apply(log_offset(0), toJson(m_log[0]));
+    auto reset = change("r", 0, documentWith(3));
+    reset.kind = config_record_kind::reset;
+    for (auto* fold : { &m_fold, &behind }) {
+        EXPECT_EQ(fold->apply(log_offset(7), toJson(change("c", 2, documentWith(4)))).outcome, config_outcome::pending);
+        EXPECT_EQ(fold->apply(log_offset(8), toJson(reset)).outcome, config_outcome::accepted);
+        EXPECT_FALSE(fold->needsSnapshot());
+        EXPECT_EQ(fold->version(), config_version(9));
+        EXPECT_EQ(fold->document(), documentWith(3));
+        EXPECT_EQ(fold->nextOffset(), log_offset(9));
+        EXPECT_EQ(fold->find("r")->outcome, config_outcome::accepted);
+        EXPECT_EQ(fold->find("c")->outcome, config_outcome::undetermined);
+    }
+}
+
 // Guards against a lagging peer setting a node back to an older version.
 TEST_F(configuration_folds, older_state_of_a_peer_is_refused)
 {
@@ -191,13 +212,15 @@
     const auto count = *rc::gen::inRange<std::size_t>(1, 25);
     for (std::size_t i = 0; i < count; ++i) {
         const auto& seen = states[states.size() - 1 - *rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(states.size(), 4))];
-        const auto kind = *rc::gen::weightedElement<int>({ { 5, 0 }, { 3, 1 }, { 3, 2 }, { 2, 3 } });
+        const auto kind = *rc::gen::weightedElement<int>({ { 10, 0 }, { 6, 1 }, { 6, 2 }, { 4, 3 }, { 1, 4 } });
         if (kind == 1 && !log.empty())
             log.push_back(log[*rc::gen::inRange<std::size_t>(0, log.size())]);
         else if (kind == 2 && seen.version().value > 0)
             log.push_back(seen.makeSnapshot("s" + std::to_string(i), "node"));
         else
             log.push_back(change("c" + std::to_string(i), seen.version().value + (kind == 3 ? 1 : 0), *rc::gen::elementOf(documents)));
+        if (kind == 4)
+            log.back().kind = config_record_kind::reset;
         states.push_back(states.back());
         states.back().apply(log_offset(i), toJson(log.back()));
     }
@@ -212,7 +235,9 @@
     std::pair<std::uint64_t, std::string> state { 0, "" };
     for (std::size_t i = 0; i < count; ++i) {
         settings_report report;
-        if (log[i].kind == config_record_kind::change && log[i].baseVersion.value == state.first
+        if (log[i].kind == config_record_kind::reset && loadFleetConfiguration(log[i].document, report))
+            state = { i + 1, log[i].document };
+        else if (log[i].kind == config_record_kind::change && log[i].baseVersion.value == state.first
             && loadFleetConfiguration(log[i].document, report))
             state = { state.first + 1, log[i].document };
     }
@@ -228,9 +253,11 @@
         fold.apply(log_offset(offset), toJson(log[offset]));
         RC_ASSERT(fold.version() >= before);
         RC_ASSERT(fold.nextOffset() == log_offset(offset + 1));
-        const bool isCovered
-            = std::ranges::any_of(log.begin() + static_cast<std::ptrdiff_t>(first), log.begin() + static_cast<std::ptrdiff_t>(offset) + 1,
-                [&](const config_record& record) { return record.nextOffset && *record.nextOffset >= log_offset(first); });
+        const bool isCovered = std::ranges::any_of(log.begin() + static_cast<std::ptrdiff_t>(first),
+            log.begin() + static_cast<std::ptrdiff_t>(offset) + 1, [&](const config_record& record) {
+                return record.kind == config_record_kind::reset ? record.document != "teams: 5"
+                                                                : record.nextOffset && *record.nextOffset >= log_offset(first);
+            });
         RC_ASSERT(!fold.needsSnapshot() || !isCovered);
         if (!fold.needsSnapshot())
             RC_ASSERT(expectedState(log, offset + 1) == std::pair(fold.version().value, fold.document()));
