Refuse control characters in settings and records

The write/read property failed once carriage return, U+0085, U+FEFF and U+0001 were generated: yaml-cpp 0.7 writes texts that it does not read back equal.

--- a/libs/config/src/record.cpp
+++ b/libs/config/src/record.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace carawaylink {
@@ -28,6 +29,15 @@
     return text;
 }
 
+/// Ids and authors are printed on terminals.
+std::string readName(const boost::json::object& object, std::string_view field)
+{
+    auto text = readText(object, field, maxNameBytes);
+    if (std::ranges::any_of(text, [](unsigned char c) { return c < ' ' || c == 0x7f; }))
+        failField(field, "holds a control character");
+    return text;
+}
+
 std::uint64_t readNumber(const boost::json::object& object, std::string_view field)
 {
     const auto* value = object.if_contains(field);
@@ -60,8 +70,8 @@
         failField("text", "is no JSON object");
     const auto& object = value.get_object();
     config_record record;
-    record.id = readText(object, "id", maxNameBytes);
-    record.author = readText(object, "author", maxNameBytes);
+    record.id = readName(object, "id");
+    record.author = readName(object, "author");
     record.baseVersion = config_version(readNumber(object, "base_version"));
     const auto kind = configRecordKindNames.parse(readText(object, "kind", maxNameBytes));
     if (!kind)
--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -44,6 +44,21 @@
     return true;
 }
 
+/// True for control characters other than tab and newline, and for the byte order mark. yaml-cpp does not read all of them
+/// back as it wrote them, and terminals act on them.
+bool hasControlCharacter(std::string_view text)
+{
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(text[i]);
+        const auto next = i + 1 < text.size() ? static_cast<unsigned char>(text[i + 1]) : 0U;
+        const bool isC0 = (byte < 0x20 && byte != '\t' && byte != '\n') || byte == 0x7f;
+        const bool isC1 = byte == 0xc2 && next >= 0x80 && next < 0xa0;
+        if (isC0 || isC1 || text.substr(i).starts_with("\xef\xbb\xbf"))
+            return true;
+    }
+    return false;
+}
+
 std::size_t lineOf(const YAML::Node& node)
 {
     return node.Mark().line < 0 ? 0 : static_cast<std::size_t>(node.Mark().line) + 1;
@@ -164,8 +179,13 @@
     std::optional<std::variant<scalar_value, offset>> readText(const YAML::Node& node, const std::string& path, bool required)
     {
         const std::string& text = node.Scalar();
-        if (text.size() > maxScalarBytes || text.find('\0') != std::string::npos) {
-            m_result.add(path, "is longer than " + std::to_string(maxScalarBytes) + " bytes or holds a zero byte", "shorten the text");
+        if (text.size() > maxScalarBytes) {
+            m_result.add(
+                path, "has " + std::to_string(text.size()) + " bytes, more than " + std::to_string(maxScalarBytes), "shorten the text");
+            return std::nullopt;
+        }
+        if (hasControlCharacter(text)) {
+            m_result.add(path, "holds a control character", "remove it; tab and newline are allowed");
             return std::nullopt;
         }
         if (required && text.empty()) {
