--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -3,6 +3,7 @@
 #include "scalar.h"
 
 #include <set>
+#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/yaml.h>
 
 namespace carawaylink::settings_detail {
@@ -272,8 +273,19 @@
         result.add("", "the text is not UTF-8", "save the file as UTF-8");
         return {};
     }
+    // yaml-cpp takes U+0004 for the end of the text and would leave out what follows.
+    const auto control = std::ranges::find_if(text, [](unsigned char c) { return c < ' ' && c != '\t' && c != '\n' && c != '\r'; });
+    if (control != text.end()) {
+        const auto line = static_cast<std::size_t>(std::ranges::count(text.begin(), control, '\n')) + 1;
+        result.report.faults.push_back({ line, "", "the line holds a control character", "remove it" });
+        return {};
+    }
     try {
         return YAML::Load(std::string(text));
+    } catch (const YAML::DeepRecursion& failure) {
+        const auto line = static_cast<std::size_t>(std::max(failure.mark.line, -1) + 1);
+        result.report.faults.push_back({ line, "", "values are nested too deeply", "nest no deeper than the samples do" });
+        return {};
     } catch (const YAML::Exception& failure) {
         result.report.faults.push_back({ failure.mark.line < 0 ? 0 : static_cast<std::size_t>(failure.mark.line) + 1, "",
             "the text is not YAML: " + failure.msg, "correct the line; indent with blanks" });
@@ -315,9 +327,13 @@
 {
     const YAML::Node root = parse(text, result);
     table_reader reader(result);
-    if (!result.report.faults.empty())
-        return reader.release(reader.read(YAML::Node(YAML::NodeType::Null), type, "", ""));
-    return reader.release(reader.read(root, type, "", ""));
+    if (result.report.faults.empty())
+        return reader.release(reader.read(root, type, "", ""));
+    // What is missing in a text that cannot be parsed is not known.
+    const auto faults = result.report.faults;
+    auto empty = reader.release(reader.read(YAML::Node(YAML::NodeType::Null), type, "", ""));
+    result.report.faults = faults;
+    return empty;
 }
 
 bool finish(reading& result, settings_report& report)
--- a/libs/settings/tests/settings_tests.cpp
+++ b/libs/settings/tests/settings_tests.cpp
@@ -151,7 +151,10 @@
 // Guards against broken files crashing the reader or being taken for an empty configuration.
 TEST_F(fleet_configuration_reading, broken_text_is_one_fault_with_line)
 {
-    for (const std::string text : { "tiers: [", "a: b: c", "- 1", "\xff\xfe", "\t- x", "tiers: *nothing", "? [a]\n: b" })
+    for (const auto& text :
+        std::vector<std::string> { "tiers: [", "a: b: c", "\xff\xfe", "\t- x", "tiers: *nothing", validFleet + "# \x04\nmore: text\n" })
+        EXPECT_THAT(fleetFaults(text), SizeIs(1)) << text;
+    for (const std::string text : { "- 1", "? [a]\n: b", "" })
         EXPECT_FALSE(fleetFaults(text).empty()) << text;
     EXPECT_THAT(fleetFaults(std::string(1100000, ' ')), Contains(Field(&settings_fault::message, HasSubstr("1100000 bytes"))));
     EXPECT_THAT(fleetFaults(validFleet + "teams: []\n"), Contains(Field(&settings_fault::message, HasSubstr("given twice"))));
