--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -3,6 +3,7 @@
 #include "scalar.h"
 
 #include <set>
+#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/yaml.h>
 
 namespace carawaylink::settings_detail {
@@ -44,6 +45,21 @@
     return true;
 }
 
+/// True for control characters other than tab and newline, and for the byte order mark. yaml-cpp does not read all of them
+/// back as it wrote them, and terminals act on them.
+bool hasControlCharacter(std::string_view text)
+{
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(text[i]);
+        const auto next = i + 1 < text.size() ? static_cast<unsigned char>(text[i + 1]) : 0U;
+        const bool isC0 = (byte < 0x20 && byte != '\t' && byte != '\n') || byte == 0x7f;
+        const bool isC1 = byte == 0xc2 && next >= 0x80 && next < 0xa0;
+        if (isC0 || isC1 || text.substr(i).starts_with("\xef\xbb\xbf"))
+            return true;
+    }
+    return false;
+}
+
 std::size_t lineOf(const YAML::Node& node)
 {
     return node.Mark().line < 0 ? 0 : static_cast<std::size_t>(node.Mark().line) + 1;
@@ -164,8 +180,13 @@
     std::optional<std::variant<scalar_value, offset>> readText(const YAML::Node& node, const std::string& path, bool required)
     {
         const std::string& text = node.Scalar();
-        if (text.size() > maxScalarBytes || text.find('\0') != std::string::npos) {
-            m_result.add(path, "is longer than " + std::to_string(maxScalarBytes) + " bytes or holds a zero byte", "shorten the text");
+        if (text.size() > maxScalarBytes) {
+            m_result.add(
+                path, "has " + std::to_string(text.size()) + " bytes, more than " + std::to_string(maxScalarBytes), "shorten the text");
+            return std::nullopt;
+        }
+        if (hasControlCharacter(text)) {
+            m_result.add(path, "holds a control character", "remove it; tab and newline are allowed");
             return std::nullopt;
         }
         if (required && text.empty()) {
@@ -252,8 +273,19 @@
         result.add("", "the text is not UTF-8", "save the file as UTF-8");
         return {};
     }
+    // yaml-cpp takes U+0004 for the end of the text and would leave out what follows.
+    const auto control = std::ranges::find_if(text, [](unsigned char c) { return c < ' ' && c != '\t' && c != '\n' && c != '\r'; });
+    if (control != text.end()) {
+        const auto line = static_cast<std::size_t>(std::ranges::count(text.begin(), control, '\n')) + 1;
+        result.report.faults.push_back({ line, "", "the line holds a control character", "remove it" });
+        return {};
+    }
     try {
         return YAML::Load(std::string(text));
+    } catch (const YAML::DeepRecursion& failure) {
+        const auto line = static_cast<std::size_t>(std::max(failure.mark.line, -1) + 1);
+        result.report.faults.push_back({ line, "", "values are nested too deeply", "nest no deeper than the samples do" });
+        return {};
     } catch (const YAML::Exception& failure) {
         result.report.faults.push_back({ failure.mark.line < 0 ? 0 : static_cast<std::size_t>(failure.mark.line) + 1, "",
             "the text is not YAML: " + failure.msg, "correct the line; indent with blanks" });
@@ -295,9 +327,13 @@
 {
     const YAML::Node root = parse(text, result);
     table_reader reader(result);
-    if (!result.report.faults.empty())
-        return reader.release(reader.read(YAML::Node(YAML::NodeType::Null), type, "", ""));
-    return reader.release(reader.read(root, type, "", ""));
+    if (result.report.faults.empty())
+        return reader.release(reader.read(root, type, "", ""));
+    // What is missing in a text that cannot be parsed is not known.
+    const auto faults = result.report.faults;
+    auto empty = reader.release(reader.read(YAML::Node(YAML::NodeType::Null), type, "", ""));
+    result.report.faults = faults;
+    return empty;
 }
 
 bool finish(reading& result, settings_report& report)
