Take a team as backlogged from the queues of nodes and engines only

Change: waiting is queued to granted at nodes and received to started at engines, from 50 ms on; na without such waits.

--- a/libs/load/include/load/fairness.h
+++ b/libs/load/include/load/fairness.h
@@ -14,8 +14,9 @@
 
 /// Jain index of the teams' service rates while backlogged, each divided by the team's weight (1 where it has none).
 /// Teams are compared per service and tier in windows of 1 s in which at least two teams had a request waiting for 90% of
-/// the window; the indexes of services and tiers are averaged by served tokens. Waiting is queued-to-granted in the nodes'
-/// histories, or arrival to first token where there are none. Served tokens are prompt and output tokens.
+/// the window; the indexes of services and tiers are averaged by served tokens. Waiting is queued-to-granted at nodes and
+/// received-to-started at engines, where it lasts at least 50 ms. Served tokens are prompt and output tokens. Nothing where
+/// no window had two backlogged teams.
 std::optional<double> weightedJain(
     const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights);
 
--- a/libs/load/src/fairness.cpp
+++ b/libs/load/src/fairness.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::int64_t windowUs = 1'000'000;
 constexpr std::int64_t backloggedUs = 900'000;
+// Shorter waits are the passage through a queue. At 1,000 calls/s their union fills every window of an idle fleet.
+constexpr std::int64_t shortestBacklogUs = 50'000;
 
 using interval = std::pair<std::int64_t, std::int64_t>;
 
@@ -45,23 +47,38 @@
     return result;
 }
 
-bool addNodeWaiting(const history& merged, group_map& groups)
+/// Adds the times that requests spent in the queues of nodes and engines.
+void addWaiting(const history& merged, const std::vector<call_outcome>& outcomes, group_map& groups)
 {
-    std::unordered_map<std::string_view, const history_record*> queued;
-    bool any = false;
+    std::unordered_map<std::string_view, const call_outcome*> byCall;
+    for (const auto& outcome : outcomes)
+        byCall[outcome.call] = &outcome;
+    const auto add = [&](const std::string& service, std::int64_t tier, const std::string& team, interval waited) {
+        if (waited.second - waited.first >= shortestBacklogUs)
+            groups[{ service, tier }][team].waiting.push_back(waited);
+    };
+    std::map<std::pair<std::string_view, std::string_view>, const history_record*> queued;
     for (const auto& record : merged.records()) {
-        if (record.source != history_source::node || record.request.empty())
+        if (record.request.empty() || (record.source != history_source::node && record.source != history_source::engine))
+            continue;
+        // The queue of a node has no endpoint; engines are told apart by theirs.
+        const bool atNode = record.source == history_source::node;
+        const std::pair<std::string_view, std::string_view> key { atNode ? std::string_view() : record.endpoint, record.request };
+        if (record.event == (atNode ? "queued" : "received")) {
+            queued.emplace(key, &record);
             continue;
-        if (record.event == "queued") {
-            queued.emplace(record.request, &record);
-            any = true;
-        } else if (const auto found = queued.find(record.request); found != queued.end()) {
-            const auto& begin = *found->second;
-            groups[{ begin.service, begin.tier }][begin.team].waiting.emplace_back(begin.timeUs, record.timeUs);
-            queued.erase(found);
         }
+        const auto found = queued.find(key);
+        if (found == queued.end())
+            continue;
+        const auto& begin = *found->second;
+        const interval waited { begin.timeUs, record.timeUs };
+        if (atNode)
+            add(begin.service, begin.tier, begin.team, waited);
+        else if (const auto outcome = byCall.find(begin.call); outcome != byCall.end())
+            add(outcome->second->service, outcome->second->tier, outcome->second->team, waited);
+        queued.erase(found);
     }
-    return any;
 }
 
 void addServed(const std::vector<call_outcome>& outcomes, group_map& groups)
@@ -131,12 +148,7 @@
     const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights)
 {
     group_map groups;
-    if (!addNodeWaiting(merged, groups)) {
-        for (const auto& outcome : outcomes) {
-            const auto until = outcome.firstTokenUs < 0 ? outcome.endUs : outcome.arrivalUs + outcome.firstTokenUs;
-            groups[{ outcome.service, outcome.tier }][outcome.team].waiting.emplace_back(outcome.arrivalUs, until);
-        }
-    }
+    addWaiting(merged, outcomes, groups);
     addServed(outcomes, groups);
     double sum = 0;
     double served = 0;
