--- a/libs/load/src/replay_driver.cpp
+++ b/libs/load/src/replay_driver.cpp
@@ -19,6 +19,8 @@
 // node's death.
 constexpr auto entryIdle = std::chrono::seconds(1);
 constexpr auto entryRetryDelay = milliseconds(100);
+// The entry is asked ten times a second while no node answers; the log shows one of these failures per team and interval.
+constexpr auto entryWarningInterval = std::chrono::seconds(5);
 // A caller with a deadline of seconds does not wait longer for another attempt.
 constexpr auto longestRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t mostTicketsPerRequest = 64;
@@ -72,6 +74,7 @@
     std::string key;
     entry_cache cache;
     bool refreshing = false;
+    monotonic_time nextWarning {};
     std::vector<call_pointer> waiting;
     boost::asio::steady_timer retryTimer;
 };
@@ -470,7 +473,10 @@
         boost::asio::post(m_context, [this, &team, triesLeft] { refreshEntry(team, triesLeft - 1); });
         return;
     }
-    log_event("entry_failed", log_level::warning).field("team", team.name).field("address", address).field("reason", failure);
+    if (now >= team.nextWarning) {
+        log_event("entry_failed", log_level::warning).field("team", team.name).field("address", address).field("reason", failure);
+        team.nextWarning = now + entryWarningInterval;
+    }
     releaseWaiting(team);
 }
 
