Charge served tokens at the first token and name the windows behind the Jain index

Change: windows of 5 s, work charged as the fair queue charges it, cached prompt tokens left out, jain_windows in the last line. Test change: the test of the index uses longer waits for the longer window and checks the number of windows; values as before.

--- a/libs/load/include/load/metrics.h
+++ b/libs/load/include/load/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "load/fairness.h"
 #include "load/latency_histogram.h"
 #include "load/outcomes.h"
 
@@ -38,7 +39,7 @@
     group_metrics total;
     std::map<std::int64_t, group_metrics> tiers;
     std::map<std::string, group_metrics> services;
-    std::optional<double> jain;
+    std::optional<fairness> jain;
 
     double perSecond(std::int64_t count) const { return seconds > 0 ? static_cast<double>(count) / seconds : 0; }
 };
--- a/libs/load/src/fairness.cpp
+++ b/libs/load/src/fairness.cpp
@@ -8,8 +8,10 @@
 namespace carawaylink::load {
 namespace {
 
-constexpr std::int64_t windowUs = 1'000'000;
-constexpr std::int64_t backloggedUs = 900'000;
+// Shorter windows favour large teams: the window in which a small team's only waiting request is served is not one in which
+// it waits throughout.
+constexpr std::int64_t windowUs = 5'000'000;
+constexpr std::int64_t backloggedUs = windowUs / 10 * 9;
 // Shorter waits are the passage through a queue. At 1,000 calls/s their union fills every window of an idle fleet.
 constexpr std::int64_t shortestBacklogUs = 50'000;
 
@@ -81,24 +83,28 @@
     }
 }
 
-void addServed(const std::vector<call_outcome>& outcomes, group_map& groups)
+/// Charges the work of each call to the window of its first token, as the fair queue charges it at the grant.
+void addServed(const history& merged, const std::vector<call_outcome>& outcomes, group_map& groups)
 {
+    std::unordered_map<std::string_view, std::int64_t> cached;
+    for (const auto& record : merged.records()) {
+        if (record.source == history_source::engine && record.event == "first_token")
+            cached[record.call] = std::max<std::int64_t>(0, record.cachedTokens);
+    }
     for (const auto& outcome : outcomes) {
         if (outcome.firstTokenUs < 0)
             continue;
-        auto& served = groups[{ outcome.service, outcome.tier }][outcome.team].served;
-        const auto first = outcome.arrivalUs + outcome.firstTokenUs;
-        served[first / windowUs] += static_cast<double>(outcome.promptTokens);
-        const auto length = static_cast<double>(std::max<std::int64_t>(1, outcome.endUs - first));
-        forEachWindow({ first, std::max(outcome.endUs, first + 1) }, [&](std::int64_t window, std::int64_t part) {
-            served[window] += static_cast<double>(outcome.tokens) * static_cast<double>(part) / length;
-        });
+        const auto found = cached.find(outcome.call);
+        const auto work = outcome.promptTokens - (found == cached.end() ? 0 : found->second) + outcome.tokens;
+        groups[{ outcome.service, outcome.tier }][outcome.team].served[(outcome.arrivalUs + outcome.firstTokenUs) / windowUs]
+            += static_cast<double>(work);
     }
 }
 
 struct group_result {
     std::optional<double> index;
     double served = 0;
+    std::int64_t windows = 0;
 };
 
 group_result measureGroup(const team_map& teams, const std::map<std::string, double>& weights)
@@ -115,6 +121,7 @@
     for (const auto& [window, names] : backlogged) {
         if (names.size() < 2)
             continue;
+        ++result.windows;
         for (const auto& name : names) {
             const auto& served = teams.at(name).served;
             const auto found = served.find(window);
@@ -144,22 +151,24 @@
     return sum * sum / (static_cast<double>(values.size()) * squares);
 }
 
-std::optional<double> weightedJain(
+std::optional<fairness> weightedJain(
     const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights)
 {
     group_map groups;
     addWaiting(merged, outcomes, groups);
-    addServed(outcomes, groups);
+    addServed(merged, outcomes, groups);
     double sum = 0;
     double served = 0;
+    std::int64_t windows = 0;
     for (const auto& [key, teams] : groups) {
         const auto group = measureGroup(teams, weights);
         if (!group.index)
             continue;
         sum += *group.index * group.served;
         served += group.served;
+        windows += group.windows;
     }
-    return served > 0 ? std::optional(sum / served) : std::nullopt;
+    return served > 0 ? std::optional(fairness { sum / served, windows }) : std::nullopt;
 }
 
 } // namespace carawaylink::load
--- a/libs/load/src/metrics_text.cpp
+++ b/libs/load/src/metrics_text.cpp
@@ -102,8 +102,10 @@
     boost::json::object services;
     for (const auto& [service, group] : metrics.services)
         services[service] = groupJson(metrics, group);
-    return boost::json::serialize(boost::json::object { { "seconds", metrics.seconds }, { "total", groupJson(metrics, metrics.total) },
-        { "tiers", tiers }, { "services", services }, { "jain", optionalNumber(metrics.jain) } });
+    return boost::json::serialize(
+        boost::json::object { { "seconds", metrics.seconds }, { "total", groupJson(metrics, metrics.total) }, { "tiers", tiers },
+            { "services", services }, { "jain", metrics.jain ? boost::json::value(metrics.jain->index) : boost::json::value(nullptr) },
+            { "jain_windows", metrics.jain ? metrics.jain->windows : 0 } });
 }
 
 std::string metricsLine(const load_metrics& metrics, const std::string& extra)
@@ -115,9 +117,9 @@
         line += " tier" + std::to_string(tier) + "_goodput_share=" + decimal(group.share(group.good), 4);
     line += " refused_share=" + decimal(total.share(total.refused), 4) + " unknown_share=" + decimal(total.share(total.unknown), 4)
         + " wrong=" + std::to_string(total.wrong) + " wasted_prefill_share=" + optionalDecimal(total.wastedPrefillShare(), 4)
-        + " jain=" + optionalDecimal(metrics.jain, 4) + " first_token_p95_ms=" + decimal(milliseconds(total.firstToken, 0.95), 2)
-        + " between_tokens_p95_ms=" + decimal(milliseconds(total.betweenTokens, 0.95), 2)
-        + " whole_p99_ms=" + decimal(milliseconds(total.whole, 0.99), 2);
+        + " jain=" + (metrics.jain ? decimal(metrics.jain->index, 4) + " jain_windows=" + std::to_string(metrics.jain->windows) : "na")
+        + " first_token_p95_ms=" + decimal(milliseconds(total.firstToken, 0.95), 2) + " between_tokens_p95_ms="
+        + decimal(milliseconds(total.betweenTokens, 0.95), 2) + " whole_p99_ms=" + decimal(milliseconds(total.whole, 0.99), 2);
     return extra.empty() ? line : line + " " + extra;
 }
 
--- a/libs/load/tests/metrics_tests.cpp
+++ b/libs/load/tests/metrics_tests.cpp
@@ -97,15 +97,16 @@
             + std::to_string(until) + R"(,"event":"granted"})" + "\n";
     };
     std::string shortWaits;
-    for (int i = 0; i < 300; ++i)
+    for (int i = 0; i < 500; ++i)
         shortWaits += queued("idle", "i" + std::to_string(i), i * 10000, (i + 1) * 10000);
-    const auto atNode = history::parse({ shortWaits + queued("heavy", "h", 0, 3000000) + queued("light", "l", 0, 3000000) });
-    EXPECT_NEAR(weightedJain(atNode, outcomes, { { "heavy", 3 } }).value(), 1.0, 1e-9);
-    EXPECT_NEAR(weightedJain(atNode, outcomes, {}).value(), 400.0 * 400 / (2 * (300 * 300 + 100 * 100)), 1e-9);
+    const auto atNode = history::parse({ shortWaits + queued("heavy", "h", 0, 5000000) + queued("light", "l", 0, 5000000) });
+    EXPECT_NEAR(weightedJain(atNode, outcomes, { { "heavy", 3 } }).value().index, 1.0, 1e-9);
+    EXPECT_NEAR(weightedJain(atNode, outcomes, {}).value().index, 400.0 * 400 / (2 * (300 * 300 + 100 * 100)), 1e-9);
     const auto atEngine
         = history::parse({ engineLine("e1", "heavy-call", "received", 0, 0) + engineLine("e1", "light-call", "received", 0, 0)
-            + engineLine("e1", "heavy-call", "started", 3000000, 0) + engineLine("e1", "light-call", "started", 3000000, 0) });
-    EXPECT_NEAR(weightedJain(atEngine, outcomes, { { "heavy", 3 } }).value(), 1.0, 1e-9);
+            + engineLine("e1", "heavy-call", "started", 5000000, 0) + engineLine("e1", "light-call", "started", 5000000, 0) });
+    EXPECT_NEAR(weightedJain(atEngine, outcomes, { { "heavy", 3 } }).value().index, 1.0, 1e-9);
+    EXPECT_EQ(weightedJain(atEngine, outcomes, {}).value().windows, 1);
     EXPECT_FALSE(weightedJain(history::parse({ shortWaits }), outcomes, {}).has_value());
 }
 
