--- a/libs/membership/src/member_changes.cpp
+++ b/libs/membership/src/member_changes.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
+#include <tuple>
 
 namespace carawaylink {
 namespace {
--- a/libs/membership/src/ownership.cpp
+++ b/libs/membership/src/ownership.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <ranges>
 #include <tuple>
 #include <xxhash.h>
 
@@ -96,7 +95,7 @@
     std::ranges::sort(candidates, before);
 
     std::vector<member_update> chosen;
-    for (const auto& item : candidates | std::views::take(count))
+    for (const auto& item : std::span(candidates).first(std::min(count, candidates.size())))
         chosen.push_back(*item.member);
     return chosen;
 }
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
-#include <ranges>
 
 namespace carawaylink {
 namespace {
@@ -198,9 +196,10 @@
 
 std::vector<node_id> failure_detector::implementation::randomMembers(std::size_t count, const node_id& except)
 {
+    std::vector<node_id> alive;
+    std::ranges::copy_if(probeOrder, std::back_inserter(alive),
+        [&](const node_id& node) { return node != except && members.at(node).info.state == member_state::alive; });
     std::vector<node_id> chosen;
-    auto alive = probeOrder
-        | std::views::filter([&](const node_id& node) { return node != except && members.at(node).info.state == member_state::alive; });
     std::ranges::sample(alive, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), random);
     return chosen;
 }
--- a/libs/ticket/src/witness_table.cpp
+++ b/libs/ticket/src/witness_table.cpp
@@ -57,7 +57,10 @@
     std::uint64_t run = 0;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const forgotten_mark&, const forgotten_mark&) = default;
+    friend bool operator<(const forgotten_mark& a, const forgotten_mark& b)
+    {
+        return std::pair(a.run, a.sequence) < std::pair(b.run, b.sequence);
+    }
 };
 
 // Nodes share a mark by hash; a shared mark only refuses more. 1,024 marks take 16 KB for any number of forgotten incarnations.
@@ -88,7 +91,7 @@
             return &found->second;
         }
         const auto mark = markOf(value.home.node);
-        if (forgotten_mark { value.home.run.value, value.sequence } <= mark)
+        if (!(mark < forgotten_mark { value.home.run.value, value.sequence }))
             return nullptr;
         if (homes.size() >= maxHomes)
             forgetLeastRecentlyUsedHome();
