Complete the state exchange and shorten membership datagrams

Cause: views differed for minutes after many members started together, and each datagram repeated the sender's addresses. Change: exchanges repeat while they bring news and seldom afterwards; addresses are left out where the receiver knows them.

--- a/libs/membership/src/detector.h
+++ b/libs/membership/src/detector.h
@@ -18,6 +18,8 @@
     /// The member itself sent it.
     direct,
     gossip,
+    /// Part of a state exchange.
+    exchange,
 };
 
 struct member_record {
@@ -25,6 +27,8 @@
     monotonic_time stateSince;
     /// Last datagram from the member itself.
     monotonic_time heard;
+    /// Acknowledged a datagram with our full description, so that later ones may leave it out.
+    bool knowsSelf = false;
     /// Only while suspect.
     monotonic_time suspectUntil;
     /// Only for a suspicion raised here: when to tell the member again.
@@ -80,11 +84,18 @@
     monotonic_time nextPush;
 
     bool joined = false;
-    std::size_t joinExpected = 0;
-    std::size_t joinReceived = 0;
-    unsigned joinRepeats = 0;
-    monotonic_time joinCheck;
+    /// The state exchanges after the start are over.
+    bool settled = false;
+    unsigned pulls = 0;
+    /// Members in the last exchange, and how many of them arrived.
+    std::size_t exchangeExpected = 0;
+    std::size_t exchangeReceived = 0;
+    /// Members learned since the last exchange was requested.
+    std::size_t learned = 0;
     monotonic_time nextPull;
+    /// Doubles from exchange to exchange once settled.
+    duration pullInterval = std::chrono::seconds(5);
+    monotonic_time nextStrangerPull;
     monotonic_time joinAnswerWindow;
     unsigned joinAnswersInWindow = 0;
 
@@ -95,7 +106,8 @@
     // member_changes.cpp: what is known about members.
     void apply(monotonic_time now, const member_update& update, update_source source);
     void applyAboutSelf(const member_update& update);
-    void addMember(monotonic_time now, const member_update& update);
+    void addMember(monotonic_time now, const member_update& update, update_source source);
+    void addToProbeOrder(const node_id& node);
     void changeState(monotonic_time now, member_record& record, member_state state);
     void suspect(monotonic_time now, member_record& record, unsigned score);
     void announceSelf();
@@ -113,7 +125,8 @@
     std::optional<node_id> nextTarget();
     void probeDead(duration elapsed);
     void trySeeds(monotonic_time now);
-    void checkJoin(monotonic_time now);
+    void settle(monotonic_time now);
+    void pull(monotonic_time now, const node_id& from);
     void push(monotonic_time now);
     void noticeSuspects(monotonic_time now);
     std::vector<node_id> randomMembers(std::size_t count, const node_id& except);
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -12,8 +12,8 @@
 
 // A state exchange among 750 members takes about 100 datagrams; more joins are refused by silence and repeated elsewhere.
 constexpr unsigned maxJoinAnswersPerSecond = 20;
-constexpr duration pullInterval = std::chrono::seconds(5);
-constexpr duration joinCheckDelay = std::chrono::seconds(2);
+constexpr duration strangerPullInterval = std::chrono::seconds(5);
+constexpr duration firstExchangeTime = std::chrono::seconds(1);
 constexpr std::size_t maxDepartureNotices = 16;
 // Bounds the memory of probes made for others; at 4 packets/s a member handles a few at a time.
 constexpr std::size_t maxRelayedProbes = 256;
@@ -40,7 +40,9 @@
     // A member that is taken for suspect or dead is told so, whatever gossip is due, and can refute.
     const auto found = members.find(to);
     if (found != members.end() && found->second.info.state != member_state::alive)
-        packet.updates.push_back(found->second.info);
+        packet.updates.push_back(compact(found->second.info));
+    if (found != members.end() && found->second.knowsSelf && kind != packet_kind::join)
+        packet.sender = compact(std::move(packet.sender));
     gossip.fill(packet, to, settings.maxUpdates, transmissionLimit(liveMembers()));
     actions.push_back(send_packet { to, std::move(packet) });
 }
@@ -62,15 +64,21 @@
     const bool isNew = known == members.end();
     const auto refutation = self.refutation;
     apply(now, packet.sender, update_source::direct);
-    if (const auto found = members.find(from); found != members.end())
-        found->second.heard = now;
+    if (const auto found = members.find(from); found != members.end()) {
+        auto& record = found->second;
+        record.heard = now;
+        record.knowsSelf = packet.kind == packet_kind::ack || (record.knowsSelf && packet.kind != packet_kind::join);
+    }
+    const auto source = packet.kind == packet_kind::join_answer ? update_source::exchange : update_source::gossip;
     for (const auto& update : packet.updates) {
         if (encodedSize(update) <= maxUpdateBytes)
-            apply(now, update, update_source::gossip);
+            apply(now, update, source);
     }
-    // A member found other than by its own join may belong to a group that was started apart; its view is fetched once.
-    if (isNew && joined && packet.kind != packet_kind::join && nextPull <= now && packet.sender.state == member_state::alive) {
-        nextPull = now + pullInterval;
+    // A member that was unknown until now may belong to a group that was started apart, or may have left out its description
+    // because it takes it for known. Its view is fetched, and the join makes it describe itself.
+    if (isNew && settled && packet.kind != packet_kind::join && nextStrangerPull <= now
+        && packet.sender.state == member_state::alive) {
+        nextStrangerPull = now + strangerPullInterval;
         send(packet_kind::join, ++lastSequence, from);
     }
 
@@ -93,13 +101,11 @@
         answerJoin(now, packet);
         break;
     case packet_kind::join_answer:
+        if (!joined)
+            nextPull = now + firstExchangeTime;
         joined = true;
-        if (joinExpected == 0) {
-            joinReceived = 0;
-            joinCheck = now + joinCheckDelay;
-        }
-        joinExpected = std::max<std::size_t>(joinExpected, packet.sequence);
-        joinReceived += packet.updates.size();
+        exchangeExpected = std::max<std::size_t>(exchangeExpected, packet.sequence);
+        exchangeReceived += packet.updates.size();
         break;
     }
     // A ping was answered with the refutation already; other packets are not answered otherwise.
@@ -143,19 +149,17 @@
             updates.push_back(record.info);
     }
     membership_packet answer { packet_kind::join_answer, static_cast<std::uint32_t>(updates.size()), self, {}, {} };
-    auto bytes = datagramSize(answer);
-    const auto emptyBytes = bytes;
     const auto flush = [&] {
         actions.push_back(send_packet { to, answer });
         answer.updates.clear();
-        bytes = emptyBytes;
     };
     for (auto& update : updates) {
-        const auto size = encodedSize(update);
-        if (answer.updates.size() >= settings.maxUpdates || bytes + size > maxDatagramBytes)
+        answer.updates.push_back(update);
+        if (answer.updates.size() > settings.maxUpdates || datagramSize(answer) > maxDatagramBytes) {
+            answer.updates.pop_back();
             flush();
-        bytes += size;
-        answer.updates.push_back(std::move(update));
+            answer.updates.push_back(std::move(update));
+        }
     }
     if (!answer.updates.empty() || updates.empty())
         flush();
@@ -165,6 +169,8 @@
 {
     const auto refuse
         = [](const std::string& message, const std::string& remedy) { throw error(error_kind::invalid_settings, message, remedy); };
+    if (self.domain.value.empty())
+        refuse("the failure domain is empty", "set the failure domain of this vm");
     if (self.node.value.empty())
         refuse("the node id is empty", "set the address of the peer port");
     if (encodedSize(self) > maxUpdateBytes)
--- a/libs/membership/src/gossip_queue.cpp
+++ b/libs/membership/src/gossip_queue.cpp
@@ -11,7 +11,8 @@
 void gossip_queue::add(member_update update)
 {
     auto& item = m_entries[update.node];
-    item = { std::move(update), 0 };
+    const bool isAlive = update.state == member_state::alive;
+    item = { isAlive ? std::move(update) : compact(std::move(update)), 0 };
 }
 
 void gossip_queue::fill(membership_packet& packet, const node_id& to, std::size_t maxUpdates, std::size_t limit)
@@ -28,20 +29,27 @@
             candidates.push_back(&item);
     }
     std::ranges::stable_sort(candidates, {}, &entry::transmissions);
-    std::size_t bytes = datagramSize(packet);
     for (auto* item : candidates) {
         if (packet.updates.size() >= maxUpdates)
             break;
-        const auto size = encodedSize(item->update);
-        if (bytes + size > maxDatagramBytes)
-            continue;
-        bytes += size;
         packet.updates.push_back(item->update);
+        if (datagramSize(packet) > maxDatagramBytes) {
+            packet.updates.pop_back();
+            continue;
+        }
         if (++item->transmissions >= limit)
             m_entries.erase(item->update.node);
     }
 }
 
+member_update compact(member_update update)
+{
+    update.domain = {};
+    update.region.clear();
+    update.httpAddress.clear();
+    return update;
+}
+
 std::size_t transmissionLimit(std::size_t members)
 {
     // bit_width(n) is ceil(log2(n + 1)).
--- a/libs/membership/src/gossip_queue.h
+++ b/libs/membership/src/gossip_queue.h
@@ -16,6 +16,7 @@
     bool contains(const node_id& node) const { return m_entries.contains(node); }
     std::size_t size() const { return m_entries.size(); }
     /// Appends updates to the packet until it has maxUpdates or is full. transmissionLimit: times an update is sent in all.
+    /// Updates of members that are not alive go without their addresses, which the receiver knows or does not need.
     void fill(membership_packet& packet, const node_id& to, std::size_t maxUpdates, std::size_t transmissionLimit);
 
 private:
@@ -26,6 +27,10 @@
     std::map<node_id, entry> m_entries;
 };
 
+/// The update without domain, region and address; a member that is unknown to the receiver is not added from it.
+member_update compact(member_update update);
+inline bool isCompact(const member_update& update) { return update.domain.value.empty(); }
+
 /// Times that an update is sent by each member: 3 * ceil(log2(members + 1)), which reaches all members with high probability.
 std::size_t transmissionLimit(std::size_t members);
 
--- a/libs/membership/src/member_changes.cpp
+++ b/libs/membership/src/member_changes.cpp
@@ -52,8 +52,8 @@
     const auto found = members.find(update.node);
     if (found == members.end()) {
         // Death of an unknown member is not recorded, else forgotten members would return through newcomers for ever.
-        if (isLive(update.state))
-            addMember(now, update);
+        if (isLive(update.state) && !isCompact(update))
+            addMember(now, update, source);
         return;
     }
     auto& record = found->second;
@@ -61,17 +61,15 @@
     if (update.run < known.run)
         return;
     if (update.run > known.run) {
+        if (isLive(update.state) && isCompact(update))
+            return;
         const auto before = known.state;
         known = update;
-        record.heard = {};
-        record.stateSince = now;
+        record = { known, now, {}, false, now + suspicionTime(healthScore), {} };
         if (isLive(update.state) && !isLive(before))
-            addMember(now, update);
+            addToProbeOrder(update.node);
         else if (!isLive(update.state) && isLive(before))
             std::erase(probeOrder, update.node);
-        if (known.state == member_state::suspect)
-            record.suspectUntil = now + suspicionTime(healthScore);
-        record.nextNotice.reset();
         gossip.add(known);
         actions.push_back(member_changed { known, before });
         return;
@@ -137,22 +135,22 @@
     pushDue = true;
 }
 
-void failure_detector::implementation::addMember(monotonic_time now, const member_update& update)
+void failure_detector::implementation::addMember(monotonic_time now, const member_update& update, update_source source)
 {
-    const auto [position, inserted] = members.try_emplace(update.node);
-    auto& record = position->second;
-    if (inserted) {
-        record.info = update;
-        record.stateSince = now;
-        record.heard = {};
-        gossip.add(update);
-        actions.push_back(member_changed { update, member_state::dead });
-    }
-    if (record.info.state == member_state::suspect)
-        record.suspectUntil = now + suspicionTime(healthScore);
+    members[update.node] = { update, now, {}, false, now + suspicionTime(healthScore), {} };
     seeds.remove(update.node);
+    addToProbeOrder(update.node);
+    ++learned;
+    // What a newcomer learns is known to others already; gossip about all members would fill its datagrams for minutes.
+    if (settled || source == update_source::direct)
+        gossip.add(update);
+    actions.push_back(member_changed { update, member_state::dead });
+}
+
+void failure_detector::implementation::addToProbeOrder(const node_id& node)
+{
     const auto place = std::uniform_int_distribution<std::size_t>(0, probeOrder.size())(random);
-    probeOrder.insert(probeOrder.begin() + static_cast<std::ptrdiff_t>(place), update.node);
+    probeOrder.insert(probeOrder.begin() + static_cast<std::ptrdiff_t>(place), node);
     if (place < probeIndex)
         ++probeIndex;
 }
@@ -168,7 +166,9 @@
         if (current && current->target == record.info.node)
             current.reset();
     } else if (!isLive(before) && isLive(state)) {
-        addMember(now, record.info);
+        addToProbeOrder(record.info.node);
+        // It may have forgotten this process meanwhile.
+        record.knowsSelf = false;
     }
     gossip.add(record.info);
     if (!isLive(state))
--- a/libs/membership/src/packet_size.cpp
+++ b/libs/membership/src/packet_size.cpp
@@ -1,5 +1,7 @@
 #include "membership/packet_size.h"
 
+#include <algorithm>
+
 namespace carawaylink {
 namespace {
 
@@ -13,10 +15,11 @@
 // Table of member_update: offset to its vtable 4, incarnation 8, config_version 8, refutation 4, four string offsets 16, two
 // single bytes, padding; and the offset that refers to the table.
 constexpr std::size_t updateTableBytes = 4 + 8 + 8 + 4 + 16 + 4 + 8 + 4;
-// The vtable of 9 fields is shared by updates that set the same fields; the two layouts that gossip mixes are counted per packet.
-constexpr std::size_t updateVtableBytes = 3 * (4 + 2 * 9 + 2);
-// Root offset, table of membership_packet, its vtable, the length of the vector of updates, padding.
-constexpr std::size_t packetTableBytes = 4 + 32 + 20 + 4 + 8;
+// A vtable of 9 fields is shared by updates that set the same fields; a packet seldom has more than 5 such layouts.
+constexpr std::size_t updateVtableBytes = 4 + 2 * 9 + 2;
+constexpr std::size_t maxVtables = 5;
+// Root offset, table of membership_packet, its vtable, the length of the vector of updates.
+constexpr std::size_t packetTableBytes = 4 + 32 + 20 + 4;
 constexpr std::size_t macBytes = 4 + 32;
 
 } // namespace
@@ -29,7 +32,7 @@
 
 std::size_t datagramSize(const membership_packet& packet)
 {
-    std::size_t bytes = datagramHeaderBytes + packetTableBytes + updateVtableBytes + macBytes + stringBytes(maxClusterNameBytes)
+    std::size_t bytes = datagramHeaderBytes + packetTableBytes + macBytes + updateVtableBytes * std::min(maxVtables, 1 + packet.updates.size()) + stringBytes(maxClusterNameBytes)
         + stringBytes(packet.target.value.size()) + encodedSize(packet.sender);
     for (const auto& update : packet.updates)
         bytes += encodedSize(update);
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -22,8 +22,15 @@
 constexpr double maxDeadProbesPerSecond = 1;
 // Each dead member is probed by someone about this many times per deadProbeInterval.
 constexpr double deadProbeFactor = 2;
-constexpr duration joinCheckDelay = seconds(2);
-constexpr unsigned maxJoinRepeats = 3;
+// Between two state exchanges after the start; an answer of 100 datagrams arrives in much less.
+constexpr duration settleInterval = seconds(1);
+// Known members can double with every exchange, so 12 are enough for thousands that start together.
+constexpr unsigned maxPulls = 12;
+// With fewer, members that started together stopped while they and all whom they asked still knew little.
+constexpr unsigned minPulls = 3;
+// The long interval keeps the repeated exchanges at about 50 B/s per member in any size.
+constexpr duration minLongPullInterval = seconds(30);
+constexpr duration pullIntervalPerMember = milliseconds(2500);
 
 } // namespace
 
@@ -47,7 +54,7 @@
     noticeSuspects(now);
     probeDead(std::min(elapsed, pauseThreshold));
     trySeeds(now);
-    checkJoin(now);
+    settle(now);
     push(now);
     if (nextSweep <= now) {
         nextSweep = now + seconds(1);
@@ -171,17 +178,32 @@
     }
 }
 
-void failure_detector::implementation::checkJoin(monotonic_time now)
+/// Repeats the state exchange while it brings news, because parts of it may be lost and members that start together know little;
+/// later repeats it seldom, which repairs views that differ although no gossip is due.
+void failure_detector::implementation::settle(monotonic_time now)
 {
-    if (joinExpected <= joinReceived || joinCheck > now)
+    // A member whose seeds joined it before they answered has not joined, but knows whom to ask.
+    if (probeOrder.empty() || nextPull > now)
         return;
-    // A part of the exchange was lost; another member is asked for all of it.
-    joinExpected = 0;
-    if (joinRepeats++ < maxJoinRepeats) {
-        for (const auto& node : randomMembers(1, {}))
-            send(packet_kind::join, ++lastSequence, node);
+    const bool incomplete = exchangeReceived < exchangeExpected;
+    settled = settled || pulls >= maxPulls || (pulls >= minPulls && !incomplete && learned == 0);
+    ++pulls;
+    for (const auto& node : randomMembers(1, {}))
+        pull(now, node);
+}
+
+void failure_detector::implementation::pull(monotonic_time now, const node_id& from)
+{
+    if (settled) {
+        pullInterval = std::min(2 * pullInterval, std::max<duration>(minLongPullInterval, probeOrder.size() * pullIntervalPerMember));
+        nextPull = now + pullInterval;
+    } else {
+        nextPull = now + settleInterval;
     }
-    joinCheck = now + joinCheckDelay;
+    learned = 0;
+    exchangeExpected = 0;
+    exchangeReceived = 0;
+    send(packet_kind::join, ++lastSequence, from);
 }
 
 void failure_detector::implementation::push(monotonic_time now)
