--- a/libs/membership/src/detector.h
+++ b/libs/membership/src/detector.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace carawaylink {
@@ -60,6 +61,11 @@
     std::vector<membership_action> actions;
 
     std::map<node_id, member_record> members;
+    // Kept apart, because ticks visit them and they are few.
+    std::set<node_id> suspects;
+    std::set<node_id> dead;
+    /// Dead members that others have for alive; probed soon.
+    std::set<node_id> recheck;
     gossip_queue gossip;
     seed_list seeds;
 
@@ -108,6 +114,7 @@
     void applyAboutSelf(const member_update& update);
     void addMember(monotonic_time now, const member_update& update, update_source source);
     void addToProbeOrder(const node_id& node);
+    void index(const member_update& member);
     void changeState(monotonic_time now, member_record& record, member_state state);
     void suspect(monotonic_time now, member_record& record, unsigned score);
     void announceSelf();
@@ -124,9 +131,11 @@
     void failProbe(monotonic_time now);
     std::optional<node_id> nextTarget();
     void probeDead(duration elapsed);
+    void recheckDead();
     void trySeeds(monotonic_time now);
     void settle(monotonic_time now);
     void pull(monotonic_time now, const node_id& from);
+    void pullFromStranger(monotonic_time now, const node_id& from);
     void push(monotonic_time now);
     void noticeSuspects(monotonic_time now);
     std::vector<node_id> randomMembers(std::size_t count, const node_id& except);
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -12,7 +12,6 @@
 
 // A state exchange among 750 members takes about 100 datagrams; more joins are refused by silence and repeated elsewhere.
 constexpr unsigned maxJoinAnswersPerSecond = 20;
-constexpr duration strangerPullInterval = std::chrono::seconds(5);
 constexpr duration firstExchangeTime = std::chrono::seconds(1);
 constexpr std::size_t maxDepartureNotices = 16;
 // Bounds the memory of probes made for others; at 4 packets/s a member handles a few at a time.
@@ -62,6 +61,7 @@
     if (known != members.end() && packet.sender.run < known->second.info.run)
         return;
     const bool isNew = known == members.end();
+    const bool wasDead = dead.contains(from);
     const auto refutation = self.refutation;
     apply(now, packet.sender, update_source::direct);
     if (const auto found = members.find(from); found != members.end()) {
@@ -75,12 +75,11 @@
             apply(now, update, source);
     }
     // A member that was unknown until now may belong to a group that was started apart, or may have left out its description
-    // because it takes it for known. Its view is fetched, and the join makes it describe itself.
-    if (isNew && settled && packet.kind != packet_kind::join && nextStrangerPull <= now
-        && packet.sender.state == member_state::alive) {
-        nextStrangerPull = now + strangerPullInterval;
-        send(packet_kind::join, ++lastSequence, from);
-    }
+    // because it takes it for known. Its view is fetched, and the join makes it describe itself. One that comes back while
+    // others are still dead may be the first to cross the end of a partition.
+    const bool unknownGroup = isNew && settled && packet.kind != packet_kind::join && packet.sender.state == member_state::alive;
+    if (unknownGroup || (wasDead && !dead.contains(from) && !dead.empty()))
+        pullFromStranger(now, from);
 
     switch (packet.kind) {
     case packet_kind::ping:
--- a/libs/membership/src/member_changes.cpp
+++ b/libs/membership/src/member_changes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <tuple>
 
 namespace carawaylink {
@@ -66,6 +67,7 @@
         const auto before = known.state;
         known = update;
         record = { known, now, {}, false, now + suspicionTime(healthScore), {} };
+        index(known);
         if (isLive(update.state) && !isLive(before))
             addToProbeOrder(update.node);
         else if (!isLive(update.state) && isLive(before))
@@ -75,6 +77,9 @@
         return;
     }
     if (rankOf(update) <= rankOf(known)) {
+        // Others still have it for alive: after a partition it does not know yet that it has to refute.
+        if (source == update_source::exchange && known.state == member_state::dead && isLive(update.state))
+            recheck.insert(update.node);
         if (source == update_source::direct && mergeAttributes(known, update))
             actions.push_back(member_changed { known, known.state });
         return;
@@ -96,12 +101,12 @@
         suspect(now, record, healthScore);
         break;
     case member_state::dead:
-        // A member that was heard within the suspicion time gets the chance to refute: the report may come from a member that
-        // is partly cut off, or from before the end of a partition.
-        if (isLive(known.state) && record.heard + settings.suspicionTimeout > now) {
-            if (known.state != member_state::suspect || refutationRose)
-                suspect(now, record, healthScore);
-        } else {
+        // A member that was not suspected here, or was heard within the suspicion time, gets the chance to refute first: the
+        // report may come from a member that is partly cut off, or from before the end of a partition.
+        if (known.state == member_state::alive || (known.state == member_state::suspect && refutationRose)) {
+            suspect(now, record, healthScore);
+            record.nextNotice = now;
+        } else if (known.state != member_state::suspect || record.heard + settings.suspicionTimeout <= now) {
             changeState(now, record, member_state::dead);
         }
         break;
@@ -138,6 +143,7 @@
 void failure_detector::implementation::addMember(monotonic_time now, const member_update& update, update_source source)
 {
     members[update.node] = { update, now, {}, false, now + suspicionTime(healthScore), {} };
+    index(update);
     seeds.remove(update.node);
     addToProbeOrder(update.node);
     ++learned;
@@ -155,11 +161,24 @@
         ++probeIndex;
 }
 
+void failure_detector::implementation::index(const member_update& member)
+{
+    const auto place = [&](std::set<node_id>& nodes, member_state state) {
+        if (member.state == state)
+            nodes.insert(member.node);
+        else
+            nodes.erase(member.node);
+    };
+    place(suspects, member_state::suspect);
+    place(dead, member_state::dead);
+}
+
 void failure_detector::implementation::changeState(monotonic_time now, member_record& record, member_state state)
 {
     const auto before = record.info.state;
     record.info.state = state;
     record.stateSince = now;
+    index(record.info);
     record.nextNotice.reset();
     if (isLive(before) && !isLive(state)) {
         std::erase(probeOrder, record.info.node);
@@ -184,18 +203,21 @@
 
 void failure_detector::implementation::endSuspicions(monotonic_time now)
 {
-    for (auto& [node, record] : members) {
-        if (record.info.state == member_state::suspect && record.suspectUntil <= now)
-            changeState(now, record, member_state::dead);
-    }
+    std::vector<node_id> ended;
+    std::ranges::copy_if(suspects, std::back_inserter(ended), [&](const auto& node) { return members.at(node).suspectUntil <= now; });
+    for (const auto& node : ended)
+        changeState(now, members.at(node), member_state::dead);
 }
 
 void failure_detector::implementation::forgetOldMembers(monotonic_time now)
 {
     std::erase_if(members, [&](const auto& item) {
         const bool old = !isLive(item.second.info.state) && item.second.stateSince + settings.forgetAfter < now;
-        if (old)
+        if (old) {
             gossip.remove(item.first);
+            dead.erase(item.first);
+            recheck.erase(item.first);
+        }
         return old;
     });
 }
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -28,6 +28,7 @@
 constexpr unsigned maxPulls = 12;
 // With fewer, members that started together stopped while they and all whom they asked still knew little.
 constexpr unsigned minPulls = 3;
+constexpr duration strangerPullInterval = seconds(5);
 // The long interval keeps the repeated exchanges at about 50 B/s per member in any size.
 constexpr duration minLongPullInterval = seconds(30);
 constexpr duration pullIntervalPerMember = milliseconds(2500);
@@ -53,6 +54,7 @@
         startProbe(now);
     noticeSuspects(now);
     probeDead(std::min(elapsed, pauseThreshold));
+    recheckDead();
     trySeeds(now);
     settle(now);
     push(now);
@@ -136,21 +138,17 @@
 /// Tells members suspected here so, that they can refute without waiting for gossip.
 void failure_detector::implementation::noticeSuspects(monotonic_time now)
 {
-    for (auto& [node, record] : members) {
-        if (record.info.state != member_state::suspect || !record.nextNotice || *record.nextNotice > now)
+    for (const auto& node : suspects) {
+        auto& next = members.at(node).nextNotice;
+        if (!next || *next > now)
             continue;
-        record.nextNotice = now + 2 * settings.probeTimeout;
+        next = now + 2 * settings.probeTimeout;
         ping(node);
     }
 }
 
 void failure_detector::implementation::probeDead(duration elapsed)
 {
-    std::vector<const node_id*> dead;
-    for (const auto& [node, record] : members) {
-        if (record.info.state == member_state::dead)
-            dead.push_back(&node);
-    }
     if (dead.empty())
         return;
     // The live members share the work, so that neither a lost failure domain nor a lost vm of many causes a storm of probes.
@@ -160,7 +158,18 @@
     if (deadProbeCredit < 1)
         return;
     deadProbeCredit -= 1;
-    ping(*dead[std::uniform_int_distribution<std::size_t>(0, dead.size() - 1)(random)]);
+    ping(*std::next(dead.begin(), std::uniform_int_distribution<std::ptrdiff_t>(0, std::ssize(dead) - 1)(random)));
+}
+
+/// One per tick: what the first of them tell by gossip makes most of the others unnecessary.
+void failure_detector::implementation::recheckDead()
+{
+    std::erase_if(recheck, [&](const auto& node) { return !dead.contains(node); });
+    if (recheck.empty())
+        return;
+    const auto chosen = std::next(recheck.begin(), std::uniform_int_distribution<std::ptrdiff_t>(0, std::ssize(recheck) - 1)(random));
+    ping(*chosen);
+    recheck.erase(chosen);
 }
 
 void failure_detector::implementation::trySeeds(monotonic_time now)
@@ -206,6 +215,15 @@
     send(packet_kind::join, ++lastSequence, from);
 }
 
+/// Fetches the view of a member that may belong to a group apart.
+void failure_detector::implementation::pullFromStranger(monotonic_time now, const node_id& from)
+{
+    if (nextStrangerPull > now)
+        return;
+    nextStrangerPull = now + strangerPullInterval;
+    send(packet_kind::join, ++lastSequence, from);
+}
+
 void failure_detector::implementation::push(monotonic_time now)
 {
     if (!pushDue || nextPush > now)
--- a/libs/membership/tests/packet_size_tests.cpp
+++ b/libs/membership/tests/packet_size_tests.cpp
@@ -3,7 +3,6 @@
 #include "wire/generated/messages_generated.h"
 
 #include <gtest/gtest.h>
-#include <iostream>
 
 namespace carawaylink {
 namespace {
@@ -63,7 +62,6 @@
         EXPECT_GE(datagramSize(packet), actual) << count;
         // An estimate far above would waste room for updates.
         EXPECT_LE(datagramSize(packet), actual + 160) << count;
-        std::cout << count << " " << actual << " " << datagramSize(packet) << "\n";
     }
 }
 
