--- a/libs/membership/src/member_changes.cpp
+++ b/libs/membership/src/member_changes.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
+#include <iterator>
+#include <tuple>
 
 namespace carawaylink {
 namespace {
@@ -52,8 +53,8 @@
     const auto found = members.find(update.node);
     if (found == members.end()) {
         // Death of an unknown member is not recorded, else forgotten members would return through newcomers for ever.
-        if (isLive(update.state))
-            addMember(now, update);
+        if (isLive(update.state) && !isCompact(update))
+            addMember(now, update, source);
         return;
     }
     auto& record = found->second;
@@ -61,22 +62,24 @@
     if (update.run < known.run)
         return;
     if (update.run > known.run) {
+        if (isLive(update.state) && isCompact(update))
+            return;
         const auto before = known.state;
         known = update;
-        record.heard = {};
-        record.stateSince = now;
+        record = { known, now, {}, false, now + suspicionTime(healthScore), {} };
+        index(known);
         if (isLive(update.state) && !isLive(before))
-            addMember(now, update);
+            addToProbeOrder(update.node);
         else if (!isLive(update.state) && isLive(before))
             std::erase(probeOrder, update.node);
-        if (known.state == member_state::suspect)
-            record.suspectUntil = now + suspicionTime(healthScore);
-        record.nextNotice.reset();
         gossip.add(known);
         actions.push_back(member_changed { known, before });
         return;
     }
     if (rankOf(update) <= rankOf(known)) {
+        // Others still have it for alive: after a partition it does not know yet that it has to refute.
+        if (source == update_source::exchange && known.state == member_state::dead && isLive(update.state))
+            recheck.insert(update.node);
         if (source == update_source::direct && mergeAttributes(known, update))
             actions.push_back(member_changed { known, known.state });
         return;
@@ -98,12 +101,12 @@
         suspect(now, record, healthScore);
         break;
     case member_state::dead:
-        // A member that was heard within the suspicion time gets the chance to refute: the report may come from a member that
-        // is partly cut off, or from before the end of a partition.
-        if (isLive(known.state) && record.heard + settings.suspicionTimeout > now) {
-            if (known.state != member_state::suspect || refutationRose)
-                suspect(now, record, healthScore);
-        } else {
+        // A member that was not suspected here, or was heard within the suspicion time, gets the chance to refute first: the
+        // report may come from a member that is partly cut off, or from before the end of a partition.
+        if (known.state == member_state::alive || (known.state == member_state::suspect && refutationRose)) {
+            suspect(now, record, healthScore);
+            record.nextNotice = now;
+        } else if (known.state != member_state::suspect || record.heard + settings.suspicionTimeout <= now) {
             changeState(now, record, member_state::dead);
         }
         break;
@@ -137,38 +140,54 @@
     pushDue = true;
 }
 
-void failure_detector::implementation::addMember(monotonic_time now, const member_update& update)
+void failure_detector::implementation::addMember(monotonic_time now, const member_update& update, update_source source)
 {
-    const auto [position, inserted] = members.try_emplace(update.node);
-    auto& record = position->second;
-    if (inserted) {
-        record.info = update;
-        record.stateSince = now;
-        record.heard = {};
-        gossip.add(update);
-        actions.push_back(member_changed { update, member_state::dead });
-    }
-    if (record.info.state == member_state::suspect)
-        record.suspectUntil = now + suspicionTime(healthScore);
+    members[update.node] = { update, now, {}, false, now + suspicionTime(healthScore), {} };
+    index(update);
     seeds.remove(update.node);
+    addToProbeOrder(update.node);
+    ++learned;
+    // What a newcomer learns is known to others already; gossip about all members would fill its datagrams for minutes.
+    if (settled || source == update_source::direct)
+        gossip.add(update);
+    actions.push_back(member_changed { update, member_state::dead });
+}
+
+void failure_detector::implementation::addToProbeOrder(const node_id& node)
+{
     const auto place = std::uniform_int_distribution<std::size_t>(0, probeOrder.size())(random);
-    probeOrder.insert(probeOrder.begin() + static_cast<std::ptrdiff_t>(place), update.node);
+    probeOrder.insert(probeOrder.begin() + static_cast<std::ptrdiff_t>(place), node);
     if (place < probeIndex)
         ++probeIndex;
 }
 
+void failure_detector::implementation::index(const member_update& member)
+{
+    const auto place = [&](std::set<node_id>& nodes, member_state state) {
+        if (member.state == state)
+            nodes.insert(member.node);
+        else
+            nodes.erase(member.node);
+    };
+    place(suspects, member_state::suspect);
+    place(dead, member_state::dead);
+}
+
 void failure_detector::implementation::changeState(monotonic_time now, member_record& record, member_state state)
 {
     const auto before = record.info.state;
     record.info.state = state;
     record.stateSince = now;
+    index(record.info);
     record.nextNotice.reset();
     if (isLive(before) && !isLive(state)) {
         std::erase(probeOrder, record.info.node);
         if (current && current->target == record.info.node)
             current.reset();
     } else if (!isLive(before) && isLive(state)) {
-        addMember(now, record.info);
+        addToProbeOrder(record.info.node);
+        // It may have forgotten this process meanwhile.
+        record.knowsSelf = false;
     }
     gossip.add(record.info);
     if (!isLive(state))
@@ -184,18 +203,21 @@
 
 void failure_detector::implementation::endSuspicions(monotonic_time now)
 {
-    for (auto& [node, record] : members) {
-        if (record.info.state == member_state::suspect && record.suspectUntil <= now)
-            changeState(now, record, member_state::dead);
-    }
+    std::vector<node_id> ended;
+    std::ranges::copy_if(suspects, std::back_inserter(ended), [&](const auto& node) { return members.at(node).suspectUntil <= now; });
+    for (const auto& node : ended)
+        changeState(now, members.at(node), member_state::dead);
 }
 
 void failure_detector::implementation::forgetOldMembers(monotonic_time now)
 {
     std::erase_if(members, [&](const auto& item) {
         const bool old = !isLive(item.second.info.state) && item.second.stateSince + settings.forgetAfter < now;
-        if (old)
+        if (old) {
             gossip.remove(item.first);
+            dead.erase(item.first);
+            recheck.erase(item.first);
+        }
         return old;
     });
 }
