--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -14,6 +14,8 @@
 constexpr double largestPreemptionFactor = 3;
 /// Pause before a request that found nothing to preempt looks again.
 constexpr duration retryPreemption = std::chrono::milliseconds(50);
+/// The same while no lower tier runs at all; lower tiers rarely start while higher ones wait.
+constexpr duration idlePreemption = std::chrono::milliseconds(250);
 /// An empty list of endpoints may be a passing state of the VM list.
 constexpr duration noEndpointGrace = std::chrono::seconds(1);
 
@@ -42,19 +44,13 @@
             "the pool has reached its limit of " + std::to_string(settings.maxWaiting) + " waiting requests", out);
         return false;
     }
-    const double cost = bestCost(now, record);
-    if (cost <= 0) {
-        enqueue(record);
-        setTimer(record, record.request.deadline);
-        return true;
-    }
+    const auto cost = bestCost(now, record);
     const double wait = waitEstimate(record);
-    const double needed = cost * (wait > 0 ? 1 + margin() : 1);
-    if (now + fromSeconds(wait + needed) <= record.request.deadline) {
+    const double needed = cost.seconds * (wait > 0 ? 1 + margin() : 1);
+    if (!cost.learned || now + fromSeconds(wait + needed) <= record.request.deadline) {
         enqueue(record);
-        const double factor
-            = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
-        setTimer(record, record.request.deadline - fromSeconds(cost * factor) - preemptionLead);
+        record.admittedCost = cost.learned ? cost.seconds : 0;
+        setTimer(record, preemptionDue(now, record, cost.seconds));
         return true;
     }
     enqueue(record);
@@ -67,6 +63,22 @@
     return false;
 }
 
+monotonic_time pool_scheduler::implementation::preemptionDue(monotonic_time now, request_record& record, double bestSeconds)
+{
+    const double factor = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
+    double needed = bestSeconds * factor;
+    // Preemption must also be possible where only slow endpoints run lower tiers, so the slowest one that is fast enough counts.
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->ejected)
+            continue;
+        const double cost = option(record, *entry, cached, true).cost;
+        if (now + preemptionLead + fromSeconds(cost) <= record.request.deadline)
+            needed = std::max(needed, cost);
+    }
+    return record.request.deadline - fromSeconds(needed) - preemptionLead - retryPreemption;
+}
+
 bool pool_scheduler::implementation::displaceOwn(request_record& record, actions& out)
 {
     auto& ownFlows = record.owner->team.flows;
@@ -80,6 +92,19 @@
     return false;
 }
 
+request_record* pool_scheduler::implementation::lastWaiting(tier level)
+{
+    auto& queue = tiers.at(level);
+    if (queue.size() > 0 || queue.parked == 0)
+        return queue.last();
+    for (const auto& entry : endpoints) {
+        const auto parked = std::ranges::find(entry->parked, level, [](const request_record& record) { return record.request.level; });
+        if (parked != entry->parked.end())
+            return &*parked;
+    }
+    return nullptr;
+}
+
 bool pool_scheduler::implementation::makeRoom(monotonic_time now, request_record& record, actions& out)
 {
     // The least urgent work goes first, whether it waits or runs: refusing waiting work of a tier while a less urgent one is
@@ -88,7 +113,7 @@
     for (auto entry = tiers.rbegin(); entry != tiers.rend() && entry->first > record.request.level; ++entry) {
         if (runningVictim && runningVictim->victims.begin()->request.level > entry->first)
             break;
-        if (auto* victim = entry->second.last()) {
+        if (auto* victim = lastWaiting(entry->first)) {
             unqueue(*victim);
             refuse(*victim, refusal_reason::displaced, "displaced by work of a more urgent tier", out);
             return true;
@@ -100,10 +125,17 @@
     return true;
 }
 
+bool pool_scheduler::implementation::lowerPreemptible(tier level) const
+{
+    return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
+}
+
 endpoint_record* pool_scheduler::implementation::findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start)
 {
     if (!settings.preemption)
         return nullptr;
+    if (!lowerPreemptible(record.request.level))
+        return nullptr;
     const auto cached = prefixes.match(record.request.prefixBlocks);
     endpoint_record* best = nullptr;
     for (const auto& entry : endpoints) {
@@ -126,6 +158,7 @@
     where.victims.erase(where.victims.iterator_to(victim));
     --queueOf(victim).preemptible;
     victim.preempting = true;
+    ++where.preempting;
     ++preempting;
     out.emplace_back(slot_preemption { victim.request.id, victim.request.home });
 }
@@ -145,27 +178,47 @@
     // this one would preempt again or be refused.
     park(now, record, *where, 0);
     record.parkedUntil = record.request.deadline;
-    setTimer(record, record.request.deadline - fromSeconds(choice.cost));
+    record.reserved = true;
+    ++where->reserved;
+    setTimer(record, now + retryPreemption);
     return true;
 }
 
 void pool_scheduler::implementation::countInversion(monotonic_time now, request_record& record, bool queueSpace)
 {
     // Work that would miss its deadline even on an idle pool is not refused for lack of capacity.
-    if (!queueSpace && record.submitted + fromSeconds(bestCost(now, record)) > record.request.deadline)
+    if (!queueSpace && record.submitted + fromSeconds(bestCost(now, record).seconds) > record.request.deadline)
+        return;
+    // Nor is work whose estimate grew while it waited, and that would still be in time by the estimate of its admission.
+    if (!queueSpace && record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline)
         return;
-    const bool lowerRunning = findVictim(now, record, queueSpace ? std::nullopt : std::optional(record.submitted)) != nullptr;
-    const bool lowerWaiting = queueSpace
-        && std::ranges::any_of(tiers, [&](const auto& entry) { return entry.first > record.request.level && entry.second.size() > 0; });
+    // Nor is work that left less time to spare than a preemption takes.
+    const auto start = queueSpace ? std::nullopt : std::optional(record.submitted + preemptionLead);
+    const bool lowerRunning = findVictim(now, record, start) != nullptr;
+    const bool lowerWaiting = queueSpace && std::ranges::any_of(tiers, [&](const auto& entry) {
+        return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0;
+    });
     inversions += lowerRunning || lowerWaiting ? 1 : 0;
 }
 
+void pool_scheduler::implementation::renewReservations(monotonic_time now, actions& out)
+{
+    for (const auto& entry : endpoints) {
+        while (entry->reserved > entry->preempting + freeSlots(*entry, now)) {
+            auto& record = *std::ranges::find_if(entry->parked, &request_record::reserved);
+            unpark(record);
+            // Without a victim it waits in its queue, and its timer decides.
+            if (!preemptFor(now, record, out))
+                setTimer(record, now + retryPreemption);
+        }
+    }
+}
+
 void pool_scheduler::implementation::checkWaiting(monotonic_time now, request_record& record, actions& out)
 {
-    const double cost = bestCost(now, record);
-    const auto latest = record.request.deadline - fromSeconds(cost);
+    const auto cost = bestCost(now, record);
+    const auto latest = record.request.deadline - (cost.learned ? fromSeconds(cost.seconds) : duration {});
     const bool passed = now >= record.request.deadline;
-    const bool reserved = record.phase == request_phase::parked && record.parkedUntil >= record.request.deadline;
     if (passed || now > latest) {
         countInversion(now, record, false);
         unqueue(record);
@@ -173,12 +226,8 @@
             "no slot was free in time: waited " + milliseconds(toSeconds(now - record.submitted)), out);
         return;
     }
-    if (cost <= 0 || reserved || (record.phase == request_phase::waiting && !findVictim(now, record, std::nullopt))) {
-        setTimer(record, latest + duration(1));
-        return;
-    }
-    if (!preemptFor(now, record, out))
-        setTimer(record, std::min(latest + duration(1), now + retryPreemption));
+    if (record.reserved || !preemptFor(now, record, out))
+        setTimer(record, std::min(latest + duration(1), now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption)));
 }
 
 void pool_scheduler::implementation::runTimers(monotonic_time now, actions& out)
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -83,18 +83,18 @@
     return others > (record.phase == request_phase::waiting || record.phase == request_phase::parked ? 1U : 0U);
 }
 
-double pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
+run_time pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    double best = std::numeric_limits<double>::infinity();
+    run_time best;
     for (const auto& entry : endpoints) {
         if (!entry->eligible() || entry->ejected)
             continue;
-        if (!modelsOf(*entry).learned(now))
-            return 0;
-        best = std::min(best, option(record, *entry, cached, true).cost);
+        const double cost = option(record, *entry, cached, true).cost;
+        if (best.seconds <= 0 || cost < best.seconds)
+            best = { cost, modelsOf(*entry).learned(now) };
     }
-    return std::isinf(best) ? 0 : best;
+    return best;
 }
 
 double pool_scheduler::implementation::waitEstimate(request_record& record)
@@ -129,8 +129,17 @@
     for (auto& [level, queue] : tiers) {
         if (queue.size() == 0)
             continue;
-        if (auto* record = queue.next(longAllowed(level)))
-            return record;
+        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
+        for (;;) {
+            auto* record = queue.next(longAllowed(level));
+            const double median = queue.costs.value();
+            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+                return record;
+            // It was queued before enough shorter requests had shown that it is long; this happens once per request.
+            queue.remove(*record);
+            record->longRequest = true;
+            queue.push(*record, longAllowed(level));
+        }
     }
     return nullptr;
 }
@@ -141,10 +150,11 @@
         serveParked(now, out);
         auto* record = next();
         if (!record || std::ranges::none_of(endpoints, [&](const auto& entry) { return freeSlots(*entry, now) > 0; }))
-            return;
+            break;
         if (!place(now, *record, out))
-            return;
+            break;
     }
+    renewReservations(now, out);
 }
 
 void pool_scheduler::implementation::serveParked(monotonic_time now, actions& out)
@@ -205,6 +215,7 @@
         park(now, record, *bestFull.endpoint, bestFull.wait);
     } else if (!preemptFor(now, record, out)) {
         countInversion(now, record, false);
+        unqueue(record);
         refuse(record, refusal_reason::deadline_unreachable, "no endpoint can finish the request before its deadline", out);
     }
     return true;
@@ -216,6 +227,8 @@
     auto& queue = queueOf(record);
     if (record.phase == request_phase::parked) {
         where.parked.erase(where.parked.iterator_to(record));
+        where.reserved -= record.reserved ? 1 : 0;
+        record.reserved = false;
         --queue.parked;
         queue.longRunning -= record.longRequest ? 1 : 0;
         --waiting;
--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -11,6 +11,10 @@
 
 /// Finished requests that explain() remembers; about 400 bytes each.
 constexpr std::size_t historySize = 2048;
+/// Lead in virtual time that short requests may gain by long_slot_share, in requests of the long team.
+constexpr double longCreditRequests = 2;
+/// Slots kept free of long requests per slot that recent short ones kept busy; their arrivals are bursty.
+constexpr double shortHeadroom = 1.5;
 
 } // namespace
 
@@ -57,6 +61,8 @@
     const double median = costs.value();
     record.longRequest = median > 0 && record.work > settings.longRequestFactor * median;
     costs.add(record.work);
+    if (!record.longRequest)
+        tiers.at(request.level).shortDemand.add(lastNow, record.work * workError.mean());
 }
 
 endpoint_record& pool_scheduler::implementation::endpoint(const endpoint_id& id)
@@ -98,14 +104,26 @@
 bool pool_scheduler::implementation::longAllowed(tier level) const
 {
     const auto own = tiers.find(level);
-    if (own == tiers.end() || !own->second.shortWaiting())
+    if (own == tiers.end())
+        return true;
+    // A team of short requests that is ahead of its share waits for fairness, not because of long requests; without this
+    // exception an endless backlog of short requests would keep teams of long ones below their shares for good.
+    if (own->second.shortTeamsAhead(longCreditRequests))
         return true;
     // Long requests of less urgent tiers are not counted, since they must not hold back a more urgent tier.
     std::size_t held = 0;
-    for (auto entry = tiers.begin(); entry != std::next(own); ++entry)
+    double demand = 0;
+    for (auto entry = tiers.begin(); entry != std::next(own); ++entry) {
         held += entry->second.longRunning;
+        demand += entry->second.shortDemand.at(lastNow);
+    }
     const auto share = static_cast<std::size_t>(settings.longSlotShare * static_cast<double>(slots));
-    return held < std::max<std::size_t>(1, share);
+    if (own->second.shortWaiting())
+        return held < std::max<std::size_t>(1, share);
+    // The queue of short requests is empty most of the time at moderate load. Long requests that filled all slots in such a
+    // moment would make the next short ones wait for a whole long request: 8 s in the median in a test with 16 slots.
+    const auto expected = static_cast<std::size_t>(std::ceil(shortHeadroom * demand));
+    return held + std::min(expected, slots - std::max<std::size_t>(1, share)) < slots;
 }
 
 void pool_scheduler::implementation::enqueue(request_record& record)
@@ -148,6 +166,8 @@
     auto& queue = queueOf(record);
     auto& where = *record.endpoint;
     where.parked.erase(where.parked.iterator_to(record));
+    where.reserved -= record.reserved ? 1 : 0;
+    record.reserved = false;
     record.endpoint = nullptr;
     --queue.parked;
     queue.longRunning -= record.longRequest ? 1 : 0;
@@ -190,6 +210,7 @@
         where.victims.erase(where.victims.iterator_to(record));
         --queue.preemptible;
     }
+    where.preempting -= record.preempting ? 1 : 0;
     preempting -= record.preempting ? 1 : 0;
     --running;
     --queue.running;
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -26,6 +26,13 @@
     std::int64_t cachedTokens = 0;
 };
 
+/// Estimated seconds on the best endpoint.
+struct run_time {
+    double seconds = 0;
+    /// False where the estimate rests on priors only; such an estimate orders requests but refuses none.
+    bool learned = false;
+};
+
 /// State and decisions of pool_scheduler. Members are declared so that sets are destroyed before the records they link.
 struct pool_scheduler::implementation {
     explicit implementation(pool_scheduler_settings initial);
@@ -59,7 +66,7 @@
     void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
     placement_option option(request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree);
     double nextSlotWait(const endpoint_record& where) const;
-    double bestCost(monotonic_time now, request_record& record);
+    run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
     double margin() const;
     /// Time without a message after which a running request is taken for lost.
@@ -69,12 +76,19 @@
     // displacement.cpp: shedding, displacement and deadlines.
     bool admit(monotonic_time now, request_record& record, actions& out);
     bool makeRoom(monotonic_time now, request_record& record, actions& out);
+    /// The waiting request of a tier that is displaced first, or nullptr.
+    request_record* lastWaiting(tier level);
     bool displaceOwn(request_record& record, actions& out);
     bool preemptFor(monotonic_time now, request_record& record, actions& out);
     /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
     /// request in time from then on are considered.
     endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
+    bool lowerPreemptible(tier level) const;
+    /// When a waiting request begins to take slots from lower tiers.
+    monotonic_time preemptionDue(monotonic_time now, request_record& record, double bestSeconds);
     void preempt(request_record& victim, actions& out);
+    /// Preempts again for requests whose reserved slot went to more urgent work.
+    void renewReservations(monotonic_time now, actions& out);
     void countInversion(monotonic_time now, request_record& record, bool queueSpace);
     void checkWaiting(monotonic_time now, request_record& record, actions& out);
     void runTimers(monotonic_time now, actions& out);
--- a/libs/scheduling/src/records.h
+++ b/libs/scheduling/src/records.h
@@ -65,6 +65,8 @@
     bool hasParked = false;
     /// The home was told to cancel the stream.
     bool preempting = false;
+    /// A stream was preempted for it at the endpoint where it is parked.
+    bool reserved = false;
     bool homeLost = false;
     bool probe = false;
     /// Estimated seconds on a typical endpoint without cached prefix; used for long_request_factor and wait estimates.
@@ -77,6 +79,8 @@
     monotonic_time parkedUntil {};
     /// When this pool received the request; later than its arrival where another pool had it first.
     monotonic_time submitted {};
+    /// Estimated seconds on the best endpoint when it was admitted; 0 where nothing was learned yet.
+    double admittedCost = 0;
 
     endpoint_record* endpoint = nullptr;
     monotonic_time granted {};
@@ -165,6 +169,9 @@
     foreign_load foreign;
     circuit_breaker breaker;
     std::size_t running = 0;
+    /// Running requests that are being preempted, and parked ones that wait for such a slot.
+    std::size_t preempting = 0;
+    std::size_t reserved = 0;
     /// Sum of grantedCost of the running requests.
     double work = 0;
     endpoint_list requests;
--- a/libs/scheduling/src/tier_queue.cpp
+++ b/libs/scheduling/src/tier_queue.cpp
@@ -11,6 +11,7 @@
 constexpr double outputShareDecay = 0.97;
 /// Fewer values give a median that one request can move, and with it what counts as long.
 constexpr std::size_t medianNeeds = 8;
+constexpr double demandWindowSeconds = 30;
 
 } // namespace
 
@@ -56,6 +57,17 @@
     return m_sorted.size() < medianNeeds ? 0 : m_sorted[m_sorted.size() / 2];
 }
 
+void recent_demand::add(monotonic_time now, double seconds)
+{
+    m_demand = at(now) + seconds / demandWindowSeconds;
+    m_last = std::max(m_last, now);
+}
+
+double recent_demand::at(monotonic_time now) const
+{
+    return now <= m_last ? m_demand : m_demand * std::exp(-toSeconds(now - m_last) / demandWindowSeconds);
+}
+
 void tier_queue::link(flow& self)
 {
     if (!self.shortRequests.empty())
@@ -142,6 +154,15 @@
     m_servedTime = std::max(m_servedTime, self.virtualTime);
 }
 
+bool tier_queue::shortTeamsAhead(double requests) const
+{
+    if (m_shortFlows.empty() || m_longFlows.empty())
+        return false;
+    const auto& longest = *m_longFlows.begin();
+    const double credit = requests * longest.longRequests.begin()->charge / longest.team.weight;
+    return m_shortFlows.begin()->virtualTime > longest.virtualTime + credit;
+}
+
 double tier_queue::workAhead(flow& self, monotonic_time deadline) const
 {
     double own = 0;
--- a/libs/scheduling/src/tier_queue.h
+++ b/libs/scheduling/src/tier_queue.h
@@ -53,6 +53,17 @@
     std::size_t m_next = 0;
 };
 
+/// Slots that recent requests kept busy: their seconds of work, decaying over time, divided by the time constant.
+class recent_demand {
+public:
+    void add(monotonic_time now, double seconds);
+    double at(monotonic_time now) const;
+
+private:
+    double m_demand = 0;
+    monotonic_time m_last {};
+};
+
 /// Queue of one tier. Teams are ordered by virtual time, the requests of a team by deadline. Short and long requests are kept
 /// apart, so that a long request at the head never hides a short one while long requests are held back. Each operation is
 /// logarithmic in the number of teams and of requests of one team.
@@ -79,12 +90,15 @@
     }
 
     std::size_t size() const { return m_size; }
+    /// True where every team with short requests is ahead of the first team with long ones by the cost of `requests` of these.
+    bool shortTeamsAhead(double requests) const;
     bool shortWaiting() const { return !m_shortFlows.empty(); }
     /// Estimated seconds of slot time that are served before a request of this flow and deadline.
     double workAhead(flow& self, monotonic_time deadline) const;
     double work() const { return m_work; }
 
     running_median costs;
+    recent_demand shortDemand;
     /// Long requests of this tier that hold or have reserved a slot.
     std::size_t longRunning = 0;
     std::size_t running = 0;
--- a/libs/scheduling/tests/pool_driver.h
+++ b/libs/scheduling/tests/pool_driver.h
@@ -84,7 +84,7 @@
         auto& result = results[id];
         const bool waits = result.grants == 0 && result.refusals == 0 && !result.cancelled;
         pool.cancel(now, id);
-        result.cancelled = waits;
+        result.cancelled = result.cancelled || waits;
     }
 
     void release(const request_id& id, release_outcome outcome)
@@ -149,6 +149,7 @@
     std::map<endpoint_id, engine> engines;
     std::vector<endpoint_description> descriptions;
     std::function<void()> onTick;
+    std::function<void(const request_result&)> onRefusal;
     /// Delay of a home between a preemption and the release.
     duration preemptionDelay = 10ms;
 
@@ -189,6 +190,8 @@
         auto& result = results[refusal.request];
         ++result.refusals;
         result.reason = refusal.reason;
+        if (onRefusal)
+            onRefusal(result);
     }
 
     void handle(const slot_preemption& preemption)
