--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Time that a preemption needs until its slot is free: the message to the home, the cancellation and the release, and up to
-/// one period of tick().
-constexpr duration preemptionLead = std::chrono::milliseconds(250);
 /// Preemption is due while a run time of this many mean deviations above the estimate still fits, about 99 in 100 requests.
 constexpr double preemptionDeviations = 3;
 constexpr double largestPreemptionFactor = 3;
@@ -50,7 +47,7 @@
     if (!cost.learned || now + fromSeconds(wait + needed) <= record.request.deadline) {
         enqueue(record);
         record.admittedCost = cost.learned ? cost.seconds : 0;
-        setTimer(record, preemptionDue(now, record, cost.seconds));
+        setTimer(record, preemptionDue(record, cost));
         return true;
     }
     enqueue(record);
@@ -63,19 +60,11 @@
     return false;
 }
 
-monotonic_time pool_scheduler::implementation::preemptionDue(monotonic_time now, request_record& record, double bestSeconds)
+monotonic_time pool_scheduler::implementation::preemptionDue(const request_record& record, const run_time& cost) const
 {
     const double factor = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
-    double needed = bestSeconds * factor;
-    // Preemption must also be possible where only slow endpoints run lower tiers, so the slowest one that is fast enough counts.
-    const auto cached = prefixes.match(record.request.prefixBlocks);
-    for (const auto& entry : endpoints) {
-        if (!entry->eligible() || entry->ejected)
-            continue;
-        const double cost = option(record, *entry, cached, true).cost;
-        if (now + preemptionLead + fromSeconds(cost) <= record.request.deadline)
-            needed = std::max(needed, cost);
-    }
+    // Preemption must also be possible where only slow endpoints run lower tiers.
+    const double needed = std::max(cost.seconds * factor, cost.slowest);
     return record.request.deadline - fromSeconds(needed) - preemptionLead - retryPreemption;
 }
 
@@ -130,7 +119,8 @@
     return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
 }
 
-endpoint_record* pool_scheduler::implementation::findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start)
+endpoint_record* pool_scheduler::implementation::findVictim(
+    monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor)
 {
     if (!settings.preemption)
         return nullptr;
@@ -145,7 +135,7 @@
         if (victim.request.level <= record.request.level || (best && !victim_order {}(victim, *best->victims.begin())))
             continue;
         if (start && modelsOf(*entry).learned(now)
-            && *start + fromSeconds(option(record, *entry, cached, true).cost) > record.request.deadline)
+            && *start + fromSeconds(factor * option(record, *entry, cached, true).cost) > record.request.deadline)
             continue;
         best = entry.get();
     }
@@ -192,9 +182,9 @@
     // Nor is work whose estimate grew while it waited, and that would still be in time by the estimate of its admission.
     if (!queueSpace && record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline)
         return;
-    // Nor is work that left less time to spare than a preemption takes.
+    // Nor is work that left less time to spare than a preemption takes, by the estimate that grants use under load.
     const auto start = queueSpace ? std::nullopt : std::optional(record.submitted + preemptionLead);
-    const bool lowerRunning = findVictim(now, record, start) != nullptr;
+    const bool lowerRunning = findVictim(now, record, start, 1 + margin()) != nullptr;
     const bool lowerWaiting = queueSpace && std::ranges::any_of(tiers, [&](const auto& entry) {
         return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0;
     });
--- a/libs/scheduling/src/observation.cpp
+++ b/libs/scheduling/src/observation.cpp
@@ -98,7 +98,9 @@
     const auto& blocks = record.request.prefixBlocks;
     const bool prefilled = release.outcome == release_outcome::completed || release.timeToFirstToken > duration::zero();
     if (prefilled) {
-        prefixes.insert(position, blocks);
+        // The blocks were inserted with the grant; they are missing where a late event reported the eviction of older copies.
+        if (!blocks.empty() && !prefixes.holds(position, blocks.back()))
+            prefixes.insert(position, blocks);
         return;
     }
     const auto kept = static_cast<std::size_t>(record.expectedCached / tokensPerBlock);
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -47,7 +47,7 @@
 }
 
 placement_option pool_scheduler::implementation::option(
-    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree)
+    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded)
 {
     const auto prompt = record.request.promptTokens.value;
     const auto blocks = where.position < prefix_index::maxEndpoints ? cached[where.position] : 0;
@@ -60,8 +60,9 @@
     const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
     result.wait = isFree ? 0 : nextSlotWait(where);
-    const double saved = models.firstTokenSeconds(static_cast<double>(prompt)) - first;
-    result.score = result.wait + result.cost - (contended(record) ? (crowdedPrefixWeight - 1) * saved : 0);
+    result.score = result.wait + result.cost;
+    if (crowded && result.cachedTokens > 0)
+        result.score -= (crowdedPrefixWeight - 1) * (models.firstTokenSeconds(static_cast<double>(prompt)) - first);
     return result;
 }
 
@@ -91,8 +92,12 @@
         if (!entry->eligible() || entry->ejected)
             continue;
         const double cost = option(record, *entry, cached, true).cost;
-        if (best.seconds <= 0 || cost < best.seconds)
-            best = { cost, modelsOf(*entry).learned(now) };
+        if (now + preemptionLead + fromSeconds(cost) <= record.request.deadline)
+            best.slowest = std::max(best.slowest, cost);
+        if (best.seconds <= 0 || cost < best.seconds) {
+            best.seconds = cost;
+            best.learned = modelsOf(*entry).learned(now);
+        }
     }
     return best;
 }
@@ -177,7 +182,8 @@
 bool pool_scheduler::implementation::place(monotonic_time now, request_record& record, actions& out)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    const double factor = contended(record) ? 1 + margin() : 1;
+    const bool crowded = contended(record);
+    const double factor = crowded ? 1 + margin() : 1;
     const auto fits = [&](const placement_option& choice) {
         return !modelsOf(*choice.endpoint).learned(now) || now + fromSeconds(choice.wait + choice.cost * factor) <= record.request.deadline;
     };
@@ -199,7 +205,7 @@
             continue;
         }
         anyFree = anyFree || isFree;
-        const auto choice = option(record, *entry, cached, isFree);
+        const auto choice = option(record, *entry, cached, isFree, crowded);
         auto& best = isFree ? bestFree : bestFull;
         if (fits(choice) && (!best.endpoint || choice.score < best.score))
             best = choice;
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -26,11 +26,17 @@
     std::int64_t cachedTokens = 0;
 };
 
+/// Time that a preemption needs until its slot is free: the message to the home, the cancellation and the release, and up to
+/// one period of tick().
+inline constexpr duration preemptionLead = std::chrono::milliseconds(250);
+
 /// Estimated seconds on the best endpoint.
 struct run_time {
     double seconds = 0;
     /// False where the estimate rests on priors only; such an estimate orders requests but refuses none.
     bool learned = false;
+    /// On the slowest endpoint that could still finish the request in time after a preemption.
+    double slowest = 0;
 };
 
 /// State and decisions of pool_scheduler. Members are declared so that sets are destroyed before the records they link.
@@ -64,7 +70,8 @@
     request_record* next();
     bool place(monotonic_time now, request_record& record, actions& out);
     void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
-    placement_option option(request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree);
+    placement_option option(
+        request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded = false);
     double nextSlotWait(const endpoint_record& where) const;
     run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
@@ -81,11 +88,11 @@
     bool displaceOwn(request_record& record, actions& out);
     bool preemptFor(monotonic_time now, request_record& record, actions& out);
     /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
-    /// request in time from then on are considered.
-    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
+    /// request in time from then on, with `factor` times the estimated run time, are considered.
+    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
     bool lowerPreemptible(tier level) const;
     /// When a waiting request begins to take slots from lower tiers.
-    monotonic_time preemptionDue(monotonic_time now, request_record& record, double bestSeconds);
+    monotonic_time preemptionDue(const request_record& record, const run_time& cost) const;
     void preempt(request_record& victim, actions& out);
     /// Preempts again for requests whose reserved slot went to more urgent work.
     void renewReservations(monotonic_time now, actions& out);
--- a/libs/scheduling/src/prefix_index.cpp
+++ b/libs/scheduling/src/prefix_index.cpp
@@ -5,6 +5,13 @@
 
 namespace carawaylink {
 
+namespace {
+
+/// Longest run of blocks whose cache events may be lost without cutting a match short.
+constexpr std::size_t largestGap = 32;
+
+} // namespace
+
 void prefix_index::setCapacity(std::size_t endpoint, std::size_t blocks)
 {
     auto& self = m_caches[endpoint];
@@ -36,19 +43,33 @@
 
 prefix_index::lengths prefix_index::match(std::span<const std::uint64_t> blocks) const
 {
+    // The list ends at the first long run of unknown blocks, so that a prompt nobody holds costs a few look-ups only.
+    std::vector<std::uint64_t> holders;
+    holders.reserve(blocks.size());
+    std::size_t known = 0;
+    for (const auto block : blocks) {
+        const auto found = m_holders.find(block);
+        holders.push_back(found == m_holders.end() ? 0 : found->second);
+        if (holders.back() != 0)
+            known = holders.size();
+        else if (holders.size() - known > largestGap)
+            break;
+    }
     lengths result {};
-    std::uint64_t found = 0;
-    for (std::size_t length = blocks.size(); length > 0; --length) {
-        const auto holders = m_holders.find(blocks[length - 1]);
-        if (holders == m_holders.end())
-            continue;
-        for (auto added = holders->second & ~found; added != 0; added &= added - 1)
+    std::uint64_t seen = 0;
+    for (std::size_t length = known; length > 0; --length) {
+        for (auto added = holders[length - 1] & ~seen; added != 0; added &= added - 1)
             result[static_cast<std::size_t>(std::countr_zero(added))] = static_cast<std::uint16_t>(length);
-        found |= holders->second;
+        seen |= holders[length - 1];
     }
     return result;
 }
 
+bool prefix_index::holds(std::size_t endpoint, std::uint64_t block) const
+{
+    return m_caches[endpoint].positions.contains(block);
+}
+
 std::size_t prefix_index::size(std::size_t endpoint) const
 {
     return m_caches[endpoint].positions.size();
--- a/libs/scheduling/src/prefix_index.h
+++ b/libs/scheduling/src/prefix_index.h
@@ -25,6 +25,7 @@
     /// Number of leading blocks of the prompt that each endpoint holds. Hashes are chained and engines evict from the end, so
     /// the last block that is present implies the ones before it, also where their events were lost.
     lengths match(std::span<const std::uint64_t> blocks) const;
+    bool holds(std::size_t endpoint, std::uint64_t block) const;
     std::size_t size(std::size_t endpoint) const;
 
 private:
