Defer preemption while faster endpoints run enough lower-tier streams

Cause: the rule for slow endpoints preempted earlier than needed in pools of unequal speed. Change: a due preemption waits while endpoints that are still fast enough run more lower-tier streams than there are requests to claim them.

--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -60,11 +60,15 @@
     return false;
 }
 
+double pool_scheduler::implementation::preemptionFactor() const
+{
+    return std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
+}
+
 monotonic_time pool_scheduler::implementation::preemptionDue(const request_record& record, const run_time& cost) const
 {
-    const double factor = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
     // Preemption must also be possible where only slow endpoints run lower tiers.
-    const double needed = std::max(cost.seconds * factor, cost.slowest);
+    const double needed = std::max(cost.seconds * preemptionFactor(), cost.slowest);
     return record.request.deadline - fromSeconds(needed) - preemptionLead - retryPreemption;
 }
 
@@ -114,6 +118,30 @@
     return true;
 }
 
+bool pool_scheduler::implementation::mayDefer(monotonic_time now, request_record& record)
+{
+    std::size_t rivals = 0;
+    for (auto entry = tiers.begin(); entry != tiers.upper_bound(record.request.level); ++entry)
+        rivals += entry->second.size() + entry->second.parked;
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const double factor = preemptionFactor();
+    std::size_t victims = 0;
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->ejected || entry->victims.empty())
+            continue;
+        const double cost = option(record, *entry, cached, true).cost;
+        if (now + fromSeconds(cost * factor) + preemptionLead + 2 * retryPreemption > record.request.deadline)
+            continue;
+        for (const auto& victim : entry->victims) {
+            if (victim.request.level <= record.request.level)
+                break;
+            if (++victims > rivals)
+                return true;
+        }
+    }
+    return false;
+}
+
 bool pool_scheduler::implementation::lowerPreemptible(tier level) const
 {
     return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
@@ -216,8 +244,9 @@
             "no slot was free in time: waited " + milliseconds(toSeconds(now - record.submitted)), out);
         return;
     }
-    if (record.reserved || !preemptFor(now, record, out))
-        setTimer(record, std::min(latest + duration(1), now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption)));
+    const auto retry = now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption);
+    if (record.reserved || mayDefer(now, record) || !preemptFor(now, record, out))
+        setTimer(record, std::min(latest + duration(1), retry));
 }
 
 void pool_scheduler::implementation::runTimers(monotonic_time now, actions& out)
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -91,6 +91,10 @@
     /// request in time from then on, with `factor` times the estimated run time, are considered.
     endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
     bool lowerPreemptible(tier level) const;
+    /// Estimate of the run time that nearly all requests stay below, as a multiple of the estimate.
+    double preemptionFactor() const;
+    /// True while endpoints that are still fast enough run more lower-tier streams than there are requests to claim them.
+    bool mayDefer(monotonic_time now, request_record& record);
     /// When a waiting request begins to take slots from lower tiers.
     monotonic_time preemptionDue(const request_record& record, const run_time& cost) const;
     void preempt(request_record& victim, actions& out);
