Learn pace from windows, expire foreign load, forget caches of returned endpoints

Cause: long streams taught the cost model only when they ended, an endpoint whose reports stopped kept its foreign load for ever, and an endpoint that came back after an absence kept its old prefix index.

--- a/libs/scheduling/src/observation.cpp
+++ b/libs/scheduling/src/observation.cpp
@@ -10,6 +10,8 @@
 
 /// With fewer output tokens, the time between them is mostly message jitter.
 constexpr std::int64_t tokensForPace = 4;
+/// The same for a whole window of an endpoint.
+constexpr double tokensForWindow = 16;
 /// Time beyond the estimate after which a stream without a first token counts as stalled.
 constexpr double firstTokenGrace = 1.0;
 
@@ -44,6 +46,16 @@
     record.lastCounted = now;
 }
 
+void pool_scheduler::implementation::learnFromWindows(monotonic_time now)
+{
+    // Long streams teach their pace while they run, not only when they end.
+    for (const auto& entry : endpoints) {
+        const auto& window = entry->window;
+        if (window.tokens >= tokensForWindow && window.streamSeconds > 0)
+            modelsOf(*entry).addOutputToken(now, window.concurrencySeconds / window.streamSeconds, window.streamSeconds / window.tokens);
+    }
+}
+
 void pool_scheduler::implementation::learn(monotonic_time now, request_record& record, const slot_release& release)
 {
     auto& where = *record.endpoint;
@@ -143,7 +155,7 @@
     recount();
 }
 
-void pool_scheduler::implementation::observeLoad(const load_report& report)
+void pool_scheduler::implementation::observeLoad(monotonic_time now, const load_report& report)
 {
     const auto found = endpointsById.find(report.endpoint);
     if (found == endpointsById.end())
@@ -154,6 +166,7 @@
     // The report lags, so it is compared with the most requests that this pool had there since the report before the last two.
     // An excess that three reports agree on is work of another owner or of a lost home.
     auto& foreign = where.foreign;
+    foreign.lastReport = now;
     const auto total = report.running + report.waiting;
     const auto own = std::ranges::max(foreign.mostRunning);
     foreign.excess[foreign.next] = total > own ? total - own : 0;
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -33,7 +33,7 @@
         return where.running == 0 && now >= where.nextProbe ? 1 : 0;
     if (circuit == circuit_state::half_open)
         return where.running == 0 ? 1 : 0;
-    const auto taken = where.running + *std::ranges::min_element(where.foreign.excess);
+    const auto taken = where.running + where.foreignRunning(now);
     return where.description.maxRunning > taken ? where.description.maxRunning - taken : 0;
 }
 
--- a/libs/scheduling/src/pool_scheduler.cpp
+++ b/libs/scheduling/src/pool_scheduler.cpp
@@ -61,8 +61,12 @@
     }
     for (const auto& description : endpoints) {
         auto& entry = self.endpoint(description.id);
-        if (!entry.listed)
+        if (!entry.listed) {
             entry.leaving = false;
+            // The engine may have been restarted in the meantime.
+            if (entry.position < prefix_index::maxEndpoints)
+                self.prefixes.clear(entry.position);
+        }
         entry.listed = true;
         if (entry.description.generation != description.generation || entry.generation == nullptr)
             entry.speed = speed_model();
@@ -196,7 +200,7 @@
 void pool_scheduler::observe(monotonic_time now, const load_report& report)
 {
     m_implementation->lastNow = now;
-    m_implementation->observeLoad(report);
+    m_implementation->observeLoad(now, report);
 }
 
 void pool_scheduler::observe(std::span<const cache_event> events)
@@ -218,6 +222,8 @@
     auto& self = *m_implementation;
     self.lastNow = now;
     actions out;
+    if (self.stragglers.windowEnded(now))
+        self.learnFromWindows(now);
     if (self.stragglers.tick(now, self.endpoints))
         self.recount();
     for (auto& entry : self.endpoints) {
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -107,12 +107,13 @@
 
     // observation.cpp: what finished and running requests teach.
     void observeProgress(monotonic_time now, const slot_progress& progress);
+    void learnFromWindows(monotonic_time now);
     void learn(monotonic_time now, request_record& record, const slot_release& release);
     void settleCharge(request_record& record, const slot_release& release);
     void settlePrefix(request_record& record, const slot_release& release);
     void judgeProbe(monotonic_time now, request_record& record, const slot_release& release);
     void setLeaving(endpoint_record& where);
-    void observeLoad(const load_report& report);
+    void observeLoad(monotonic_time now, const load_report& report);
 
     pool_scheduler_settings settings;
     monotonic_time lastNow {};
--- a/libs/scheduling/src/prefix_index.cpp
+++ b/libs/scheduling/src/prefix_index.cpp
@@ -1,7 +1,7 @@
 #include "prefix_index.h"
 
+#include <algorithm>
 #include <bit>
-#include <ranges>
 
 namespace carawaylink {
 
@@ -30,8 +30,7 @@
 
 void prefix_index::insert(std::size_t endpoint, std::span<const std::uint64_t> blocks)
 {
-    for (const auto block : blocks | std::views::reverse)
-        touch(endpoint, block);
+    std::for_each(blocks.rbegin(), blocks.rend(), [&](std::uint64_t block) { touch(endpoint, block); });
 }
 
 void prefix_index::erase(std::size_t endpoint, std::uint64_t block)
--- a/libs/scheduling/src/records.h
+++ b/libs/scheduling/src/records.h
@@ -149,10 +149,14 @@
 struct foreign_load {
     std::array<std::size_t, 3> excess {};
     std::size_t next = 0;
+    monotonic_time lastReport {};
     /// Most requests of this pool at the endpoint since the oldest of these reports.
     std::array<std::size_t, 3> mostRunning {};
 };
 
+/// Endpoints are polled every 500 ms; after ten missed reports the last one says nothing.
+inline constexpr duration foreignLifetime = std::chrono::seconds(5);
+
 struct endpoint_record {
     endpoint_description description;
     generation_record* generation = nullptr;
@@ -162,6 +166,12 @@
     bool listed = false;
     bool leaving = false;
     bool ejected = false;
+    /// Work that others run there, by the last reports; 0 once these are too old.
+    std::size_t foreignRunning(monotonic_time now) const
+    {
+        return now - foreign.lastReport > foreignLifetime ? 0 : *std::ranges::min_element(foreign.excess);
+    }
+
     std::size_t badWindows = 0;
     std::size_t goodProbes = 0;
     monotonic_time nextProbe {};
--- a/libs/scheduling/src/straggler_detector.h
+++ b/libs/scheduling/src/straggler_detector.h
@@ -14,6 +14,7 @@
     void setFactor(double factor) { m_factor = factor; }
     /// Adds output of one stream since it was last counted.
     static void count(endpoint_record& endpoint, double outputTokens, double seconds);
+    bool windowEnded(monotonic_time now) const { return m_windowEnd != monotonic_time {} && now >= m_windowEnd; }
     /// Ends the windows that are due. Returns true where an endpoint was ejected or readmitted.
     bool tick(monotonic_time now, std::span<const std::unique_ptr<endpoint_record>> endpoints);
     /// Judges a finished probe by its ratio of observed to expected time; the second good one in a row readmits the endpoint.
--- a/tools/carawaylink-schedbench/main.cpp
+++ b/tools/carawaylink-schedbench/main.cpp
@@ -157,6 +157,26 @@
               << " inversions=" << load.inversions() << std::endl;
 }
 
+/// Heap bytes per prompt block that an endpoint is believed to hold.
+void measureIndex(std::size_t endpointCount, std::size_t blocks)
+{
+    pool_scheduler pool { pool_scheduler_settings {} };
+    std::vector<endpoint_description> endpoints;
+    for (std::size_t i = 0; i < endpointCount; ++i)
+        endpoints.push_back({ endpoint_id("e" + std::to_string(i)), "g", failure_domain("a"), 16, tokens(1 << 30) });
+    pool.setEndpoints(monotonic_time { 1h }, endpoints);
+    random_source random(1);
+    const auto before = heapBytes();
+    for (const auto& endpoint : endpoints) {
+        for (std::size_t i = 0; i < blocks; ++i) {
+            const cache_event event { endpoint.id, random(), true };
+            pool.observe(std::span(&event, 1));
+        }
+    }
+    std::cout << "schedbench_index endpoints=" << endpointCount << " blocks_per_endpoint=" << blocks
+              << " bytes_per_block=" << (heapBytes() - before) / (endpointCount * blocks) << std::endl;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -186,4 +206,6 @@
         shape.blocks = blocks;
         measure(shape, events, seed);
     }
+    for (const std::size_t blocks : { 1000, 4000, 16000 })
+        measureIndex(64, blocks);
 }
