Estimate outputs by size, expect average concurrency, probe with patient requests

Change: output shares by size of the maximum; estimates assume at least the average concurrency of the pool; probes take the least urgent tier in service and only requests with time for a slow run.

--- a/libs/scheduling/src/cost_model.cpp
+++ b/libs/scheduling/src/cost_model.cpp
@@ -18,6 +18,9 @@
 /// Without samples for this long, estimates stop refusing requests, so that a pool whose requests were all refused because of
 /// a passing slowdown receives some and learns its present speed.
 constexpr duration sampleLifetime = std::chrono::seconds(10);
+/// Before any sample: half of the maximum is off by at most a factor of two for most requests.
+constexpr double outputSharePrior = 0.5;
+constexpr double outputShareDecay = 0.97;
 /// Number of team samples that weigh as much as the mean of the service.
 constexpr double serviceWeight = 4;
 
@@ -96,10 +99,34 @@
         m_deviation += (distance - m_deviation) / m_weight;
 }
 
-double expectedOutputShare(const recent_mean& team, const recent_mean& service)
+output_shares::output_shares()
+    : m_shares { recent_mean(outputSharePrior, 0.25, outputShareDecay), recent_mean(outputSharePrior, 0.25, outputShareDecay),
+        recent_mean(outputSharePrior, 0.25, outputShareDecay), recent_mean(outputSharePrior, 0.25, outputShareDecay) }
 {
-    const double weight = team.samples() / (team.samples() + serviceWeight);
-    return weight * team.mean() + (1 - weight) * service.mean();
+}
+
+void output_shares::add(std::int64_t maximum, std::int64_t used)
+{
+    if (maximum > 0)
+        m_shares[sizeClass(maximum)].add(std::clamp(static_cast<double>(used) / static_cast<double>(maximum), 0.0, 1.0));
+}
+
+const recent_mean& output_shares::of(std::int64_t maximum) const
+{
+    return m_shares[sizeClass(maximum)];
+}
+
+std::size_t output_shares::sizeClass(std::int64_t maximum)
+{
+    return maximum < 64 ? 0 : maximum < 512 ? 1 : maximum < 4096 ? 2 : 3;
+}
+
+double expectedOutput(const output_shares& team, const output_shares& service, std::int64_t maximum)
+{
+    const auto& own = team.of(maximum);
+    const double weight = own.samples() / (own.samples() + serviceWeight);
+    const double share = weight * own.mean() + (1 - weight) * service.of(maximum).mean();
+    return std::max(1.0, share * static_cast<double>(maximum));
 }
 
 } // namespace carawaylink
--- a/libs/scheduling/src/cost_model.h
+++ b/libs/scheduling/src/cost_model.h
@@ -4,6 +4,9 @@
 
 #include "base/ids.h"
 
+#include <array>
+#include <cstdint>
+
 namespace carawaylink {
 
 /// Speed of one endpoint, one hardware generation or a whole pool, learned from finished requests.
@@ -53,8 +56,22 @@
     double m_weight = 0;
 };
 
-/// Share of its maximum output that a request uses: the mean of its team, drawn towards that of the service while the team has
-/// few samples.
-double expectedOutputShare(const recent_mean& team, const recent_mean& service);
+/// Share of its maximum output that a request uses, by size of the maximum: tags and reminders of a team use another share than
+/// its plans and reviews.
+class output_shares {
+public:
+    output_shares();
+    void add(std::int64_t maximum, std::int64_t used);
+    const recent_mean& of(std::int64_t maximum) const;
+
+private:
+    static std::size_t sizeClass(std::int64_t maximum);
+
+    std::array<recent_mean, 4> m_shares;
+};
+
+/// Expected output tokens of a request: by the share of its team, drawn towards that of the service while the team has few
+/// samples.
+double expectedOutput(const output_shares& team, const output_shares& service, std::int64_t maximum);
 
 } // namespace carawaylink
--- a/libs/scheduling/src/observation.cpp
+++ b/libs/scheduling/src/observation.cpp
@@ -82,11 +82,8 @@
         estimateError.add(std::clamp(total / record.grantedCost, 0.0, 4.0));
     if (record.work > 0)
         workError.add(std::clamp(total / record.work, 0.0, 4.0));
-    if (record.request.maxOutputTokens.value > 0) {
-        const double share = static_cast<double>(release.outputTokens.value) / static_cast<double>(record.request.maxOutputTokens.value);
-        record.owner->outputShare.add(std::clamp(share, 0.0, 1.0));
-        outputShare.add(std::clamp(share, 0.0, 1.0));
-    }
+    record.owner->outputShares.add(record.request.maxOutputTokens.value, release.outputTokens.value);
+    outputShares.add(record.request.maxOutputTokens.value, release.outputTokens.value);
 }
 
 void pool_scheduler::implementation::settleCharge(request_record& record, const slot_release& release)
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -14,6 +14,8 @@
 constexpr double crowdedPrefixWeight = 3;
 /// Share of the slots of an endpoint that may be reserved by requests waiting for its cached prefixes.
 constexpr std::size_t parkedShare = 4;
+/// Time that a due probe waits for a request of the least urgent tier; under overload, none may come up.
+constexpr duration probePatience = std::chrono::seconds(5);
 /// Errors of the estimate beyond this are noise of the first samples and must not refuse work.
 constexpr double largestMargin = 0.5;
 constexpr double marginSamples = 5;
@@ -37,6 +39,18 @@
     return where.description.maxRunning > taken ? where.description.maxRunning - taken : 0;
 }
 
+bool pool_scheduler::implementation::mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const
+{
+    // A probe may be slow: it is neither long nor a request that cannot be repeated, and has time to spare.
+    if (record.longRequest || record.request.nonIdempotent
+        || now + fromSeconds(choice.cost * settings.stragglerFactor) > record.request.deadline)
+        return false;
+    // The least urgent tier in service probes, unless none of its requests came up for some time.
+    const bool lowest = std::none_of(tiers.upper_bound(record.request.level), tiers.end(),
+        [](const auto& entry) { return entry.second.size() + entry.second.parked + entry.second.running > 0; });
+    return lowest || now > choice.endpoint->nextProbe + probePatience;
+}
+
 double pool_scheduler::implementation::nextSlotWait(const endpoint_record& where) const
 {
     const auto ahead = static_cast<double>(where.parked.size() + 1);
@@ -57,7 +71,10 @@
     // The last token is always computed, also for a prompt that is cached completely.
     result.cachedTokens = std::clamp<std::int64_t>(blocks * tokensPerBlock, 0, std::max<std::int64_t>(0, prompt - 1));
     const double first = models.firstTokenSeconds(static_cast<double>(prompt - result.cachedTokens));
-    const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
+    // The endpoint will be as busy as the pool is on average while the request runs, if it is not busier already.
+    const double busy = static_cast<double>(where.description.maxRunning * std::min(running, slots))
+        / static_cast<double>(std::max<std::size_t>(1, slots));
+    const double concurrency = std::max(busy, static_cast<double>(std::min(where.running + 1, where.description.maxRunning)));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
     result.wait = isFree ? 0 : nextSlotWait(where);
     result.score = result.wait + result.cost;
@@ -195,10 +212,9 @@
             continue;
         const bool isFree = freeSlots(*entry, now) > 0;
         if (entry->ejected) {
-            // A probe may be slow: it is neither long nor a request that cannot be repeated.
-            if (!isFree || record.longRequest || record.request.nonIdempotent)
+            if (!isFree)
                 continue;
-            if (const auto choice = option(record, *entry, cached, true); fits(choice)) {
+            if (const auto choice = option(record, *entry, cached, true); mayProbe(now, record, choice)) {
                 grant(now, record, choice, out);
                 return true;
             }
--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -20,7 +20,6 @@
 
 pool_scheduler::implementation::implementation(pool_scheduler_settings initial)
     : settings(initial)
-    , outputShare(0.5, 0.25, 0.98)
     , estimateError(1.0, 0.1, 0.98)
     , workError(1.0, 0, 0.98)
     , typicalWork(1.0, 0, 0.98)
@@ -51,8 +50,7 @@
 {
     const auto& request = record.request;
     record.owner = &flowOf(team(request.team), request.level);
-    const double share = expectedOutputShare(record.owner->outputShare, outputShare);
-    record.expectedOutput = std::max(1.0, share * static_cast<double>(request.maxOutputTokens.value));
+    record.expectedOutput = expectedOutput(record.owner->outputShares, outputShares, request.maxOutputTokens.value);
     record.charge = static_cast<double>(request.promptTokens.value) + record.expectedOutput;
     const double concurrency = static_cast<double>(running) / static_cast<double>(std::max<std::size_t>(1, endpoints.size()));
     record.work = poolSpeed.firstToken.at(static_cast<double>(request.promptTokens.value))
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -72,6 +72,7 @@
     void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
     placement_option option(
         request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded = false);
+    bool mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const;
     double nextSlotWait(const endpoint_record& where) const;
     run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
@@ -131,7 +132,7 @@
     std::uint64_t usedPositions = 0;
     straggler_detector stragglers;
     speed_model poolSpeed;
-    recent_mean outputShare;
+    output_shares outputShares;
     /// Observed total time divided by the estimate at the grant.
     recent_mean estimateError;
     /// Observed total time divided by request_record::work.
--- a/libs/scheduling/src/tier_queue.cpp
+++ b/libs/scheduling/src/tier_queue.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Shares of the maximum output before any sample; half of the maximum is off by at most a factor of two for most requests.
-constexpr double outputSharePrior = 0.5;
-constexpr double outputShareDecay = 0.97;
 /// Fewer values give a median that one request can move, and with it what counts as long.
 constexpr std::size_t medianNeeds = 8;
 constexpr double demandWindowSeconds = 30;
@@ -18,7 +15,6 @@
 flow::flow(team_record& ownerTeam, tier ownTier)
     : team(ownerTeam)
     , level(ownTier)
-    , outputShare(outputSharePrior, 0.25, outputShareDecay)
 {
 }
 
--- a/libs/scheduling/src/tier_queue.h
+++ b/libs/scheduling/src/tier_queue.h
@@ -21,7 +21,7 @@
     tier level;
     /// Tokens of cost divided by weight.
     double virtualTime = 0;
-    recent_mean outputShare;
+    output_shares outputShares;
     /// Sum of request_record::work of the queue.
     double work = 0;
     deadline_set shortRequests;
--- a/libs/scheduling/tests/model_tests.cpp
+++ b/libs/scheduling/tests/model_tests.cpp
@@ -61,19 +61,20 @@
     EXPECT_GT(models.secondsPerToken(4), 0.025);
 }
 
-// Guards against the output length of one team being assumed for another, and against one sample being trusted fully.
+// Guards against the output length of one team or size being assumed for another, and against one sample being trusted fully.
 TEST_F(cost_models, output_share_moves_from_service_to_team)
 {
-    recent_mean service(0.5, 0.25, 0.98);
-    recent_mean team(0.5, 0.25, 0.97);
+    output_shares service;
+    output_shares team;
     for (int i = 0; i < 50; ++i)
-        service.add(0.8);
-    EXPECT_NEAR(expectedOutputShare(team, service), 0.8, 0.01);
-    team.add(0.1);
-    EXPECT_GT(expectedOutputShare(team, service), 0.5);
+        service.add(100, 80);
+    EXPECT_NEAR(expectedOutput(team, service, 100), 80, 1);
+    EXPECT_NEAR(expectedOutput(team, service, 2000), 1000, 1);
+    team.add(100, 10);
+    EXPECT_GT(expectedOutput(team, service, 100), 50);
     for (int i = 0; i < 30; ++i)
-        team.add(0.1);
-    EXPECT_LT(expectedOutputShare(team, service), 0.25);
+        team.add(100, 10);
+    EXPECT_LT(expectedOutput(team, service, 100), 25);
 }
 
 class prefix_indexes : public testing::Test {
