Keep slots by square-root staffing and cover late additions with tests

Change: demand corrected for a window that is not full, headroom of 1.5 times its square root; four tests.

--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t historySize = 2048;
 /// Lead in virtual time that short requests may gain by long_slot_share, in requests of the long team.
 constexpr double longCreditRequests = 2;
-/// Slots kept free of long requests per slot that recent short ones kept busy; their arrivals are bursty.
+/// Slots kept for short requests beyond their mean demand, as a multiple of its square root (square-root staffing, Halfin and
+/// Whitt 1981): with 1.5, one short request in ten or fewer finds all of them taken.
 constexpr double shortHeadroom = 1.5;
 
 } // namespace
@@ -120,7 +121,7 @@
         return held < std::max<std::size_t>(1, share);
     // The queue of short requests is empty most of the time at moderate load. Long requests that filled all slots in such a
     // moment would make the next short ones wait for a whole long request: 8 s in the median in a test with 16 slots.
-    const auto expected = static_cast<std::size_t>(std::ceil(shortHeadroom * demand));
+    const auto expected = static_cast<std::size_t>(std::ceil(demand + shortHeadroom * std::sqrt(demand)));
     return held + std::min(expected, slots - std::max<std::size_t>(1, share)) < slots;
 }
 
--- a/libs/scheduling/src/tier_queue.cpp
+++ b/libs/scheduling/src/tier_queue.cpp
@@ -55,11 +55,22 @@
 
 void recent_demand::add(monotonic_time now, double seconds)
 {
-    m_demand = at(now) + seconds / demandWindowSeconds;
+    if (m_start == monotonic_time {})
+        m_start = now;
+    m_demand = decayed(now) + seconds / demandWindowSeconds;
     m_last = std::max(m_last, now);
 }
 
 double recent_demand::at(monotonic_time now) const
+{
+    if (m_demand <= 0)
+        return 0;
+    // Until the window is full, the sum covers less time than the time constant.
+    const double covered = -std::expm1(-std::max(1.0, toSeconds(now - m_start)) / demandWindowSeconds);
+    return decayed(now) / covered;
+}
+
+double recent_demand::decayed(monotonic_time now) const
 {
     return now <= m_last ? m_demand : m_demand * std::exp(-toSeconds(now - m_last) / demandWindowSeconds);
 }
--- a/libs/scheduling/src/tier_queue.h
+++ b/libs/scheduling/src/tier_queue.h
@@ -60,7 +60,10 @@
     double at(monotonic_time now) const;
 
 private:
+    double decayed(monotonic_time now) const;
+
     double m_demand = 0;
+    monotonic_time m_start {};
     monotonic_time m_last {};
 };
 
--- a/libs/scheduling/tests/pool_scheduler_tests.cpp
+++ b/libs/scheduling/tests/pool_scheduler_tests.cpp
@@ -418,9 +418,70 @@
     driver.addEndpoint("e1", 4);
     for (int i = 0; i < 3; ++i)
         driver.pool.observe(driver.now, load_report { .endpoint = endpoint_id("e1"), .running = 3 });
-    driver.submit(driver.make("a", 0, 100, 10));
-    driver.submit(driver.make("a", 0, 100, 10));
+    driver.submit(driver.make("a", 0, 100, 1000));
+    driver.submit(driver.make("a", 0, 100, 1000));
     EXPECT_EQ(driver.pool.status(driver.now).running, 1U);
+    // Without further reports the excess must not take slots away for good.
+    driver.run(6s);
+    EXPECT_EQ(driver.pool.status(driver.now).running, 2U);
+}
+
+// Guards against requests drawn to a prefix that a restarted engine no longer has.
+TEST_F(pool_scheduling, returned_endpoint_starts_with_empty_prefix_index)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4);
+    driver.addEndpoint("e2", 4);
+    auto request = driver.make("a", 0, 640, 2000);
+    request.prefixBlocks.resize(10);
+    std::iota(request.prefixBlocks.begin(), request.prefixBlocks.end(), 1U);
+    const auto holder = driver.results[driver.submit(request)].endpoint;
+    std::vector<endpoint_description> others;
+    std::ranges::copy_if(driver.descriptions, std::back_inserter(others), [&](const auto& entry) { return entry.id != holder; });
+    driver.pool.setEndpoints(driver.now, others);
+    driver.pool.setEndpoints(driver.now, driver.descriptions);
+    request.id.sequence += 1000;
+    const auto actions = driver.pool.submit(driver.now, request);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<slot_grant>(actions.front()).expectedCached, tokens(0));
+}
+
+// Guards against estimates staying at their prior until the first long stream has ended.
+TEST_F(pool_scheduling, running_streams_teach_their_pace)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4, { 8000, 0.004 });
+    driver.submit(driver.make("a", 0, 100, 10000));
+    driver.submit(driver.make("a", 0, 100, 10000));
+    driver.run(7s);
+    EXPECT_NEAR(driver.pool.endpoints().front().millisecondsPerToken, 4, 0.5);
+}
+
+// Guards against an urgent request being slowed down as a probe while less urgent work is in service.
+TEST_F(pool_scheduling, probe_takes_the_least_urgent_tier)
+{
+    pool_driver driver;
+    for (const auto* name : { "e1", "e2", "e3" })
+        driver.addEndpoint(name, 4);
+    driver.engines[endpoint_id("e1")].speed.secondsPerToken = 0.08;
+    // Fits the two good endpoints, so that both tiers come up.
+    driver.onTick = [&] {
+        if (driver.pool.status(driver.now).running < 7) {
+            driver.submit(driver.make("a", 0, 50, 60));
+            driver.submit(driver.make("a", 2, 50, 60));
+        }
+    };
+    driver.run(20s);
+    ASSERT_TRUE(driver.pool.endpoints().front().ejected);
+    const auto from = driver.now;
+    driver.run(30s);
+    const auto probes = [&](int level) {
+        return driver.count([&](const auto& result) {
+            return result.granted > from && result.endpoint == endpoint_id("e1") && result.request.level.value == level;
+        });
+    };
+    EXPECT_EQ(probes(0), 0U);
+    EXPECT_GE(probes(2), 3U);
 }
 
 // Guards against `carawaylink explain` having nothing to say about a request in any state.
