Hold back long requests that are likely to be preempted

Change: preemptionRiskLimit; long requests of the least urgent tier in service wait while more than this share of them is preempted.

--- a/libs/scheduling/include/scheduling/pool_scheduler.h
+++ b/libs/scheduling/include/scheduling/pool_scheduler.h
@@ -21,6 +21,9 @@
     bool preemption = true;
     /// Time within which a home dispatches a grant or returns it.
     duration grantLifetime = std::chrono::seconds(1);
+    /// Long requests of the least urgent tier in service wait while more than this share of them is preempted, 0 to 1; lower
+    /// values waste less prefill, 1 admits them always.
+    double preemptionRiskLimit = 0.5;
 };
 
 /// Counts for status pages, pool summaries and metrics.
--- a/libs/scheduling/src/pool_scheduler.cpp
+++ b/libs/scheduling/src/pool_scheduler.cpp
@@ -155,6 +155,8 @@
     else if (release.outcome == release_outcome::failed || (release.outcome == release_outcome::rejected && !release.endpointLeaving))
         where.breaker.recordFailure(now);
     self.judgeProbe(now, record, release);
+    if (record.longRequest)
+        self.queueOf(record).longRisk.add(now, record.preempting);
     self.vacate(record);
     if (release.endpointLeaving && !where.leaving)
         self.setLeaving(where);
--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -100,11 +100,20 @@
     timers.insert(record);
 }
 
+bool pool_scheduler::implementation::preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const
+{
+    // Where a less urgent tier runs, that one is preempted first.
+    return level->second.longRisk.at(lastNow) > settings.preemptionRiskLimit
+        && std::none_of(std::next(level), tiers.end(), [](const auto& entry) { return entry.second.running > 0; });
+}
+
 bool pool_scheduler::implementation::longAllowed(tier level) const
 {
     const auto own = tiers.find(level);
     if (own == tiers.end())
         return true;
+    if (preemptionLikely(own))
+        return false;
     // A team of short requests that is ahead of its share waits for fairness, not because of long requests; without this
     // exception an endless backlog of short requests would keep teams of long ones below their shares for good.
     if (own->second.shortTeamsAhead(longCreditRequests))
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -52,6 +52,7 @@
     endpoint_record& endpoint(const endpoint_id& id);
     void recount();
     void setTimer(request_record& record, monotonic_time when);
+    bool preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const;
     bool longAllowed(tier level) const;
     void enqueue(request_record& record);
     void unqueue(request_record& record);
--- a/libs/scheduling/src/tier_queue.cpp
+++ b/libs/scheduling/src/tier_queue.cpp
@@ -9,6 +9,9 @@
 /// Fewer values give a median that one request can move, and with it what counts as long.
 constexpr std::size_t medianNeeds = 8;
 constexpr double demandWindowSeconds = 30;
+constexpr double riskDecay = 0.9;
+/// Two to three run times of long requests, so that the outcome of the last attempt is known before the next one.
+constexpr double riskWindowSeconds = 60;
 
 } // namespace
 
@@ -75,6 +78,17 @@
     return now <= m_last ? m_demand : m_demand * std::exp(-toSeconds(now - m_last) / demandWindowSeconds);
 }
 
+void preemption_risk::add(monotonic_time now, bool preempted)
+{
+    m_share = at(now) * riskDecay + (preempted ? 1 - riskDecay : 0);
+    m_last = now;
+}
+
+double preemption_risk::at(monotonic_time now) const
+{
+    return m_share * std::exp(-std::max(0.0, toSeconds(now - m_last)) / riskWindowSeconds);
+}
+
 void tier_queue::link(flow& self)
 {
     if (!self.shortRequests.empty())
--- a/libs/scheduling/src/tier_queue.h
+++ b/libs/scheduling/src/tier_queue.h
@@ -67,6 +67,17 @@
     monotonic_time m_last {};
 };
 
+/// Share of recent requests that were preempted. It fades while there are no samples, so that held back work is tried again.
+class preemption_risk {
+public:
+    void add(monotonic_time now, bool preempted);
+    double at(monotonic_time now) const;
+
+private:
+    double m_share = 0;
+    monotonic_time m_last {};
+};
+
 /// Queue of one tier. Teams are ordered by virtual time, the requests of a team by deadline. Short and long requests are kept
 /// apart, so that a long request at the head never hides a short one while long requests are held back. Each operation is
 /// logarithmic in the number of teams and of requests of one team.
@@ -102,6 +113,7 @@
 
     running_median costs;
     recent_demand shortDemand;
+    preemption_risk longRisk;
     /// Long requests of this tier that hold or have reserved a slot.
     std::size_t longRunning = 0;
     std::size_t running = 0;
