--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -11,12 +11,16 @@
 
 /// Finished requests that explain() remembers; about 400 bytes each.
 constexpr std::size_t historySize = 2048;
+/// Lead in virtual time that short requests may gain by long_slot_share, in requests of the long team.
+constexpr double longCreditRequests = 2;
+/// Slots kept for short requests beyond their mean demand, as a multiple of its square root (square-root staffing, Halfin and
+/// Whitt 1981): with 1.5, one short request in ten or fewer finds all of them taken.
+constexpr double shortHeadroom = 1.5;
 
 } // namespace
 
 pool_scheduler::implementation::implementation(pool_scheduler_settings initial)
     : settings(initial)
-    , outputShare(0.5, 0.25, 0.98)
     , estimateError(1.0, 0.1, 0.98)
     , workError(1.0, 0, 0.98)
     , typicalWork(1.0, 0, 0.98)
@@ -47,8 +51,7 @@
 {
     const auto& request = record.request;
     record.owner = &flowOf(team(request.team), request.level);
-    const double share = expectedOutputShare(record.owner->outputShare, outputShare);
-    record.expectedOutput = std::max(1.0, share * static_cast<double>(request.maxOutputTokens.value));
+    record.expectedOutput = expectedOutput(record.owner->outputShares, outputShares, request.maxOutputTokens.value);
     record.charge = static_cast<double>(request.promptTokens.value) + record.expectedOutput;
     const double concurrency = static_cast<double>(running) / static_cast<double>(std::max<std::size_t>(1, endpoints.size()));
     record.work = poolSpeed.firstToken.at(static_cast<double>(request.promptTokens.value))
@@ -57,6 +60,8 @@
     const double median = costs.value();
     record.longRequest = median > 0 && record.work > settings.longRequestFactor * median;
     costs.add(record.work);
+    if (!record.longRequest)
+        tiers.at(request.level).shortDemand.add(lastNow, record.work * workError.mean());
 }
 
 endpoint_record& pool_scheduler::implementation::endpoint(const endpoint_id& id)
@@ -95,17 +100,38 @@
     timers.insert(record);
 }
 
+bool pool_scheduler::implementation::preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const
+{
+    // Where a less urgent tier runs, that one is preempted first.
+    return level->second.longRisk.at(lastNow) > settings.preemptionRiskLimit
+        && std::none_of(std::next(level), tiers.end(), [](const auto& entry) { return entry.second.running > 0; });
+}
+
 bool pool_scheduler::implementation::longAllowed(tier level) const
 {
     const auto own = tiers.find(level);
-    if (own == tiers.end() || !own->second.shortWaiting())
+    if (own == tiers.end())
+        return true;
+    if (preemptionLikely(own))
+        return false;
+    // A team of short requests that is ahead of its share waits for fairness, not because of long requests; without this
+    // exception an endless backlog of short requests would keep teams of long ones below their shares for good.
+    if (own->second.shortTeamsAhead(longCreditRequests))
         return true;
     // Long requests of less urgent tiers are not counted, since they must not hold back a more urgent tier.
     std::size_t held = 0;
-    for (auto entry = tiers.begin(); entry != std::next(own); ++entry)
+    double demand = 0;
+    for (auto entry = tiers.begin(); entry != std::next(own); ++entry) {
         held += entry->second.longRunning;
+        demand += entry->second.shortDemand.at(lastNow);
+    }
     const auto share = static_cast<std::size_t>(settings.longSlotShare * static_cast<double>(slots));
-    return held < std::max<std::size_t>(1, share);
+    if (own->second.shortWaiting())
+        return held < std::max<std::size_t>(1, share);
+    // The queue of short requests is empty most of the time at moderate load. Long requests that filled all slots in such a
+    // moment would make the next short ones wait for a whole long request: 4.4 s at p99 in the test of this rule, 0 with it.
+    const auto expected = static_cast<std::size_t>(std::ceil(demand + shortHeadroom * std::sqrt(demand)));
+    return held + std::min(expected, slots - std::max<std::size_t>(1, share)) < slots;
 }
 
 void pool_scheduler::implementation::enqueue(request_record& record)
@@ -148,6 +174,8 @@
     auto& queue = queueOf(record);
     auto& where = *record.endpoint;
     where.parked.erase(where.parked.iterator_to(record));
+    where.reserved -= record.reserved ? 1 : 0;
+    record.reserved = false;
     record.endpoint = nullptr;
     --queue.parked;
     queue.longRunning -= record.longRequest ? 1 : 0;
@@ -190,6 +218,7 @@
         where.victims.erase(where.victims.iterator_to(record));
         --queue.preemptible;
     }
+    where.preempting -= record.preempting ? 1 : 0;
     preempting -= record.preempting ? 1 : 0;
     --running;
     --queue.running;
