--- a/libs/load/src/generator.cpp
+++ b/libs/load/src/generator.cpp
@@ -29,6 +29,9 @@
 
     tokens operator()(std::mt19937_64& random)
     {
+        // Without a spread, rounding can put every draw outside the bounds.
+        if (m_low >= m_high)
+            return tokens(std::max<std::int64_t>(1, std::llround(m_low)));
         for (;;) {
             const auto value = m_distribution(random);
             if (value >= m_low && value <= m_high)
--- a/libs/membership/src/packet_size.cpp
+++ b/libs/membership/src/packet_size.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t maxVtables = 5;
 // Root offset, table of membership_packet, its vtable, the length of the vector of updates.
 constexpr std::size_t packetTableBytes = 4 + 32 + 20 + 4;
-constexpr std::size_t macBytes = 4 + 32;
+constexpr std::size_t macBytes = 16; // in front of the encoded packet
 
 } // namespace
 
@@ -32,7 +32,8 @@
 
 std::size_t datagramSize(const membership_packet& packet)
 {
-    std::size_t bytes = datagramHeaderBytes + packetTableBytes + macBytes + updateVtableBytes * std::min(maxVtables, 1 + packet.updates.size()) + stringBytes(maxClusterNameBytes)
+    std::size_t bytes = datagramHeaderBytes + packetTableBytes + macBytes
+        + updateVtableBytes * std::min(maxVtables, 1 + packet.updates.size()) + stringBytes(maxClusterNameBytes)
         + stringBytes(packet.target.value.size()) + encodedSize(packet.sender);
     for (const auto& update : packet.updates)
         bytes += encodedSize(update);
