Spare fast endpoints, use reserved slots before a refusal, expect unknown outputs to be long

Change: placement by free slots while 30% to 95% of the slots are taken; the most urgent tier in service may use reserved slots before a refusal; preemption is due earlier without samples of the output size.

--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -9,10 +9,13 @@
 /// Preemption is due while a run time of this many mean deviations above the estimate still fits, about 99 in 100 requests.
 constexpr double preemptionDeviations = 3;
 constexpr double largestPreemptionFactor = 3;
+constexpr double samplesOfSize = 3;
 /// Pause before a request that found nothing to preempt looks again.
 constexpr duration retryPreemption = std::chrono::milliseconds(50);
 /// The same while no lower tier runs at all; lower tiers rarely start while higher ones wait.
 constexpr duration idlePreemption = std::chrono::milliseconds(250);
+/// Slots; a tier with less recent demand is not in service.
+constexpr double negligibleDemand = 0.05;
 /// An empty list of endpoints may be a passing state of the VM list.
 constexpr duration noEndpointGrace = std::chrono::seconds(1);
 
@@ -67,8 +70,10 @@
 
 monotonic_time pool_scheduler::implementation::preemptionDue(const request_record& record, const run_time& cost) const
 {
+    // Nothing is known yet about outputs of this size: they may be as long as the maximum allows.
+    const bool unknown = outputShares.of(record.request.maxOutputTokens.value).samples() < samplesOfSize;
     // Preemption must also be possible where only slow endpoints run lower tiers.
-    const double needed = std::max(cost.seconds * preemptionFactor(), cost.slowest);
+    const double needed = std::max(cost.seconds * (unknown ? largestPreemptionFactor : preemptionFactor()), cost.slowest);
     return record.request.deadline - fromSeconds(needed) - preemptionLead - retryPreemption;
 }
 
@@ -142,6 +147,14 @@
     return false;
 }
 
+bool pool_scheduler::implementation::mostUrgent(tier level) const
+{
+    return std::all_of(tiers.begin(), tiers.lower_bound(level), [&](const auto& entry) {
+        const auto& queue = entry.second;
+        return queue.size() + queue.parked + queue.running == 0 && queue.shortDemand.at(lastNow) < negligibleDemand;
+    });
+}
+
 bool pool_scheduler::implementation::lowerPreemptible(tier level) const
 {
     return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
@@ -244,6 +257,10 @@
             "no slot was free in time: waited " + milliseconds(toSeconds(now - record.submitted)), out);
         return;
     }
+    // A long request of the most urgent tier in service is not refused for slots that are kept for short ones. For other tiers
+    // this would fill the reserve under overload, and more urgent work would have to preempt it again.
+    if (record.phase == request_phase::waiting && record.longRequest && mostUrgent(record.request.level) && place(now, record, out))
+        return;
     const auto retry = now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption);
     if (record.reserved || mayDefer(now, record) || !preemptFor(now, record, out))
         setTimer(record, std::min(latest + duration(1), retry));
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -12,6 +12,17 @@
 /// While other work waits, prefill that a cached prefix saves is also engine time for that work, so it counts this many times
 /// its own duration; without other work it only shortens the request itself.
 constexpr double crowdedPrefixWeight = 3;
+/// While this share of the slots is taken, a request that an endpoint can finish safely in time goes where slots are free rather
+/// than where it ends soonest, which leaves fast endpoints to requests that need them. Below, there is no contention; above, there
+/// is hardly a choice.
+constexpr double busyFrom = 0.3;
+constexpr double busyUntil = 0.95;
+
+double occupancy(const endpoint_record& where)
+{
+    return static_cast<double>(where.running) / static_cast<double>(std::max<std::size_t>(1, where.description.maxRunning));
+}
+
 /// Share of the slots of an endpoint that may be reserved by requests waiting for its cached prefixes.
 constexpr std::size_t parkedShare = 4;
 /// Time that a due probe waits for a request of the least urgent tier; under overload, none may come up.
@@ -76,6 +87,7 @@
         / static_cast<double>(std::max<std::size_t>(1, slots));
     const double concurrency = std::max(busy, static_cast<double>(std::min(where.running + 1, where.description.maxRunning)));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
+    result.firstToken = first;
     result.wait = isFree ? 0 : nextSlotWait(where);
     result.score = result.wait + result.cost;
     if (crowded && result.cachedTokens > 0)
@@ -83,6 +95,18 @@
     return result;
 }
 
+bool pool_scheduler::implementation::partlyBusy() const
+{
+    const auto total = static_cast<double>(slots);
+    return static_cast<double>(running) > busyFrom * total && static_cast<double>(running) < busyUntil * total;
+}
+
+bool pool_scheduler::implementation::isSafe(monotonic_time now, const request_record& record, const placement_option& choice)
+{
+    return modelsOf(*choice.endpoint).learned(now)
+        && now + preemptionLead + fromSeconds(choice.wait + choice.cost * preemptionFactor()) <= record.request.deadline;
+}
+
 double pool_scheduler::implementation::margin() const
 {
     if (estimateError.samples() < marginSamples)
@@ -207,6 +231,7 @@
     placement_option bestFree;
     placement_option bestFull;
     bool anyFree = false;
+    const bool spareFast = partlyBusy();
     for (const auto& entry : endpoints) {
         if (!entry->eligible() || entry->breaker.state(now) == circuit_state::open)
             continue;
@@ -221,7 +246,9 @@
             continue;
         }
         anyFree = anyFree || isFree;
-        const auto choice = option(record, *entry, cached, isFree, crowded);
+        auto choice = option(record, *entry, cached, isFree, crowded);
+        if (spareFast && isSafe(now, record, choice))
+            choice.score += choice.firstToken + occupancy(*entry) - choice.cost;
         auto& best = isFree ? bestFree : bestFull;
         if (fits(choice) && (!best.endpoint || choice.score < best.score))
             best = choice;
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -21,6 +21,8 @@
     /// Estimated seconds until a slot is free there, and on the endpoint.
     double wait = 0;
     double cost = 0;
+    /// Estimated seconds to the first token; part of the cost.
+    double firstToken = 0;
     /// Lower is better.
     double score = 0;
     std::int64_t cachedTokens = 0;
@@ -77,6 +79,10 @@
     double nextSlotWait(const endpoint_record& where) const;
     run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
+    /// True where slots are neither plentiful nor exhausted.
+    bool partlyBusy() const;
+    /// True where the request meets its deadline there even if it runs much longer than estimated.
+    bool isSafe(monotonic_time now, const request_record& record, const placement_option& choice);
     double margin() const;
     /// Time without a message after which a running request is taken for lost.
     duration silenceLimit(const request_record& record) const;
@@ -93,6 +99,8 @@
     /// request in time from then on, with `factor` times the estimated run time, are considered.
     endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
     bool lowerPreemptible(tier level) const;
+    /// True where no more urgent tier waits, runs or did so recently.
+    bool mostUrgent(tier level) const;
     /// Estimate of the run time that nearly all requests stay below, as a multiple of the estimate.
     double preemptionFactor() const;
     /// True while endpoints that are still fast enough run more lower-tier streams than there are requests to claim them.
--- a/libs/scheduling/src/status.cpp
+++ b/libs/scheduling/src/status.cpp
@@ -62,7 +62,9 @@
     if (record.phase == request_phase::parked)
         text += "; waits for a slot of " + record.endpoint->description.id.value;
     if (record.longRequest && !self.longAllowed(record.request.level))
-        text += "; held back because long requests hold their share of the slots";
+        text += (self.preemptionLikely(self.tiers.find(record.request.level))
+                ? "; held back because most long requests of the tier were preempted"
+                : "; held back because long requests hold their share of the slots");
     return text;
 }
 
--- a/libs/scheduling/tests/pool_scheduler_tests.cpp
+++ b/libs/scheduling/tests/pool_scheduler_tests.cpp
@@ -220,6 +220,21 @@
     EXPECT_EQ(driver.count([](const auto& result) { return result.request.maxOutputTokens == tokens(20) && !result.completed; }), 0U);
 }
 
+// Guards against a long request being refused while slots that are kept for short ones stay free.
+TEST_F(pool_scheduling, long_request_takes_reserved_slot_before_its_deadline)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 4);
+    teach(driver, 20);
+    std::vector<request_id> ids;
+    for (int i = 0; i < 4; ++i)
+        ids.push_back(driver.submit(driver.make("teacher", 0, 100, 200, 4s)));
+    EXPECT_EQ(driver.pool.status(driver.now).running, 2U);
+    driver.run(4s);
+    for (const auto& id : ids)
+        EXPECT_TRUE(driver.results[id].completed) << *driver.pool.explain(id);
+}
+
 // Guards against P6: grants to an endpoint that said it leaves, by any of the three ways, until it was absent and came back.
 TEST_F(pool_scheduling, leaving_endpoint_receives_nothing)
 {
@@ -484,6 +499,51 @@
     EXPECT_GE(probes(2), 3U);
 }
 
+// Guards against requests with time to spare taking the fast slots that tighter ones need.
+TEST_F(pool_scheduling, patient_request_leaves_fast_endpoint_free)
+{
+    pool_driver driver;
+    driver.addEndpoint("fast", 4, {}, "new");
+    driver.addEndpoint("slow", 4, { 8000, 0.04 }, "old");
+    for (int i = 0; i < 8; ++i) {
+        for (int j = 0; j < 8; ++j)
+            driver.submit(driver.make("a", 0, 100, 100));
+        driver.run(6s);
+    }
+    // Three requests that only the fast endpoint can finish in time make the pool partly busy.
+    for (int i = 0; i < 3; ++i)
+        driver.submit(driver.make("a", 0, 100, 100, 1600ms));
+    const auto patient = driver.submit(driver.make("a", 0, 100, 100, 60s));
+    const auto tight = driver.submit(driver.make("a", 0, 100, 100, 1600ms));
+    EXPECT_EQ(driver.results[patient].endpoint, endpoint_id("slow"));
+    EXPECT_EQ(driver.results[tight].endpoint, endpoint_id("fast"));
+}
+
+// Guards against long work of the lowest tier being admitted over and over only to be preempted.
+TEST_F(pool_scheduling, long_requests_wait_while_most_of_them_are_preempted)
+{
+    const auto wasted = [](double limit) {
+        pool_driver driver({ .preemptionRiskLimit = limit });
+        driver.addEndpoint("e1", 4);
+        teach(driver, 20);
+        for (int i = 0; i < 120; ++i) {
+            // Shorter than the long request that holds the slot, longer than it can wait.
+            for (int j = 0; j < 4 && i % 4 == 0; ++j)
+                driver.submit(driver.make("a", 0, 100, 100, 1700ms));
+            driver.submit(driver.make("b", 1, 4000, 1500, 40s));
+            for (int j = 0; j < 2; ++j)
+                driver.submit(driver.make("b", 1, 100, 20, 40s));
+            driver.run(500ms);
+        }
+        EXPECT_EQ(driver.pool.status(driver.now).inversions, 0U);
+        EXPECT_EQ(driver.count([](const auto& result) { return result.request.level == tier(0) && result.refusals > 0; }), 0U);
+        return driver.count([](const auto& result) { return result.preemptions > 0; });
+    };
+    const auto always = wasted(1);
+    ASSERT_GE(always, 20U);
+    EXPECT_LT(wasted(0.3), always * 2 / 3);
+}
+
 // Guards against `carawaylink explain` having nothing to say about a request in any state.
 TEST_F(pool_scheduling, explain_covers_waiting_running_and_finished)
 {
