Record refusals with their best case; let waiting nodes take a peer's state; lint with clang-tidy 16

Cause: the history checker cannot decide tier inversions without refusals; a node behind a gap in the log got nothing from a peer of its version; a change sent while the log was down was answered after the caller's limit; clang-tidy 14 cannot read libstdc++ 12 views nor GCC's precompiled headers.

--- a/libs/bench/src/scheduling_bench.cpp
+++ b/libs/bench/src/scheduling_bench.cpp
@@ -30,7 +30,8 @@
 // Share of a prompt that the trace's shared prefix covers, once it is cached.
 constexpr double sharedPromptShare = 0.6;
 constexpr double stragglerFactor = 4;
-constexpr auto traceLength = std::chrono::seconds(15);
+// Long against the deadlines: a backlog that a short trace leaves would still be served in time after its end.
+constexpr auto traceLength = std::chrono::seconds(30);
 
 struct engine_kind {
     const char* name;
@@ -41,7 +42,6 @@
 
 constexpr std::array<engine_kind, 3> engineKinds { { { "fast", "g3", 4, 2 }, { "medium", "g2", 2, 3 }, { "slow", "g1", 1, 2 } } };
 constexpr std::array<const char*, 4> policies { "pool", "round_robin", "least_load", "power_of_two" };
-constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
 
 // Engine seconds that the engines deliver each second, at speed 1; one medium engine is the straggler.
 double capacity()
@@ -71,10 +71,10 @@
     const service_id service("llm");
     const auto seconds = [](int count) { return std::chrono::milliseconds(1000 * count); };
     settings.classes = {
-        { "question", 25, service, tier(0), 250, 25, 20, 20, seconds(6), 0 },
-        { "reminder", 25, service, tier(1), 100, 20, 4, 0, seconds(8), 0 },
-        { "plan", 35, service, tier(2), 900, 80, 100, 12, seconds(20), 0 },
-        { "tag", 15, service, tier(3), 150, 15, 4, 0, seconds(10), 0 },
+        { "question", 25, service, tier(0), 250, 25, 20, 20, seconds(3), 0 },
+        { "reminder", 25, service, tier(1), 100, 20, 4, 0, seconds(4), 0 },
+        { "plan", 35, service, tier(2), 900, 80, 100, 12, seconds(10), 0 },
+        { "tag", 15, service, tier(3), 150, 15, 4, 0, seconds(5), 0 },
     };
     return settings;
 }
@@ -95,10 +95,10 @@
     double tierZeroShare = 0;
     double goodPerSecond = 0;
     double wastedShare = 0;
+    double unfinishedShare = 0;
     double jain = 0;
     double inversions = 0;
     std::array<double, 4> tierShares {};
-    std::array<double, quantiles.size()> firstTokenMilliseconds {};
 };
 
 run_result runPolicy(
@@ -151,6 +151,8 @@
     result.tierZeroShare = result.tierShares[0];
     result.goodPerSecond = figures.perSecond(figures.total.good);
     result.wastedShare = figures.total.wastedPrefillShare().value_or(0);
+    if (figures.total.prefillComputed > 0)
+        result.unfinishedShare = static_cast<double>(figures.total.prefillUnfinished) / static_cast<double>(figures.total.prefillComputed);
     result.jain = figures.jain ? figures.jain->index : 0;
     return result;
 }
@@ -202,8 +204,9 @@
         std::printf("  %-14s", policy.c_str());
         for (std::size_t level = 0; level < 4; ++level)
             std::printf(" %8.3f", medianOf(runs, [level](const run_result& run) { return run.tierShares[level]; }));
-        std::printf(" %12.1f %10.4f %8.3f %10.0f\n", medianOf(runs, [](const run_result& run) { return run.goodPerSecond; }),
+        std::printf(" %12.1f %10.4f %10.4f %8.3f %10.0f\n", medianOf(runs, [](const run_result& run) { return run.goodPerSecond; }),
             medianOf(runs, [](const run_result& run) { return run.wastedShare; }),
+            medianOf(runs, [](const run_result& run) { return run.unfinishedShare; }),
             medianOf(runs, [](const run_result& run) { return run.jain; }),
             medianOf(runs, [](const run_result& run) { return run.inversions; }));
     }
--- a/libs/node/src/admin_interface.cpp
+++ b/libs/node/src/admin_interface.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr auto appendLimit = std::chrono::seconds(3);
+// Below the command line's own limit for one call.
+constexpr auto appendLimit = std::chrono::seconds(2);
 constexpr std::string_view recordsPath = "/admin/config/records";
 constexpr std::string_view explainPath = "/admin/explain/";
 
@@ -105,6 +106,11 @@
 void node::implementation::appendConfig(const http_request& request, const admin_callback& callback)
 {
     const auto change = parseConfigRecord(request.body);
+    if (change.kind == config_record_kind::snapshot) {
+        callback(
+            adminError(400, "invalid_argument", "operators cannot append a snapshot", "send a change; nodes append snapshots themselves"));
+        return;
+    }
     settings_report report;
     if (!loadFleetConfiguration(change.document, report)) {
         callback(
@@ -121,7 +127,10 @@
     std::string_view outcome = "pending";
     if (result) {
         const bool accepted = result->outcome == config_outcome::accepted || result->outcome == config_outcome::duplicate;
-        outcome = accepted ? "accepted" : result->outcome == config_outcome::refused ? "refused" : "pending";
+        if (accepted)
+            outcome = "accepted";
+        else if (result->outcome == config_outcome::refused || result->outcome == config_outcome::undetermined)
+            outcome = configOutcomeNames.name(result->outcome);
     }
     return jsonResponse(200,
         json::serialize(json::object { { "id", id }, { "result", outcome },
--- a/libs/node/src/config_follower.cpp
+++ b/libs/node/src/config_follower.cpp
@@ -47,6 +47,8 @@
     read();
     m_snapshotTask = std::make_unique<periodic_task>(m_context, m_settings.snapshotInterval, [this] { appendSnapshot(); });
     m_peerTask = std::make_unique<periodic_task>(m_context, peerCheckInterval, [this] {
+        if (m_fold.needsSnapshot() || m_fold.version().value == 0)
+            askAnyPeer();
         for (const auto& member : m_members)
             peerHas(member.node, member.config);
         answerWaiting();
@@ -96,6 +98,7 @@
             .field("detail", result.detail);
     }
     if (failed) {
+        answerWaiting();
         readAgain(m_settings.pollInterval);
         return;
     }
@@ -149,14 +152,32 @@
     if (now - m_lastPeerRequest < peerCheckInterval / 2)
         return;
     m_lastPeerRequest = now;
+    requestFrom(peer);
+}
+
+// After a gap in the log a peer of the same version may still hold the state that this fold lacks.
+void config_follower::askAnyPeer()
+{
+    if (m_members.empty())
+        return;
+    const auto& peer = m_members[m_nextPeer++ % m_members.size()].node;
+    if (peer != m_self)
+        requestFrom(peer);
+}
+
+void config_follower::requestFrom(const node_id& peer)
+{
     wire::config_requestT message;
     message.have_version = m_fold.version().value;
+    message.have_offset = m_fold.stateOffset().value;
     m_mesh.send(peer, std::move(message));
 }
 
 void config_follower::receive(const peer_identity& from, const wire::config_requestT& message)
 {
-    if (m_fold.version().value <= message.have_version)
+    const bool newer = m_fold.version().value > message.have_version
+        || (m_fold.version().value == message.have_version && m_fold.stateOffset().value > message.have_offset);
+    if (!newer || m_fold.version().value == 0 || m_fold.needsSnapshot())
         return;
     wire::config_snapshotT answer;
     answer.version = m_fold.version().value;
--- a/libs/node/src/config_follower.h
+++ b/libs/node/src/config_follower.h
@@ -49,6 +49,8 @@
     void readEnded(const http_result& result);
     void applyRecords(const std::string& body);
     void readAgain(duration pause);
+    void askAnyPeer();
+    void requestFrom(const node_id& peer);
     void changed();
     void appendSnapshot();
     void answerWaiting();
@@ -69,6 +71,7 @@
     std::unique_ptr<periodic_task> m_snapshotTask;
     std::unique_ptr<periodic_task> m_peerTask;
     monotonic_time m_lastPeerRequest {};
+    std::size_t m_nextPeer = 0;
     bool m_logFailed = false;
 
     struct waiting_append {
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -64,7 +64,7 @@
     });
     wired.get_future().get();
     ready = true;
-    record.record("started", {});
+    record.record("started", { { "http", httpAddress } });
     log_event("started")
         .field("node", self.node)
         .field("http", httpAddress)
@@ -289,7 +289,7 @@
 {
     stopReported = true;
     log_event("drain_end", complete ? log_level::info : log_level::warning).field("complete", complete).field("running", front->running());
-    record.record("drain_end", { { "complete", complete } });
+    record.record("drain_end", { { "http", httpAddress }, { "complete", complete } });
     server->stopAccepting();
     membership->leave();
     usage->flush([this, complete] {
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -138,9 +138,12 @@
         if (const auto* grant = std::get_if<slot_grant>(&action)) {
             home = grant->home;
             pool.granted[grant->request] = { home, now };
-            m_history.record("granted", { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value } });
+            m_history.record("granted",
+                { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value },
+                    { "tier", m_requests[grant->request].level.value } });
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
             home = refused->home;
+            recordRefusal(pool.id, now, *refused);
             m_requests.erase(refused->request);
         } else {
             const auto& preemption = std::get<slot_preemption>(action);
@@ -151,6 +154,18 @@
     }
 }
 
+void pool_host::recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused)
+{
+    const auto found = m_requests.find(refused.request);
+    if (found == m_requests.end())
+        return;
+    const auto milliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    m_history.record("refused",
+        { { "request", toString(refused.request) }, { "service", pool.service.value }, { "tier", found->second.level.value },
+            { "reason", refusalReasonNames.name(refused.reason) }, { "best_case_ms", milliseconds(refused.bestCase) },
+            { "deadline_in_ms", milliseconds(found->second.deadline - now) } });
+}
+
 pool_host::hosted_pool* pool_host::poolOf(const request_id& request)
 {
     const auto found = m_requests.find(request);
@@ -170,7 +185,7 @@
     auto& pool = *found->second;
     if (pool.granted.contains(request.id))
         return;
-    if (m_requests.emplace(request.id, known_request { id, request.home }).second) {
+    if (m_requests.emplace(request.id, known_request { id, request.home, request.level, request.deadline }).second) {
         m_history.record("queued",
             { { "request", toString(request.id) }, { "service", id.service.value }, { "pool", id.number }, { "tier", request.level.value },
                 { "team", request.team.value }, { "non_idempotent", request.nonIdempotent },
@@ -238,7 +253,8 @@
         return;
     auto& pool = *found->second;
     for (auto& [request, endpoint, outputTokens] : outstanding) {
-        if (!m_requests.emplace(request.id, known_request { id, request.home }).second && pool.granted.contains(request.id))
+        if (!m_requests.emplace(request.id, known_request { id, request.home, request.level, request.deadline }).second
+            && pool.granted.contains(request.id))
             continue;
         pool.granted[request.id] = { home, now };
         m_history.record("granted",
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -69,9 +69,12 @@
     struct known_request {
         pool_id pool;
         node_id home;
+        tier level;
+        monotonic_time deadline;
     };
 
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
+    void recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused);
     hosted_pool* poolOf(const request_id& request);
     void becomeReady(hosted_pool& pool, monotonic_time now);
 
--- a/libs/scheduling/include/scheduling/types.h
+++ b/libs/scheduling/include/scheduling/types.h
@@ -85,6 +85,8 @@
     refusal_reason reason;
     std::string message;
     duration retryAfter {};
+    /// Estimated run time on the best endpoint without any wait; zero where it was not estimated.
+    duration bestCase {};
 };
 
 /// The home must cancel the running stream; its slot is given to a higher tier.
--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -45,6 +45,7 @@
         return false;
     }
     const auto cost = bestCost(now, record);
+    record.bestCase = cost.seconds;
     const double wait = waitEstimate(record);
     const double needed = cost.seconds * (wait > 0 ? 1 + margin() : 1);
     if (!cost.learned || now + fromSeconds(wait + needed) <= record.request.deadline) {
@@ -248,6 +249,7 @@
 void pool_scheduler::implementation::checkWaiting(monotonic_time now, request_record& record, actions& out)
 {
     const auto cost = bestCost(now, record);
+    record.bestCase = cost.seconds;
     const auto latest = record.request.deadline - (cost.learned ? fromSeconds(cost.seconds) : duration {});
     const bool passed = now >= record.request.deadline;
     if (passed || now > latest) {
--- a/libs/scheduling/src/records.h
+++ b/libs/scheduling/src/records.h
@@ -81,6 +81,8 @@
     monotonic_time submitted {};
     /// Estimated seconds on the best endpoint when it was admitted; 0 where nothing was learned yet.
     double admittedCost = 0;
+    /// Last estimate of the run time on the best endpoint, in seconds; 0 before the first.
+    double bestCase = 0;
 
     endpoint_record* endpoint = nullptr;
     monotonic_time granted {};
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build and the tests need; does nothing where all are present.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev curl
+packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy-16 libclang-rt-14-dev curl
     libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libssl-dev
     prometheus-cpp-dev libgoogle-glog-dev libcli11-dev libflatbuffers-dev libyaml-cpp-dev
     liburcu-dev libxxhash-dev libgtest-dev libgmock-dev librapidcheck-dev gnuplot-nox)
