Give orders to engines from the configured state

Cause: the configuration names models, adapters, version and role of a service, but nothing brought engines to it. Change: libs/orders has the lease, the permits of the weight store and the reconciler as pure decisions; order_driver runs them on the control thread of the node that owns pool 0 of a service; /admin/orders shows the orders.

--- a/libs/node/src/admin_interface.cpp
+++ b/libs/node/src/admin_interface.cpp
@@ -62,7 +62,7 @@
         } else if (path == "/admin/usage" && isGet)
             usagePage(callback);
         else if (path == "/admin/orders" && isGet)
-            callback(jsonResponse(200, R"({"orders":[]})"));
+            callback(ordersPage());
         else
             callback(adminError(404, "unknown_path", request.method + " " + std::string(path) + " is not served", "see docs/cli.md"));
     } catch (const error& failure) {
@@ -151,4 +151,15 @@
     });
 }
 
+http_response node::implementation::ordersPage()
+{
+    json::array list;
+    for (const auto& order : orders->orders()) {
+        list.push_back(json::object { { "endpoint", order.endpoint.value }, { "kind", orderKindTexts.name(order.change.kind) },
+            { "name", order.change.name }, { "state", orderStateNames.name(order.state) },
+            { "fence", order.fence ? json::value(order.fence->value) : json::value(nullptr) }, { "message", order.message } });
+    }
+    return jsonResponse(200, json::serialize(json::object { { "orders", std::move(list) } }));
+}
+
 } // namespace carawaylink
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -57,6 +57,7 @@
             startMesh();
             startScheduling();
             startConfiguration();
+            startOrders();
             wired.set_value();
         } catch (...) {
             wired.set_exception(std::current_exception());
--- a/libs/node/src/node_state.h
+++ b/libs/node/src/node_state.h
@@ -10,6 +10,7 @@
 #include "membership_transport.h"
 #include "metrics.h"
 #include "node/node.h"
+#include "order_driver.h"
 #include "peer_mesh.h"
 #include "pool_host.h"
 #include "request_front.h"
@@ -37,6 +38,7 @@
     void startScheduling();
     void placeDirectly();
     void startConfiguration();
+    void startOrders();
     void startFront();
     control_gateway makeGateway();
     void receive(const peer_identity& from, wire::envelopeT& envelope);
@@ -62,6 +64,7 @@
     void appendConfig(const http_request& request, const admin_callback& callback);
     http_response configResult(const std::string& id, const std::optional<config_result>& result) const;
     void usagePage(const admin_callback& callback);
+    http_response ordersPage();
 
     schema::daemon_settingsT settings;
     process_identity self;
@@ -81,6 +84,7 @@
     std::unique_ptr<endpoint_monitor> monitor;
     std::unique_ptr<config_follower> config;
     std::unique_ptr<usage_publisher> usage;
+    std::unique_ptr<order_driver> orders;
     std::unique_ptr<request_front> front;
     std::unique_ptr<http_server> server;
     team_rate_limit rateLimit;
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -306,6 +306,29 @@
     return gateway;
 }
 
+void node::implementation::startOrders()
+{
+    order_driver_settings driverSettings;
+    driverSettings.logAddress = settings.log_address;
+    orders = std::make_unique<order_driver>(control.context(0), order_holder { self.node, self.run }, driverSettings, [this] {
+        const auto current = *view.read();
+        std::map<service_id, order_driver::owned_service> owned;
+        for (const auto& [service, policy] : current->services) {
+            const auto& definition = policy.definition;
+            desired_engine desired { definition.models, definition.adapters, definition.version, definition.role };
+            if (definition.kind != schema::service_kind::engine || desired == desired_engine {}
+                || poolOwner({ service, 0 }, current->members) != self.node)
+                continue;
+            owned[service] = { std::move(desired), definition.ignores_fencing, policy.defaults.weight_store_loads, {} };
+        }
+        for (const auto& [id, entry] : directory->endpoints()) {
+            if (const auto found = owned.find(entry.service); found != owned.end())
+                found->second.endpoints[id] = entry.leaving;
+        }
+        return owned;
+    });
+}
+
 void node::implementation::startFront()
 {
     request_front_settings frontSettings;
--- /dev/null
+++ b/libs/orders/src/reconciler.cpp
@@ -0,0 +1,235 @@
+#include "orders/reconciler.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace carawaylink {
+
+std::vector<engine_order_change> difference(const desired_engine& desired, const observed_engine& observed)
+{
+    std::vector<engine_order_change> changes;
+    const auto addMissing = [&](order_kind kind, const std::vector<std::string>& wanted, const std::vector<std::string>& present) {
+        for (const auto& name : wanted) {
+            if (std::ranges::find(present, name) == present.end())
+                changes.push_back({ kind, name });
+        }
+    };
+    addMissing(order_kind::load_model, desired.models, observed.models);
+    addMissing(order_kind::load_adapter, desired.adapters, observed.adapters);
+    if (!desired.version.empty() && desired.version != observed.version)
+        changes.push_back({ order_kind::set_version, desired.version });
+    // The role comes last, so that an engine takes a new role with everything that the role needs.
+    if (!desired.role.empty() && desired.role != observed.role)
+        changes.push_back({ order_kind::set_role, desired.role });
+    return changes;
+}
+
+reconciler::reconciler(reconciler_settings settings)
+    : m_settings(settings)
+{
+}
+
+void reconciler::setDesired(desired_engine desired)
+{
+    if (desired == m_desired)
+        return;
+    m_desired = std::move(desired);
+    for (auto& engine : m_engines | std::views::values) {
+        if (engine.observed)
+            engine.missing = difference(m_desired, *engine.observed);
+    }
+}
+
+void reconciler::setEndpoints(const std::map<endpoint_id, bool>& endpoints)
+{
+    std::erase_if(m_engines, [&](const auto& entry) { return !endpoints.contains(entry.first) && !entry.second.active; });
+    for (const auto& [id, leaving] : endpoints)
+        m_engines[id].leaving = leaving;
+    for (auto& [id, engine] : m_engines)
+        engine.leaving = engine.leaving || !endpoints.contains(id);
+}
+
+void reconciler::observe(monotonic_time now, const endpoint_id& endpoint, monotonic_time readStarted, observed_engine state)
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end() || readStarted < found->second.observedAt)
+        return;
+    auto& engine = found->second;
+    engine.observed = std::move(state);
+    engine.observedAt = readStarted;
+    engine.missing = difference(m_desired, *engine.observed);
+    if (engine.active && engine.active->unknown && readStarted > engine.active->sentAt
+        && std::ranges::find(engine.missing, engine.active->change) == engine.missing.end())
+        end(now, engine, order_state::done, "answer lost, seen in the state", true);
+    refresh(now, engine);
+}
+
+// Compares the shown orders with what is missing now.
+void reconciler::refresh(monotonic_time now, engine_entry& engine)
+{
+    const auto isMissing
+        = [&](const engine_order_change& change) { return std::ranges::find(engine.missing, change) != engine.missing.end(); };
+    std::erase_if(engine.orders, [&](const auto& entry) {
+        const auto& [change, order] = entry;
+        if (isMissing(change) || order.state == order_state::sent)
+            return false;
+        return order.state != order_state::done || now >= order.changedAt + m_settings.keep;
+    });
+    for (auto& [change, order] : engine.orders) {
+        const bool seenAfter = engine.lastOrder && engine.observedAt > *engine.lastOrder;
+        // Also where the desired models do not fit into the engine together: the pause keeps it from loading them in turn.
+        if (order.state == order_state::done && isMissing(change) && seenAfter)
+            fail(now, order, "the engine reported success, but its state does not show it");
+    }
+}
+
+void reconciler::tick(monotonic_time now)
+{
+    for (auto& engine : m_engines | std::views::values) {
+        if (engine.active && engine.active->unknown && now >= engine.active->sentAt + m_settings.inFlight)
+            end(now, engine, order_state::failed, "no answer, and not seen in the state", true);
+    }
+}
+
+bool reconciler::due(const engine_entry& engine, const engine_order_change& change, monotonic_time at) const
+{
+    const auto order = engine.orders.find(change);
+    return order == engine.orders.end() || at >= order->second.retryAt;
+}
+
+reconciler::wanted_orders reconciler::wanted(monotonic_time now) const
+{
+    wanted_orders result;
+    const bool free = mayTouch();
+    for (const auto& engine : m_engines | std::views::values) {
+        if (engine.active)
+            result.any = true;
+        if (engine.leaving || engine.active || !engine.observed)
+            continue;
+        for (const auto& change : engine.missing) {
+            // A lease is not kept over a long pause.
+            if (!due(engine, change, now + m_settings.firstRetry))
+                continue;
+            result.any = true;
+            // A permit that cannot be used at once would keep it from other services.
+            result.load = result.load || (free && change.kind == order_kind::load_model && !engine.touched() && due(engine, change, now));
+        }
+    }
+    return result;
+}
+
+bool reconciler::busy() const
+{
+    return std::ranges::any_of(m_engines | std::views::values, [](const engine_entry& engine) { return engine.active.has_value(); });
+}
+
+bool reconciler::active(const endpoint_id& endpoint) const
+{
+    const auto found = m_engines.find(endpoint);
+    return found != m_engines.end() && found->second.active;
+}
+
+bool reconciler::readBefore(const endpoint_id& endpoint, monotonic_time time) const
+{
+    const auto found = m_engines.find(endpoint);
+    return found != m_engines.end() && (!found->second.observed || found->second.observedAt < time);
+}
+
+bool reconciler::mayTouch() const
+{
+    const auto staying = std::ranges::count(m_engines | std::views::values, false, &engine_entry::leaving);
+    const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(staying) / m_settings.rollingShare);
+    const auto touched = std::ranges::count_if(
+        m_engines | std::views::values, [](const engine_entry& engine) { return !engine.leaving && engine.touched(); });
+    return static_cast<std::size_t>(touched) < limit;
+}
+
+std::optional<reconciler::next_order> reconciler::next(monotonic_time now, monotonic_time usableSince, bool mayLoad) const
+{
+    if (!mayTouch())
+        return std::nullopt;
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.leaving || !engine.observed || engine.touched() || engine.observedAt < usableSince)
+            continue;
+        for (const auto& change : engine.missing) {
+            if ((change.kind != order_kind::load_model || mayLoad) && due(engine, change, now))
+                return next_order { id, change };
+        }
+    }
+    return std::nullopt;
+}
+
+void reconciler::sent(monotonic_time now, const next_order& order, log_offset fence)
+{
+    auto& engine = m_engines.at(order.endpoint);
+    engine.active = active_order { order.change, now, false };
+    auto& entry = engine.orders[order.change];
+    entry.state = order_state::sent;
+    entry.fence = fence;
+    entry.message.clear();
+    entry.changedAt = now;
+}
+
+void reconciler::finished(monotonic_time now, const endpoint_id& endpoint, order_outcome outcome, const std::string& message)
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end() || !found->second.active)
+        return;
+    auto& engine = found->second;
+    switch (outcome) {
+    case order_outcome::done:
+        end(now, engine, order_state::done, message, true);
+        break;
+    case order_outcome::failed:
+        end(now, engine, order_state::failed, message, true);
+        break;
+    case order_outcome::not_sent:
+        end(now, engine, order_state::failed, message, false);
+        break;
+    case order_outcome::unknown:
+        engine.active->unknown = true;
+        engine.orders[engine.active->change].message = message;
+        break;
+    }
+}
+
+void reconciler::fail(monotonic_time now, order_entry& entry, const std::string& message) const
+{
+    constexpr std::size_t maxDoublings = 16;
+    entry.state = order_state::failed;
+    entry.message = message;
+    entry.changedAt = now;
+    const auto pause = m_settings.firstRetry * (1LL << std::min(entry.failures++, maxDoublings));
+    entry.retryAt = now + std::min<duration>(pause, m_settings.longestRetry);
+}
+
+void reconciler::end(monotonic_time now, engine_entry& engine, order_state state, const std::string& message, bool reached)
+{
+    auto& entry = engine.orders[engine.active->change];
+    engine.active.reset();
+    if (reached)
+        engine.lastOrder = now;
+    if (state == order_state::failed) {
+        fail(now, entry, message);
+        return;
+    }
+    entry.state = state;
+    entry.message = message;
+    entry.changedAt = now;
+}
+
+std::vector<reconciler::order_status> reconciler::status() const
+{
+    std::vector<order_status> result;
+    for (const auto& [id, engine] : m_engines) {
+        for (const auto& [change, order] : engine.orders)
+            result.push_back({ id, change, order.state, order.fence, order.message });
+        for (const auto& change : engine.missing) {
+            if (!engine.orders.contains(change) && !engine.leaving)
+                result.push_back({ id, change, order_state::pending, std::nullopt, "" });
+        }
+    }
+    return result;
+}
+
+} // namespace carawaylink
