--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -12,6 +12,7 @@
     "$@" >"$out/$name.out" 2>"$out/$name.err" &
     program_pid[$name]=$!
     cluster_pids+=($!)
+    disown $! # no job message where a program is killed on purpose
     local try
     for try in $(seq 1 200); do
         if grep -q '^listening' "$out/$name.out" 2>/dev/null; then
@@ -33,9 +34,6 @@
     for pid in "${cluster_pids[@]}"; do
         kill -KILL "$pid" 2>/dev/null || true
     done
-    for pid in "${cluster_pids[@]}"; do
-        wait "$pid" 2>/dev/null || true
-    done
     cluster_pids=()
 }
 
@@ -71,41 +69,35 @@
     start_program vms "$binaries/carawaylink-vms"
 }
 
-# start_node NAME DOMAIN REGION [EXTRA YAML LINE...]: one carawaylinkd; sets node_http[NAME].
+# start_sample_node NAME FILE: one carawaylinkd with the settings of a sample file, but with free ports, the stand-ins'
+# addresses and a history; sets node_http[NAME].
 declare -A node_http
-start_node() {
-    local name=$1 domain=$2 region=$3 seeds=""
-    shift 3
-    [ -n "${first_node:-}" ] && seeds="\"$first_node\""
+first_node=""
+start_sample_node() {
+    local name=$1 file=$2
     {
+        grep -vE '^(node_address|http_address|log_address|vm_list_address|seeds):' "$file"
         cat <<YAML
-cluster: test
 node_address: 127.0.0.1:0
 http_address: 127.0.0.1:0
-failure_domain: $domain
-region: $region
-seeds: [$seeds]
 log_address: ${program_address[log]}
 vm_list_address: ${program_address[vms]}
 history_file: $out/$name.jsonl
-cluster_keys:
-  - id: k1
-    secret: a-secret-of-the-test-cluster
-operator_keys:
-  - name: operator
-    sha256: $(printf %s operator-key | sha256sum | cut -d' ' -f1)
+seeds: [${first_node:+"\"$first_node\""}]
 YAML
-        printf '%s\n' "$@"
     } >"$out/$name.yaml"
     start_program "$name" "$binaries/carawaylinkd" --settings "$out/$name.yaml"
     node_http[$name]=$(sed -n 's/^listening http=\([0-9.:]*\) .*/\1/p' "$out/$name.out")
-    [ -n "${first_node:-}" ] || first_node=$(sed -n 's/^listening .* node=\([0-9.:]*\).*/\1/p' "$out/$name.out")
+    [ -n "$first_node" ] || first_node=$(sed -n 's/^listening .* node=\([0-9.:]*\).*/\1/p' "$out/$name.out")
 }
 
-# publish_configuration FILE: appends the first configuration through a node's operator interface.
-publish_configuration() {
-    local body
-    body=$(python3 -c 'import json,sys; print(json.dumps({"id":"first","author":"demo","base_version":0,"kind":"change","document":open(sys.argv[1]).read()}))' "$1")
-    curl -sf -X POST -H "Authorization: Bearer operator-key" -d "$body" "http://${node_http[node-1]}/admin/config/records"
-    echo
+# wait_until_ready SERVICE: waits until a lookup of a plain service is answered through every node.
+wait_until_ready() {
+    local address try
+    for address in "${node_http[@]}"; do
+        for try in $(seq 1 200); do
+            curl -sf -m 2 -H "Authorization: Bearer key-choir-1" "http://$address/services/$1/lookup" >/dev/null && break
+            sleep 0.05
+        done
+    done
 }
