Let short requests of lower tiers use reserved slots and define inversions by usable streams

Cause: slots kept free for short requests idled while short ones of lower tiers waited; streams that started too late to help a request counted as inversions. Change: next() skips tiers with held back long requests only; a stream counts where its endpoint could have finished the request from the stream's grant on.

--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -160,12 +160,9 @@
     return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
 }
 
-endpoint_record* pool_scheduler::implementation::findVictim(
-    monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor)
+endpoint_record* pool_scheduler::implementation::findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start)
 {
-    if (!settings.preemption)
-        return nullptr;
-    if (!lowerPreemptible(record.request.level))
+    if (!settings.preemption || !lowerPreemptible(record.request.level))
         return nullptr;
     const auto cached = prefixes.match(record.request.prefixBlocks);
     endpoint_record* best = nullptr;
@@ -176,7 +173,7 @@
         if (victim.request.level <= record.request.level || (best && !victim_order {}(victim, *best->victims.begin())))
             continue;
         if (start && modelsOf(*entry).learned(now)
-            && *start + fromSeconds(factor * option(record, *entry, cached, true).cost) > record.request.deadline)
+            && *start + fromSeconds(option(record, *entry, cached, true).cost) > record.request.deadline)
             continue;
         best = entry.get();
     }
@@ -217,19 +214,29 @@
 
 void pool_scheduler::implementation::countInversion(monotonic_time now, request_record& record, bool queueSpace)
 {
-    // Work that would miss its deadline even on an idle pool is not refused for lack of capacity.
-    if (!queueSpace && record.submitted + fromSeconds(bestCost(now, record).seconds) > record.request.deadline)
+    const auto lower
+        = [&](const auto& entry) { return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0; };
+    if (queueSpace) {
+        inversions += std::ranges::any_of(tiers, lower) || findVictim(now, record, std::nullopt) ? 1 : 0;
         return;
-    // Nor is work whose estimate grew while it waited, and that would still be in time by the estimate of its admission.
-    if (!queueSpace && record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline)
+    }
+    // Work whose estimate grew while it waited, and that would be in time by the estimate of its admission, is not refused for
+    // lack of capacity.
+    if (!settings.preemption || (record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline))
         return;
-    // Nor is work that left less time to spare than a preemption takes, by the estimate that grants use under load.
-    const auto start = queueSpace ? std::nullopt : std::optional(record.submitted + preemptionLead);
-    const bool lowerRunning = findVictim(now, record, start, 1 + margin()) != nullptr;
-    const bool lowerWaiting = queueSpace && std::ranges::any_of(tiers, [&](const auto& entry) {
-        return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0;
+    // A stream could have been displaced from its grant on, or from the arrival of the request plus the time that a preemption
+    // takes; it counts where its endpoint would have finished the request then, by the estimate that grants use under load.
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const bool displaceable = std::ranges::any_of(endpoints, [&](const auto& entry) {
+        if (!entry->eligible() || entry->ejected)
+            return false;
+        const auto needed = fromSeconds(option(record, *entry, cached, true).cost * (1 + margin()));
+        return std::ranges::any_of(entry->victims, [&](const request_record& victim) {
+            return victim.request.level > record.request.level
+                && std::max(victim.granted, record.submitted + preemptionLead) + needed <= record.request.deadline;
+        });
     });
-    inversions += lowerRunning || lowerWaiting ? 1 : 0;
+    inversions += displaceable ? 1 : 0;
 }
 
 void pool_scheduler::implementation::renewReservations(monotonic_time now, actions& out)
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -173,13 +173,13 @@
 request_record* pool_scheduler::implementation::next()
 {
     for (auto& [level, queue] : tiers) {
-        if (queue.size() == 0)
-            continue;
-        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
-        for (;;) {
+        // Where only long requests that are held back wait, short ones of less urgent tiers may use the slots kept free.
+        while (queue.size() > 0) {
             auto* record = queue.next(longAllowed(level));
+            if (!record)
+                break;
             const double median = queue.costs.value();
-            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+            if (record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
                 return record;
             // It was queued before enough shorter requests had shown that it is long; this happens once per request.
             queue.remove(*record);
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -96,8 +96,8 @@
     bool displaceOwn(request_record& record, actions& out);
     bool preemptFor(monotonic_time now, request_record& record, actions& out);
     /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
-    /// request in time from then on, with `factor` times the estimated run time, are considered.
-    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
+    /// request in time from then on are considered.
+    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
     bool lowerPreemptible(tier level) const;
     /// True where no more urgent tier waits, runs or did so recently.
     bool mostUrgent(tier level) const;
