--- a/libs/config/src/record.cpp
+++ b/libs/config/src/record.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace carawaylink {
@@ -28,6 +29,15 @@
     return text;
 }
 
+/// Ids and authors are printed on terminals.
+std::string readName(const boost::json::object& object, std::string_view field)
+{
+    auto text = readText(object, field, maxNameBytes);
+    if (std::ranges::any_of(text, [](unsigned char c) { return c < ' ' || c == 0x7f; }))
+        failField(field, "holds a control character");
+    return text;
+}
+
 std::uint64_t readNumber(const boost::json::object& object, std::string_view field)
 {
     const auto* value = object.if_contains(field);
@@ -60,18 +70,21 @@
         failField("text", "is no JSON object");
     const auto& object = value.get_object();
     config_record record;
-    record.id = readText(object, "id", maxNameBytes);
-    record.author = readText(object, "author", maxNameBytes);
+    record.id = readName(object, "id");
+    record.author = readName(object, "author");
     record.baseVersion = config_version(readNumber(object, "base_version"));
     const auto kind = configRecordKindNames.parse(readText(object, "kind", maxNameBytes));
     if (!kind)
-        failField("kind", "is neither change nor snapshot");
+        failField("kind", "is none of change, snapshot, reset");
     record.kind = *kind;
     record.document = readText(object, "document", maxConfigurationBytes);
     if (record.kind == config_record_kind::snapshot) {
         record.nextOffset = log_offset(readNumber(object, "next_offset"));
         if (record.baseVersion.value == 0)
             failField("base_version", "is 0, a version that has no document");
+        // Every record raises the version by one at most, and a reset sets it to the number of records up to itself.
+        if (record.baseVersion.value > record.nextOffset->value)
+            failField("base_version", "is larger than next_offset");
     }
     return record;
 }
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
-#include <ranges>
 
 namespace carawaylink {
 namespace {
@@ -24,8 +22,16 @@
 constexpr double maxDeadProbesPerSecond = 1;
 // Each dead member is probed by someone about this many times per deadProbeInterval.
 constexpr double deadProbeFactor = 2;
-constexpr duration joinCheckDelay = seconds(2);
-constexpr unsigned maxJoinRepeats = 3;
+// Between two state exchanges after the start; an answer of 100 datagrams arrives in much less.
+constexpr duration settleInterval = seconds(1);
+// Known members can double with every exchange, so 12 are enough for thousands that start together.
+constexpr unsigned maxPulls = 12;
+// With fewer, members that started together stopped while they and all whom they asked still knew little.
+constexpr unsigned minPulls = 3;
+constexpr duration strangerPullInterval = seconds(5);
+// The long interval keeps the repeated exchanges at about 50 B/s per member in any size.
+constexpr duration minLongPullInterval = seconds(30);
+constexpr duration pullIntervalPerMember = milliseconds(2500);
 
 } // namespace
 
@@ -48,8 +54,9 @@
         startProbe(now);
     noticeSuspects(now);
     probeDead(std::min(elapsed, pauseThreshold));
+    recheckDead();
     trySeeds(now);
-    checkJoin(now);
+    settle(now);
     push(now);
     if (nextSweep <= now) {
         nextSweep = now + seconds(1);
@@ -131,21 +138,17 @@
 /// Tells members suspected here so, that they can refute without waiting for gossip.
 void failure_detector::implementation::noticeSuspects(monotonic_time now)
 {
-    for (auto& [node, record] : members) {
-        if (record.info.state != member_state::suspect || !record.nextNotice || *record.nextNotice > now)
+    for (const auto& node : suspects) {
+        auto& next = members.at(node).nextNotice;
+        if (!next || *next > now)
             continue;
-        record.nextNotice = now + 2 * settings.probeTimeout;
+        next = now + 2 * settings.probeTimeout;
         ping(node);
     }
 }
 
 void failure_detector::implementation::probeDead(duration elapsed)
 {
-    std::vector<const node_id*> dead;
-    for (const auto& [node, record] : members) {
-        if (record.info.state == member_state::dead)
-            dead.push_back(&node);
-    }
     if (dead.empty())
         return;
     // The live members share the work, so that neither a lost failure domain nor a lost vm of many causes a storm of probes.
@@ -155,7 +158,18 @@
     if (deadProbeCredit < 1)
         return;
     deadProbeCredit -= 1;
-    ping(*dead[std::uniform_int_distribution<std::size_t>(0, dead.size() - 1)(random)]);
+    ping(*std::next(dead.begin(), std::uniform_int_distribution<std::ptrdiff_t>(0, std::ssize(dead) - 1)(random)));
+}
+
+/// One per tick: what the first of them tell by gossip makes most of the others unnecessary.
+void failure_detector::implementation::recheckDead()
+{
+    std::erase_if(recheck, [&](const auto& node) { return !dead.contains(node); });
+    if (recheck.empty())
+        return;
+    const auto chosen = std::next(recheck.begin(), std::uniform_int_distribution<std::ptrdiff_t>(0, std::ssize(recheck) - 1)(random));
+    ping(*chosen);
+    recheck.erase(chosen);
 }
 
 void failure_detector::implementation::trySeeds(monotonic_time now)
@@ -173,17 +187,41 @@
     }
 }
 
-void failure_detector::implementation::checkJoin(monotonic_time now)
+/// Repeats the state exchange while it brings news, because parts of it may be lost and members that start together know little;
+/// later repeats it seldom, which repairs views that differ although no gossip is due.
+void failure_detector::implementation::settle(monotonic_time now)
 {
-    if (joinExpected <= joinReceived || joinCheck > now)
+    // A member whose seeds joined it before they answered has not joined, but knows whom to ask.
+    if (probeOrder.empty() || nextPull > now)
         return;
-    // A part of the exchange was lost; another member is asked for all of it.
-    joinExpected = 0;
-    if (joinRepeats++ < maxJoinRepeats) {
-        for (const auto& node : randomMembers(1, {}))
-            send(packet_kind::join, ++lastSequence, node);
+    const bool incomplete = exchangeReceived < exchangeExpected;
+    settled = settled || pulls >= maxPulls || (pulls >= minPulls && !incomplete && learned == 0);
+    ++pulls;
+    for (const auto& node : randomMembers(1, {}))
+        pull(now, node);
+}
+
+void failure_detector::implementation::pull(monotonic_time now, const node_id& from)
+{
+    if (settled) {
+        pullInterval = std::min(2 * pullInterval, std::max<duration>(minLongPullInterval, probeOrder.size() * pullIntervalPerMember));
+        nextPull = now + pullInterval;
+    } else {
+        nextPull = now + settleInterval;
     }
-    joinCheck = now + joinCheckDelay;
+    learned = 0;
+    exchangeExpected = 0;
+    exchangeReceived = 0;
+    send(packet_kind::join, ++lastSequence, from);
+}
+
+/// Fetches the view of a member that may belong to a group apart.
+void failure_detector::implementation::pullFromStranger(monotonic_time now, const node_id& from)
+{
+    if (nextStrangerPull > now)
+        return;
+    nextStrangerPull = now + strangerPullInterval;
+    send(packet_kind::join, ++lastSequence, from);
 }
 
 void failure_detector::implementation::push(monotonic_time now)
@@ -198,9 +236,10 @@
 
 std::vector<node_id> failure_detector::implementation::randomMembers(std::size_t count, const node_id& except)
 {
+    std::vector<node_id> alive;
+    std::ranges::copy_if(probeOrder, std::back_inserter(alive),
+        [&](const node_id& node) { return node != except && members.at(node).info.state == member_state::alive; });
     std::vector<node_id> chosen;
-    auto alive = probeOrder
-        | std::views::filter([&](const node_id& node) { return node != except && members.at(node).info.state == member_state::alive; });
     std::ranges::sample(alive, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), random);
     return chosen;
 }
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -14,6 +14,8 @@
 constexpr double crowdedPrefixWeight = 3;
 /// Share of the slots of an endpoint that may be reserved by requests waiting for its cached prefixes.
 constexpr std::size_t parkedShare = 4;
+/// Time that a due probe waits for a request of the least urgent tier; under overload, none may come up.
+constexpr duration probePatience = std::chrono::seconds(5);
 /// Errors of the estimate beyond this are noise of the first samples and must not refuse work.
 constexpr double largestMargin = 0.5;
 constexpr double marginSamples = 5;
@@ -33,10 +35,22 @@
         return where.running == 0 && now >= where.nextProbe ? 1 : 0;
     if (circuit == circuit_state::half_open)
         return where.running == 0 ? 1 : 0;
-    const auto taken = where.running + *std::ranges::min_element(where.foreign.excess);
+    const auto taken = where.running + where.foreignRunning(now);
     return where.description.maxRunning > taken ? where.description.maxRunning - taken : 0;
 }
 
+bool pool_scheduler::implementation::mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const
+{
+    // A probe may be slow: it is neither long nor a request that cannot be repeated, and has time to spare.
+    if (record.longRequest || record.request.nonIdempotent
+        || now + fromSeconds(choice.cost * settings.stragglerFactor) > record.request.deadline)
+        return false;
+    // The least urgent tier in service probes, unless none of its requests came up for some time.
+    const bool lowest = std::none_of(tiers.upper_bound(record.request.level), tiers.end(),
+        [](const auto& entry) { return entry.second.size() + entry.second.parked + entry.second.running > 0; });
+    return lowest || now > choice.endpoint->nextProbe + probePatience;
+}
+
 double pool_scheduler::implementation::nextSlotWait(const endpoint_record& where) const
 {
     const auto ahead = static_cast<double>(where.parked.size() + 1);
@@ -47,7 +61,7 @@
 }
 
 placement_option pool_scheduler::implementation::option(
-    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree)
+    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded)
 {
     const auto prompt = record.request.promptTokens.value;
     const auto blocks = where.position < prefix_index::maxEndpoints ? cached[where.position] : 0;
@@ -57,11 +71,15 @@
     // The last token is always computed, also for a prompt that is cached completely.
     result.cachedTokens = std::clamp<std::int64_t>(blocks * tokensPerBlock, 0, std::max<std::int64_t>(0, prompt - 1));
     const double first = models.firstTokenSeconds(static_cast<double>(prompt - result.cachedTokens));
-    const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
+    // The endpoint will be as busy as the pool is on average while the request runs, if it is not busier already.
+    const double busy = static_cast<double>(where.description.maxRunning * std::min(running, slots))
+        / static_cast<double>(std::max<std::size_t>(1, slots));
+    const double concurrency = std::max(busy, static_cast<double>(std::min(where.running + 1, where.description.maxRunning)));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
     result.wait = isFree ? 0 : nextSlotWait(where);
-    const double saved = models.firstTokenSeconds(static_cast<double>(prompt)) - first;
-    result.score = result.wait + result.cost - (contended(record) ? (crowdedPrefixWeight - 1) * saved : 0);
+    result.score = result.wait + result.cost;
+    if (crowded && result.cachedTokens > 0)
+        result.score -= (crowdedPrefixWeight - 1) * (models.firstTokenSeconds(static_cast<double>(prompt)) - first);
     return result;
 }
 
@@ -83,18 +101,22 @@
     return others > (record.phase == request_phase::waiting || record.phase == request_phase::parked ? 1U : 0U);
 }
 
-double pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
+run_time pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    double best = std::numeric_limits<double>::infinity();
+    run_time best;
     for (const auto& entry : endpoints) {
         if (!entry->eligible() || entry->ejected)
             continue;
-        if (!modelsOf(*entry).learned(now))
-            return 0;
-        best = std::min(best, option(record, *entry, cached, true).cost);
+        const double cost = option(record, *entry, cached, true).cost;
+        if (now + preemptionLead + fromSeconds(cost) <= record.request.deadline)
+            best.slowest = std::max(best.slowest, cost);
+        if (best.seconds <= 0 || cost < best.seconds) {
+            best.seconds = cost;
+            best.learned = modelsOf(*entry).learned(now);
+        }
     }
-    return std::isinf(best) ? 0 : best;
+    return best;
 }
 
 double pool_scheduler::implementation::waitEstimate(request_record& record)
@@ -129,8 +151,17 @@
     for (auto& [level, queue] : tiers) {
         if (queue.size() == 0)
             continue;
-        if (auto* record = queue.next(longAllowed(level)))
-            return record;
+        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
+        for (;;) {
+            auto* record = queue.next(longAllowed(level));
+            const double median = queue.costs.value();
+            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+                return record;
+            // It was queued before enough shorter requests had shown that it is long; this happens once per request.
+            queue.remove(*record);
+            record->longRequest = true;
+            queue.push(*record, longAllowed(level));
+        }
     }
     return nullptr;
 }
@@ -141,10 +172,11 @@
         serveParked(now, out);
         auto* record = next();
         if (!record || std::ranges::none_of(endpoints, [&](const auto& entry) { return freeSlots(*entry, now) > 0; }))
-            return;
+            break;
         if (!place(now, *record, out))
-            return;
+            break;
     }
+    renewReservations(now, out);
 }
 
 void pool_scheduler::implementation::serveParked(monotonic_time now, actions& out)
@@ -167,7 +199,8 @@
 bool pool_scheduler::implementation::place(monotonic_time now, request_record& record, actions& out)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    const double factor = contended(record) ? 1 + margin() : 1;
+    const bool crowded = contended(record);
+    const double factor = crowded ? 1 + margin() : 1;
     const auto fits = [&](const placement_option& choice) {
         return !modelsOf(*choice.endpoint).learned(now) || now + fromSeconds(choice.wait + choice.cost * factor) <= record.request.deadline;
     };
@@ -179,17 +212,16 @@
             continue;
         const bool isFree = freeSlots(*entry, now) > 0;
         if (entry->ejected) {
-            // A probe may be slow: it is neither long nor a request that cannot be repeated.
-            if (!isFree || record.longRequest || record.request.nonIdempotent)
+            if (!isFree)
                 continue;
-            if (const auto choice = option(record, *entry, cached, true); fits(choice)) {
+            if (const auto choice = option(record, *entry, cached, true); mayProbe(now, record, choice)) {
                 grant(now, record, choice, out);
                 return true;
             }
             continue;
         }
         anyFree = anyFree || isFree;
-        const auto choice = option(record, *entry, cached, isFree);
+        const auto choice = option(record, *entry, cached, isFree, crowded);
         auto& best = isFree ? bestFree : bestFull;
         if (fits(choice) && (!best.endpoint || choice.score < best.score))
             best = choice;
@@ -205,6 +237,7 @@
         park(now, record, *bestFull.endpoint, bestFull.wait);
     } else if (!preemptFor(now, record, out)) {
         countInversion(now, record, false);
+        unqueue(record);
         refuse(record, refusal_reason::deadline_unreachable, "no endpoint can finish the request before its deadline", out);
     }
     return true;
@@ -216,6 +249,8 @@
     auto& queue = queueOf(record);
     if (record.phase == request_phase::parked) {
         where.parked.erase(where.parked.iterator_to(record));
+        where.reserved -= record.reserved ? 1 : 0;
+        record.reserved = false;
         --queue.parked;
         queue.longRunning -= record.longRequest ? 1 : 0;
         --waiting;
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -26,6 +26,19 @@
     std::int64_t cachedTokens = 0;
 };
 
+/// Time that a preemption needs until its slot is free: the message to the home, the cancellation and the release, and up to
+/// one period of tick().
+inline constexpr duration preemptionLead = std::chrono::milliseconds(250);
+
+/// Estimated seconds on the best endpoint.
+struct run_time {
+    double seconds = 0;
+    /// False where the estimate rests on priors only; such an estimate orders requests but refuses none.
+    bool learned = false;
+    /// On the slowest endpoint that could still finish the request in time after a preemption.
+    double slowest = 0;
+};
+
 /// State and decisions of pool_scheduler. Members are declared so that sets are destroyed before the records they link.
 struct pool_scheduler::implementation {
     explicit implementation(pool_scheduler_settings initial);
@@ -39,6 +52,7 @@
     endpoint_record& endpoint(const endpoint_id& id);
     void recount();
     void setTimer(request_record& record, monotonic_time when);
+    bool preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const;
     bool longAllowed(tier level) const;
     void enqueue(request_record& record);
     void unqueue(request_record& record);
@@ -57,9 +71,11 @@
     request_record* next();
     bool place(monotonic_time now, request_record& record, actions& out);
     void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
-    placement_option option(request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree);
+    placement_option option(
+        request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded = false);
+    bool mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const;
     double nextSlotWait(const endpoint_record& where) const;
-    double bestCost(monotonic_time now, request_record& record);
+    run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
     double margin() const;
     /// Time without a message after which a running request is taken for lost.
@@ -69,12 +85,23 @@
     // displacement.cpp: shedding, displacement and deadlines.
     bool admit(monotonic_time now, request_record& record, actions& out);
     bool makeRoom(monotonic_time now, request_record& record, actions& out);
+    /// The waiting request of a tier that is displaced first, or nullptr.
+    request_record* lastWaiting(tier level);
     bool displaceOwn(request_record& record, actions& out);
     bool preemptFor(monotonic_time now, request_record& record, actions& out);
     /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
-    /// request in time from then on are considered.
-    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
+    /// request in time from then on, with `factor` times the estimated run time, are considered.
+    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
+    bool lowerPreemptible(tier level) const;
+    /// Estimate of the run time that nearly all requests stay below, as a multiple of the estimate.
+    double preemptionFactor() const;
+    /// True while endpoints that are still fast enough run more lower-tier streams than there are requests to claim them.
+    bool mayDefer(monotonic_time now, request_record& record);
+    /// When a waiting request begins to take slots from lower tiers.
+    monotonic_time preemptionDue(const request_record& record, const run_time& cost) const;
     void preempt(request_record& victim, actions& out);
+    /// Preempts again for requests whose reserved slot went to more urgent work.
+    void renewReservations(monotonic_time now, actions& out);
     void countInversion(monotonic_time now, request_record& record, bool queueSpace);
     void checkWaiting(monotonic_time now, request_record& record, actions& out);
     void runTimers(monotonic_time now, actions& out);
@@ -82,12 +109,13 @@
 
     // observation.cpp: what finished and running requests teach.
     void observeProgress(monotonic_time now, const slot_progress& progress);
+    void learnFromWindows(monotonic_time now);
     void learn(monotonic_time now, request_record& record, const slot_release& release);
     void settleCharge(request_record& record, const slot_release& release);
     void settlePrefix(request_record& record, const slot_release& release);
     void judgeProbe(monotonic_time now, request_record& record, const slot_release& release);
     void setLeaving(endpoint_record& where);
-    void observeLoad(const load_report& report);
+    void observeLoad(monotonic_time now, const load_report& report);
 
     pool_scheduler_settings settings;
     monotonic_time lastNow {};
@@ -105,7 +133,7 @@
     std::uint64_t usedPositions = 0;
     straggler_detector stragglers;
     speed_model poolSpeed;
-    recent_mean outputShare;
+    output_shares outputShares;
     /// Observed total time divided by the estimate at the grant.
     recent_mean estimateError;
     /// Observed total time divided by request_record::work.
--- a/libs/standins/include/standins/engine_model.h
+++ b/libs/standins/include/standins/engine_model.h
@@ -34,7 +34,7 @@
     duration tokenTimePerSequence = std::chrono::microseconds(250);
     duration minimumIteration {};
     /// Prompt tokens that one iteration prefills at most.
-    std::int64_t prefillChunk = 2048;
+    std::int64_t prefillChunk = 512;
     std::size_t maxRunning = 16;
     std::size_t maxWaiting = 10000;
     /// KV memory, shared by running sequences and cached prompt blocks.
@@ -88,6 +88,27 @@
     bool chat = false;
 };
 
+enum class order_kind {
+    load_model,
+    load_adapter,
+    set_version,
+    set_role,
+};
+
+inline constexpr auto orderKindNames = enumTable<order_kind>({
+    { order_kind::load_model, "load_model" },
+    { order_kind::load_adapter, "load_adapter" },
+    { order_kind::set_version, "set_version" },
+    { order_kind::set_role, "set_role" },
+});
+
+struct engine_order {
+    order_kind kind = order_kind::load_model;
+    std::string name;
+    std::uint64_t fence = 0;
+    std::string id;
+};
+
 enum class engine_event_kind {
     received,
     started,
@@ -96,6 +117,11 @@
     cancelled,
     refused,
     leaving,
+    /// Takes work again.
+    live,
+    order_admitted,
+    order_refused,
+    /// An order took effect.
     order,
     /// A load or a transfer ended; not written to the history.
     task_done,
@@ -109,6 +135,9 @@
     { engine_event_kind::cancelled, "cancelled" },
     { engine_event_kind::refused, "refused" },
     { engine_event_kind::leaving, "leaving" },
+    { engine_event_kind::live, "live" },
+    { engine_event_kind::order_admitted, "order_admitted" },
+    { engine_event_kind::order_refused, "order_refused" },
     { engine_event_kind::order, "order" },
     { engine_event_kind::task_done, "task_done" },
 });
@@ -123,9 +152,11 @@
     std::int64_t outputTokens = 0;
     /// Execution or task that the event belongs to.
     std::uint64_t number = 0;
+    /// Reason of a refusal.
     std::string detail;
     /// Prompt tokens that were computed rather than found in the cache.
     std::int64_t prefilledTokens = 0;
+    std::optional<engine_order> order;
 };
 
 enum class engine_refusal {
@@ -180,27 +211,6 @@
     bool leaving = false;
 };
 
-enum class order_kind {
-    load_model,
-    load_adapter,
-    set_version,
-    set_role,
-};
-
-inline constexpr auto orderKindNames = enumTable<order_kind>({
-    { order_kind::load_model, "load_model" },
-    { order_kind::load_adapter, "load_adapter" },
-    { order_kind::set_version, "set_version" },
-    { order_kind::set_role, "set_role" },
-});
-
-struct engine_order {
-    order_kind kind = order_kind::load_model;
-    std::string name;
-    std::uint64_t fence = 0;
-    std::string id;
-};
-
 /// A model engine with continuous batching, in virtual time. Every call first needs advance() to the same time; times never
 /// decrease. Events are collected until takeEvents().
 class engine_model {
@@ -267,6 +277,7 @@
     void forgetExpired(monotonic_time now);
     void recordLoad(monotonic_time at);
     void emit(engine_event_kind kind, monotonic_time at, const engine_execution& execution);
+    void emitOrder(engine_event_kind kind, monotonic_time at, const engine_order& order);
     std::uint64_t addTask(monotonic_time due, task added);
     bool drawn(engine_fault share);
 
--- a/libs/standins/src/engine_messages.cpp
+++ b/libs/standins/src/engine_messages.cpp
@@ -214,11 +214,12 @@
 {
     json::object line { { "source", "engine" }, { "endpoint", endpoint }, { "t_us", 0 }, { "event", engineEventNames.name(event.kind) } };
     line["t_us"] = std::chrono::duration_cast<std::chrono::microseconds>(event.at.time_since_epoch()).count();
-    if (event.kind == engine_event_kind::order) {
-        line["order"] = event.request;
-        line["fence"] = event.number;
-        line["detail"] = event.detail;
-    } else if (event.kind != engine_event_kind::leaving) {
+    if (event.order) {
+        line["order"] = event.order->id;
+        line["kind"] = orderKindNames.name(event.order->kind);
+        line["name"] = event.order->name;
+        line["fence"] = event.order->fence;
+    } else if (event.kind != engine_event_kind::leaving && event.kind != engine_event_kind::live) {
         line["request"] = event.request;
         line["user"] = event.user;
         line["prompt_tokens"] = event.promptTokens;
@@ -226,9 +227,9 @@
         line["prefilled_tokens"] = event.prefilledTokens;
         line["output_tokens"] = event.outputTokens;
         line["execution"] = event.number;
-        if (!event.detail.empty())
-            line["reason"] = event.detail;
     }
+    if (!event.detail.empty())
+        line["reason"] = event.detail;
     return json::serialize(line);
 }
 
--- a/libs/standins/src/engine_model.cpp
+++ b/libs/standins/src/engine_model.cpp
@@ -169,9 +169,7 @@
 
 void engine_model::leave(monotonic_time now)
 {
-    m_faults.set(engine_fault::leaving, 1);
-    m_events.push_back({ engine_event_kind::leaving, now });
-    recordLoad(now);
+    applyFaults(now, R"({"leaving":true})");
 }
 
 void engine_model::applyFaults(monotonic_time now, std::string_view json)
@@ -179,8 +177,7 @@
     const bool wasLeaving = m_faults.on(engine_fault::leaving);
     m_faults.apply(json);
     if (m_faults.on(engine_fault::leaving) != wasLeaving) {
-        if (!wasLeaving)
-            m_events.push_back({ engine_event_kind::leaving, now });
+        m_events.push_back({ wasLeaving ? engine_event_kind::live : engine_event_kind::leaving, now });
         recordLoad(now);
     }
     const bool pause = m_faults.on(engine_fault::pause);
@@ -221,11 +218,9 @@
     const bool stale = order.fence < m_fence;
     const bool admitted = !stale || !m_faults.on(engine_fault::enforce_fencing);
     m_fence = std::max(m_fence, order.fence);
-    engine_event event { engine_event_kind::order, now };
-    event.request = order.id;
-    event.number = order.fence;
-    event.detail = std::string(orderKindNames.name(order.kind)) + " " + order.name + (admitted ? " admitted" : " stale_fence");
-    m_events.push_back(std::move(event));
+    emitOrder(admitted ? engine_event_kind::order_admitted : engine_event_kind::order_refused, now, order);
+    if (!admitted)
+        m_events.back().detail = "stale_fence";
     return admitted;
 }
 
@@ -359,6 +354,7 @@
             m_role = name;
             break;
         }
+        emitOrder(engine_event_kind::order, at, *ended.order);
     }
     engine_event event { engine_event_kind::task_done, at };
     event.number = ended.number;
@@ -379,6 +375,8 @@
     m_cache.release(std::span(execution.prompt.hashes).first(execution.usedBlocks), execution.roomBlocks);
     execution.usedBlocks = 0;
     execution.roomBlocks = 0;
+    // Kept executions would otherwise hold up to 2 KB of hashes each.
+    execution.prompt.hashes = {};
 }
 
 void engine_model::forgetExpired(monotonic_time now)
@@ -404,6 +402,13 @@
         execution.produced, execution.number, {}, execution.prefilled - execution.cachedTokens });
 }
 
+void engine_model::emitOrder(engine_event_kind kind, monotonic_time at, const engine_order& order)
+{
+    engine_event event { kind, at };
+    event.order = order;
+    m_events.push_back(std::move(event));
+}
+
 std::uint64_t engine_model::addTask(monotonic_time due, task added)
 {
     added.number = m_nextTask++;
--- a/libs/standins/src/engine_server.cpp
+++ b/libs/standins/src/engine_server.cpp
@@ -32,7 +32,10 @@
     /// Next token to write.
     std::int64_t next = 0;
     std::int64_t written = 0;
+    /// Waits until what was written has been sent.
     bool blocked = false;
+    /// Is closed as soon as what was written has been sent.
+    bool cut = false;
 };
 
 /// A poll for cache events that waits for the next one.
@@ -108,6 +111,7 @@
         const auto id = request.header("X-Request-Id");
         call.request.id = id ? std::string(*id) : "engine-" + std::to_string(++generatedIds);
         const auto submitted = model.submit(now, std::move(call.request));
+        takeEvents();
         if (submitted.refusal != engine_refusal::none) {
             answer->send(refusalAnswer(submitted.refusal));
             return;
@@ -157,6 +161,7 @@
             answer->send(errorAnswer(404, "unknown_stream", "no output is kept for this request id"));
         } else if (request.method == "DELETE") {
             const bool cancelled = model.cancel(now, id);
+            takeEvents();
             answer->send(jsonResponse(200, cancelled ? R"({"cancelled":true})" : R"({"cancelled":false})"));
         } else if (request.method == "GET") {
             addReader(execution, answer, true, static_cast<std::int64_t>(queryNumber(request, "from")));
@@ -173,7 +178,9 @@
     void order(monotonic_time now, const http_request& request, const reply_pointer& answer)
     {
         const auto received = readOrder(request.body);
-        if (!model.admitOrder(now, received)) {
+        const bool admitted = model.admitOrder(now, received);
+        takeEvents();
+        if (!admitted) {
             auto response = errorAnswer(409, "stale_fence", "the engine has seen fence " + std::to_string(model.fence()));
             answer->send(std::move(response));
             return;
@@ -220,6 +227,7 @@
     void leave(monotonic_time now, const reply_pointer& answer)
     {
         model.leave(now);
+        takeEvents();
         answer->send(jsonResponse(200, R"({"leaving":true})"));
     }
 
@@ -236,6 +244,7 @@
         armTimer(now);
     }
 
+    /// Writes the history; called before an answer is sent, so that a caller that has the answer finds its lines.
     void takeEvents()
     {
         for (const auto& event : model.takeEvents()) {
@@ -266,6 +275,8 @@
                 entry.answer->send(jsonResponse(200, entry.writer.whole(execution)));
             return execution.finished;
         }
+        if (entry.cut)
+            return closeCut(entry);
         entry.blocked = entry.answer->pendingBytes() > maxPendingBytes;
         if (entry.blocked || (entry.next >= execution.produced && !execution.finished))
             return false;
@@ -284,18 +295,26 @@
             entry.writer.appendToken(buffer, execution, entry.next++);
             ++entry.written;
         }
-        const bool cut = cutAfter > 0 && entry.written >= cutAfter;
-        const bool ended = !cut && execution.finished && entry.next >= execution.produced;
+        entry.cut = cutAfter > 0 && entry.written >= cutAfter;
+        const bool ended = !entry.cut && execution.finished && entry.next >= execution.produced;
         if (ended)
             entry.writer.appendEnd(buffer, execution);
         entry.answer->write(buffer);
-        if (cut)
-            entry.answer->abort();
-        else if (ended)
+        if (entry.cut)
+            return closeCut(entry);
+        entry.blocked = !ended && entry.next < execution.produced;
+        if (ended)
             entry.answer->finish();
-        else
-            entry.blocked = entry.next < execution.produced;
-        return cut || ended;
+        return ended;
+    }
+
+    // An abort drops unsent bytes. Without the wait, a resumed stream could be cut again and again before its first token.
+    static bool closeCut(reader& entry)
+    {
+        entry.blocked = entry.answer->pendingBytes() > 0;
+        if (!entry.blocked)
+            entry.answer->abort();
+        return !entry.blocked;
     }
 
     bool servePoll(monotonic_time now, const event_poll& poll)
@@ -303,7 +322,7 @@
         if (poll.answer->closed())
             return true;
         const auto page = model.cacheEvents(now, poll.from, maxCacheEventsPerAnswer);
-        if (page.events.empty() && now < poll.deadline)
+        if (page.events.empty() && page.next >= poll.from && now < poll.deadline)
             return false;
         poll.answer->send(jsonResponse(200, writeCacheEvents(page)));
         return true;
