--- a/tools/carawaylink-load/main.cpp
+++ b/tools/carawaylink-load/main.cpp
@@ -22,7 +22,7 @@
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& failure) {
-        return app.exit(failure);
+        return app.exit(failure) == 0 ? 0 : 2;
     } catch (const std::exception& failure) {
         std::cerr << "carawaylink-load: " << failure.what() << '\n';
         return 2;
