Never pass on an answer with missing tokens as whole

Cause: after a gap in the token offsets engine_stream cancelled the call but went on with the bytes that it had already received. Where these held [DONE], the answer ended as complete with the missing tokens left out. An answer whose last tokens were missing was complete too, since no later offset shows that gap. An engine that lost a token for good was asked without end. Ruled out: the HTTP client delivers the bytes unchanged; the same answers without [DONE] in the same read are resumed correctly. Change: the rest of an answer after a gap is dropped; the usage event's completion_tokens is compared with the tokens received; after three resumes without a new token the answer is lost.

--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxFailedAttempts = 6;
+// An engine that has lost a token for good answers every resume with the same gap.
+constexpr std::size_t maxGapsInARow = 3;
 constexpr auto firstResumeDelay = std::chrono::milliseconds(50);
 constexpr auto maxResumeDelay = std::chrono::milliseconds(500);
 constexpr std::size_t maxEventBytes = 1U << 20;
@@ -71,6 +73,7 @@
     const auto generation = ++m_generation;
     m_isDispatch = isDispatch;
     m_status = 0;
+    m_gapSeen = false;
     m_buffer.clear();
     m_errorBody.clear();
     http_call_options options;
@@ -109,7 +112,7 @@
 
 void engine_stream::received(std::string_view bytes)
 {
-    if (m_finished)
+    if (m_finished || m_gapSeen)
         return;
     if (m_status != 200) {
         if (m_errorBody.size() + bytes.size() <= maxEventBytes)
@@ -118,7 +121,7 @@
     }
     m_buffer += bytes;
     std::size_t start = 0;
-    while (!m_finished) {
+    while (!m_finished && !m_gapSeen) {
         const auto end = m_buffer.find("\n\n", start);
         if (end == std::string::npos)
             break;
@@ -142,10 +145,12 @@
     }
     const auto id = eventField(event, "id");
     if (!id) {
-        if (!std::exchange(m_usageSeen, true)) {
-            readUsage(*data);
-            m_handlers.onEvent(event);
+        if (readUsage(*data) > m_expected) {
+            askForMissing();
+            return;
         }
+        if (!std::exchange(m_usageSeen, true))
+            m_handlers.onEvent(event);
         return;
     }
     std::int64_t offset = -1;
@@ -153,26 +158,34 @@
     if (offset < m_expected)
         return;
     if (offset > m_expected) {
-        // A gap: what follows is asked for again from the first missing token.
-        m_call->cancel();
+        askForMissing();
         return;
     }
     ++m_expected;
+    m_gapsInARow = 0;
     m_handlers.onEvent(event);
 }
 
-void engine_stream::readUsage(std::string_view data)
+// The rest of this answer is dropped, its end too, and asked for again from the first missing token.
+void engine_stream::askForMissing()
+{
+    m_gapSeen = true;
+    m_call->cancel();
+}
+
+std::int64_t engine_stream::readUsage(std::string_view data)
 {
     boost::system::error_code status;
     const auto document = boost::json::parse(data, status);
     if (status || !document.is_object())
-        return;
+        return 0;
     const auto* usage = document.as_object().if_contains("usage");
     if (!usage || !usage->is_object())
-        return;
+        return 0;
     m_result.promptTokens = tokens(member(usage->as_object(), "prompt_tokens"));
     if (const auto* details = usage->as_object().if_contains("prompt_tokens_details"); details && details->is_object())
         m_result.cachedTokens = tokens(member(details->as_object(), "cached_tokens"));
+    return member(usage->as_object(), "completion_tokens");
 }
 
 void engine_stream::callEnded(const http_result& result)
@@ -183,6 +196,13 @@
         finish(stream_outcome::complete, {});
         return;
     }
+    if (m_gapSeen) {
+        if (++m_gapsInARow > maxGapsInARow)
+            finish(stream_outcome::lost, "engine no longer has output token " + std::to_string(m_expected));
+        else
+            scheduleResume();
+        return;
+    }
     const bool answered = result.ok() && m_status != 0;
     if (m_isDispatch && !result.sent) {
         finish(stream_outcome::unreachable, result.detail);
--- a/libs/node/src/engine_stream.h
+++ b/libs/node/src/engine_stream.h
@@ -74,7 +74,9 @@
     void headArrived(const http_response& head);
     void received(std::string_view bytes);
     void handleEvent(std::string_view event);
-    void readUsage(std::string_view data);
+    void askForMissing();
+    /// Returns the number of output tokens that the engine counted; 0 where the event does not tell.
+    std::int64_t readUsage(std::string_view data);
     void callEnded(const http_result& result);
     void scheduleResume();
     void finish(stream_outcome outcome, std::string detail);
@@ -93,8 +95,10 @@
     std::uint64_t m_generation = 0;
     std::int64_t m_expected = 0;
     std::size_t m_failedAttempts = 0;
+    std::size_t m_gapsInARow = 0;
     unsigned m_status = 0;
     bool m_isDispatch = false;
+    bool m_gapSeen = false;
     bool m_known = false;
     bool m_usageSeen = false;
     bool m_doneSeen = false;
