Refuse numbers out of range from the log and from endpoints

Cause: boost::json to_number throws system_error for negative, fractional and too large numbers. The readers of the platform log's pages expect carawaylink::error only, and /state, /load and the cache events were read without any handler, so that one such answer ended the daemon. Found by platform_log_test.malformed_page_throws_invalid_message, which failed for first=-1, 1.5, 1e300 and offset=-1. Change: numbers are read with an error code; log pages are refused as malformed, endpoints' numbers take their defaults. The type log_record is renamed, since the stand-in of the log has another type of this name in the same namespace and tests link both. Result: the test passes.

--- a/libs/node/src/endpoint_directory.cpp
+++ b/libs/node/src/endpoint_directory.cpp
@@ -27,7 +27,9 @@
 std::int64_t number(const json::object& object, std::string_view key, std::int64_t fallback)
 {
     const auto* value = object.if_contains(key);
-    return value && value->is_number() ? value->to_number<std::int64_t>() : fallback;
+    boost::system::error_code status;
+    const auto result = value ? value->to_number<std::int64_t>(status) : fallback;
+    return status ? fallback : result;
 }
 
 } // namespace
--- a/libs/node/src/endpoint_monitor.cpp
+++ b/libs/node/src/endpoint_monitor.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_monitor.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 #include <set>
@@ -15,7 +16,9 @@
 std::int64_t number(const json::object& object, std::string_view key)
 {
     const auto* value = object.if_contains(key);
-    return value && value->is_number() ? value->to_number<std::int64_t>() : 0;
+    boost::system::error_code status;
+    const auto result = value ? value->to_number<std::int64_t>(status) : 0;
+    return status ? 0 : std::max<std::int64_t>(0, result);
 }
 
 std::optional<json::object> parseObject(const http_result& result)
--- a/libs/node/src/platform_log.cpp
+++ b/libs/node/src/platform_log.cpp
@@ -32,9 +32,11 @@
 std::uint64_t number(const json::object& object, std::string_view key)
 {
     const auto* value = object.if_contains(key);
-    if (!value || !value->is_number())
-        malformed("field \"" + std::string(key) + "\" is missing or not a number");
-    return value->to_number<std::uint64_t>();
+    boost::system::error_code status;
+    const auto result = value ? value->to_number<std::uint64_t>(status) : 0;
+    if (!value || status)
+        malformed("field \"" + std::string(key) + "\" is missing or not a whole number from 0");
+    return result;
 }
 
 std::string text(const json::object& object, std::string_view key)
--- a/libs/node/src/platform_log.h
+++ b/libs/node/src/platform_log.h
@@ -9,7 +9,7 @@
 
 namespace carawaylink {
 
-struct log_record {
+struct platform_record {
     log_offset offset;
     std::string id;
     std::string data;
@@ -20,7 +20,7 @@
     /// Oldest offset that the log still holds.
     log_offset first;
     log_offset next;
-    std::vector<log_record> records;
+    std::vector<platform_record> records;
 };
 
 /// Request that appends a record to a stream.
