--- a/libs/node/src/order_driver.cpp
+++ b/libs/node/src/order_driver.cpp
@@ -106,11 +106,12 @@
     // Services of other nodes stay until nothing of this node's orders is left.
     std::erase_if(
         m_services, [&](const auto& item) { return !item.second.owned && !item.second.orders.busy() && !leaseOf(item.first).held(now); });
+    const bool wasActive = m_active;
     m_active = !m_permits.idle() || std::ranges::any_of(m_services, [&](const auto& item) {
         return item.second.wanted || item.second.orders.busy() || leaseOf(item.first).held(now);
     });
-    if (m_active)
-        m_nextRead = std::min(m_nextRead, m_lastRead + readRetry);
+    if (m_active && !wasActive && !m_logFailed)
+        m_nextRead = now;
     if ((m_active || !m_services.empty()) && !m_reading && now >= m_nextRead)
         read();
 }
@@ -306,7 +307,6 @@
     http_call_options options;
     options.idleTimeout = readWait + std::chrono::seconds(1);
     const auto started = std::chrono::steady_clock::now();
-    m_lastRead = started;
     const auto wait = m_active && m_atEnd ? duration(readWait) : duration::zero();
     m_client.send(m_settings.logAddress, { "GET", readTarget(ordersStream, m_next, wait), {}, {} }, options,
         [this, alive = m_alive, started](const http_result& result) {
--- a/libs/node/src/order_driver.h
+++ b/libs/node/src/order_driver.h
@@ -94,7 +94,6 @@
     bool m_atEnd = false;
     /// Some service has orders due or out.
     bool m_active = false;
-    monotonic_time m_lastRead {};
     monotonic_time m_nextRead {};
     std::size_t m_runningPolls = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/libs/orders/include/orders/reconciler.h
+++ b/libs/orders/include/orders/reconciler.h
@@ -160,7 +160,7 @@
         std::vector<engine_order_change> missing;
         std::map<engine_order_change, order_entry> orders;
 
-        bool touched() const { return active || (lastOrder && observedAt <= *lastOrder); }
+        bool touched() const { return active || (lastOrder && observedAt < *lastOrder); }
     };
 
     /// Whether one more engine may be changed now.
--- a/libs/orders/src/reconciler.cpp
+++ b/libs/orders/src/reconciler.cpp
@@ -76,7 +76,7 @@
         return order.state != order_state::done || now >= order.changedAt + m_settings.keep;
     });
     for (auto& [change, order] : engine.orders) {
-        const bool seenAfter = engine.lastOrder && engine.observedAt > *engine.lastOrder;
+        const bool seenAfter = engine.lastOrder && engine.observedAt >= *engine.lastOrder;
         // Also where the desired models do not fit into the engine together: the pause keeps it from loading them in turn.
         if (order.state == order_state::done && isMissing(change) && seenAfter)
             fail(now, order, "the engine reported success, but its state does not show it");
