Simulate order leases and permits under faults (trial state)

Cause: the lease and permit rules need a check under lost, late and repeated records, pauses and outages. Change: virtual-time simulation of three nodes with defects that can be switched on.

--- /dev/null
+++ b/libs/orders/tests/order_simulation.cpp
@@ -0,0 +1,328 @@
+#include "order_simulation.h"
+
+#include <algorithm>
+
+namespace carawaylink::simulation {
+
+namespace {
+
+// Service 0 has engines that check the token, service 1 engines that ignore it.
+constexpr std::size_t serviceCount = 2;
+constexpr std::size_t ignoringService = 1;
+
+service_id serviceName(std::size_t index)
+{
+    return service_id(index == ignoringService ? "ignoring" : "fencing");
+}
+
+} // namespace
+
+order_simulation::order_simulation(std::uint64_t seed, defects broken)
+    : m_random(seed)
+    , m_defects(broken)
+    , m_engineFence(serviceCount, -1)
+    , m_engineLease(serviceCount, -1)
+    , m_lastSender(serviceCount)
+{
+    m_nodes.resize(nodeCount);
+    for (std::size_t index = 0; index < nodeCount; ++index) {
+        auto& state = m_nodes[index];
+        state.index = index;
+        state.rate = 0.97 + 0.03 * static_cast<double>(index);
+        state.offsetMs = pick(0, 1000000);
+        startNode(state);
+    }
+}
+
+void order_simulation::startNode(node& state)
+{
+    state.self = { node_id("node-" + std::to_string(state.index)), incarnation(m_nextRun++) };
+    state.leases.clear();
+    for (std::size_t service = 0; service < serviceCount; ++service) {
+        order_lease_settings settings;
+        settings.length = 2000ms;
+        settings.margin = 200ms;
+        settings.inFlight = std::chrono::milliseconds(inFlightMs);
+        settings.retry = 300ms;
+        settings.ignoresFencing = service == ignoringService && !m_defects.noQuietWait;
+        state.leases.emplace_back(serviceName(service), state.self, settings);
+    }
+    permit_settings permits;
+    permits.inFlight = std::chrono::milliseconds(m_defects.shortPermits ? 100 : inFlightMs);
+    permits.length = permits.inFlight + 2000ms;
+    permits.margin = permits.length / 10;
+    permits.retry = 300ms;
+    state.permits = std::make_unique<permit_table>(state.self, permits);
+    state.nextOffset = 0;
+    state.reading.reset();
+    state.wanted.assign(serviceCount, true);
+    state.out.assign(serviceCount, std::nullopt);
+    state.newestOwn.assign(serviceCount, -1);
+    state.lastToken.assign(serviceCount, std::nullopt);
+    state.pausedUntil = 0;
+    state.pauseNextSend = 0;
+}
+
+monotonic_time order_simulation::clock(const node& state, long at) const
+{
+    return monotonic_time(std::chrono::milliseconds(state.offsetMs + static_cast<long>(static_cast<double>(at) * state.rate)));
+}
+
+long order_simulation::pick(long from, long to)
+{
+    return std::uniform_int_distribution<long>(from, to)(m_random);
+}
+
+void order_simulation::step(const event& change)
+{
+    auto& state = m_nodes[(change.bits >> 8) % nodeCount];
+    const long amount = static_cast<long>((change.bits >> 16) % 64);
+    switch (change.bits % 24) {
+    case 0:
+        state.pausedUntil = std::max(state.pausedUntil, m_now + amount * 200);
+        break;
+    case 1:
+    case 2:
+        state.pauseNextSend = amount * 200;
+        break;
+    case 3:
+        m_outageUntil = m_now + amount * 100;
+        break;
+    case 4:
+        m_lossUntil = m_now + amount * 100;
+        break;
+    case 5:
+        m_lateUntil = m_now + amount * 100;
+        break;
+    case 6:
+        m_duplicatesUntil = m_now + amount * 100;
+        break;
+    case 7:
+        if (amount < 8)
+            m_first = std::max(m_first, m_log.size() - m_log.size() / 4);
+        break;
+    case 8:
+        if (amount < 16)
+            startNode(state);
+        break;
+    case 9:
+        state.wanted[static_cast<std::size_t>(amount) % serviceCount] = amount % 3 != 0;
+        break;
+    default:
+        break;
+    }
+    tick();
+}
+
+void order_simulation::settle()
+{
+    m_outageUntil = m_lossUntil = m_lateUntil = m_duplicatesUntil = 0;
+    for (auto& state : m_nodes) {
+        state.pausedUntil = std::min(state.pausedUntil, m_now);
+        state.pauseNextSend = 0;
+        state.wanted.assign(serviceCount, state.index == 0);
+    }
+    const auto before = m_orders.size();
+    // Longest wait of a new holder, and records that are still late.
+    for (int i = 0; i < 300; ++i)
+        tick();
+    for (std::size_t service = 0; service < serviceCount; ++service) {
+        const bool served = std::any_of(m_orders.begin() + static_cast<long>(before), m_orders.end(),
+            [&](const order_run& order) { return order.service == service && order.admitted; });
+        const bool loaded = std::any_of(m_orders.begin() + static_cast<long>(before), m_orders.end(),
+            [&](const order_run& order) { return order.service == service && order.load; });
+        if (!served || !loaded)
+            report("service " + serviceName(service).value + " got no order or no load after the faults ended");
+    }
+}
+
+void order_simulation::tick()
+{
+    m_now += tickMs;
+    std::stable_sort(m_delayed.begin(), m_delayed.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
+    while (!m_delayed.empty() && m_delayed.front().at <= m_now) {
+        if (m_delayed.front().at >= m_outageUntil || m_now >= m_outageUntil)
+            m_log.push_back({ m_delayed.front().record, m_now });
+        m_delayed.erase(m_delayed.begin());
+    }
+    runEngines();
+    for (auto& state : m_nodes) {
+        if (m_now >= state.pausedUntil)
+            runNode(state);
+    }
+    check();
+}
+
+void order_simulation::append(const order_record& record)
+{
+    if (m_now < m_lossUntil && pick(0, 1) == 0)
+        return;
+    const long latest = m_now < m_lateUntil ? 6000 : 150;
+    m_delayed.push_back({ record, m_now + pick(0, latest) });
+    if (m_now < m_duplicatesUntil && pick(0, 1) == 0)
+        m_delayed.push_back({ record, m_now + pick(0, 4000) });
+}
+
+void order_simulation::runNode(node& state)
+{
+    if (state.reading && m_now >= state.reading->at) {
+        const auto answer = *state.reading;
+        state.reading.reset();
+        receive(state, answer);
+    }
+    if (!state.reading && m_now >= m_outageUntil) {
+        const bool truncated = state.nextOffset < m_first;
+        state.reading = read_answer { m_now, m_now + pick(0, m_now < m_lateUntil ? 1500 : 150), std::max(state.nextOffset, m_first),
+            m_log.size(), truncated };
+    }
+    const auto now = clock(state, m_now);
+    for (std::size_t service = 0; service < serviceCount; ++service) {
+        auto& out = state.out[service];
+        if (out && m_now >= out->answerAt) {
+            if (!out->claim.empty())
+                state.permits->finished(out->claim);
+            out.reset();
+        }
+        if (const auto record = state.leases[service].step(now, state.wanted[service], out.has_value()))
+            append(*record);
+        state.permits->setWanted(serviceName(service), state.wanted[service] && tokenOf(state, service) && !out);
+    }
+    for (const auto& record : state.permits->step(now))
+        append(record);
+    for (std::size_t service = 0; service < serviceCount; ++service) {
+        if (m_now >= state.pausedUntil)
+            sendOrders(state, service);
+    }
+}
+
+void order_simulation::receive(node& state, const read_answer& answer)
+{
+    const auto now = clock(state, m_now);
+    if (answer.truncated) {
+        for (auto& lease : state.leases)
+            lease.historyMissing(now);
+        state.permits->historyMissing(now);
+    }
+    for (auto offset = answer.from; offset < answer.to; ++offset) {
+        const auto record = parseOrderRecord(toJson(m_log[offset].record));
+        const bool isLease = record.kind == order_record_kind::lease || record.kind == order_record_kind::release;
+        if (!isLease) {
+            state.permits->apply(now, log_offset(offset), record);
+            continue;
+        }
+        for (std::size_t service = 0; service < serviceCount; ++service) {
+            if (record.service != serviceName(service))
+                continue;
+            state.leases[service].apply(now, log_offset(offset), record);
+            if (record.kind == order_record_kind::lease && record.holder == state.self)
+                state.newestOwn[service] = static_cast<long>(offset);
+            if (record.kind == order_record_kind::release || record.holder != state.self)
+                state.lastToken[service].reset();
+        }
+    }
+    const bool atEnd = answer.from == answer.to && !answer.truncated;
+    state.nextOffset = std::max(answer.from, answer.to);
+    if (!atEnd)
+        return;
+    for (auto& lease : state.leases)
+        lease.endReached(clock(state, answer.started));
+    state.permits->endReached(clock(state, m_defects.noReadAfterEnd ? m_now + 1000000 : answer.started));
+}
+
+std::optional<log_offset> order_simulation::tokenOf(node& state, std::size_t service)
+{
+    auto token = state.leases[service].token(clock(state, m_now));
+    if (m_defects.noDeadline) {
+        if (token)
+            state.lastToken[service] = token;
+        token = state.lastToken[service];
+    }
+    if (token && m_defects.newestOffsetAsToken)
+        token = log_offset(state.nextOffset);
+    return token;
+}
+
+void order_simulation::sendOrders(node& state, std::size_t service)
+{
+    auto& out = state.out[service];
+    const auto now = clock(state, m_now);
+    const auto token = tokenOf(state, service);
+    if (out || !state.wanted[service] || !token)
+        return;
+    const auto claim = state.permits->take(now, serviceName(service), loadLimit);
+    if (!claim && pick(0, 3) != 0)
+        return;
+    // A load must not run longer than its permit, with fencing or without.
+    const bool bounded = service == ignoringService || claim;
+    const long pause = bounded ? std::min(state.pauseNextSend, maxSendPauseMs) : state.pauseNextSend;
+    state.pausedUntil = std::max(state.pausedUntil, m_now + pause);
+    state.pauseNextSend = 0;
+    order_run order { service, state.self, m_now, m_now + pause + pick(0, 200), 0, static_cast<long>(token->value),
+        state.newestOwn[service], claim.has_value() };
+    order.endsAt = order.arrivesAt + pick(0, maxEffectMs - 200);
+    const bool answerLost = pick(0, 4) == 0;
+    // inFlight of the sender's own clock, also where that runs fast.
+    const long giveUpAt = m_now + static_cast<long>(static_cast<double>(inFlightMs) / state.rate) + pause;
+    out = outstanding { m_orders.size(), answerLost ? giveUpAt : order.endsAt + pick(0, 100), claim.value_or("") };
+    m_live.push_back(m_orders.size());
+    m_orders.push_back(order);
+    m_loads += claim ? 1 : 0;
+}
+
+void order_simulation::runEngines()
+{
+    for (const auto index : m_live) {
+        auto& order = m_orders[index];
+        if (order.arrived || m_now < order.arrivesAt)
+            continue;
+        order.arrived = true;
+        auto& fence = m_engineFence[order.service];
+        order.admitted = order.service == ignoringService || order.fence >= fence;
+        fence = std::max(fence, order.fence);
+        if (!order.admitted) {
+            order.endsAt = m_now;
+            ++m_refused;
+            continue;
+        }
+        if (m_lastSender[order.service] != order.sender) {
+            m_lastSender[order.service] = order.sender;
+            ++m_holders;
+        }
+        auto& lease = m_engineLease[order.service];
+        if (order.lease < lease)
+            report("an order of an old lease took effect after one of a newer lease, service " + serviceName(order.service).value);
+        lease = std::max(lease, order.lease);
+    }
+    std::erase_if(m_live, [&](std::size_t index) { return m_orders[index].arrived && m_now >= m_orders[index].endsAt; });
+}
+
+void order_simulation::check()
+{
+    for (std::size_t service = 0; service < serviceCount; ++service) {
+        const auto holding = std::count_if(
+            m_nodes.begin(), m_nodes.end(), [&](node& state) { return m_now >= state.pausedUntil && tokenOf(state, service).has_value(); });
+        if (holding > 1)
+            report("two nodes hold the lease of service " + serviceName(service).value);
+    }
+    std::size_t loads = 0;
+    for (const auto index : m_live) {
+        const auto& order = m_orders[index];
+        loads += order.load ? 1 : 0;
+        if (order.service != ignoringService)
+            continue;
+        for (const auto other : m_live) {
+            if (m_orders[other].service == ignoringService && m_orders[other].sender != order.sender)
+                report("orders of two holders overlap where engines ignore the token");
+        }
+    }
+    if (loads > loadLimit)
+        report(std::to_string(loads) + " loads at a time");
+}
+
+void order_simulation::report(const std::string& text)
+{
+    if (m_breach.empty())
+        m_breach = "at " + std::to_string(m_now) + " ms: " + text;
+}
+
+} // namespace carawaylink::simulation
