Give no orders to unreachable engines; show what an order waits for

Cause: an old state of an engine that no longer answers kept the lease and a permit; the demo's engines did not start with the model of the sample's configuration and would now be ordered to load it.

--- a/demo.sh
+++ b/demo.sh
@@ -11,6 +11,8 @@
 
 echo "== Starting the platform's stand-ins, 20 engines, 3 service endpoints and 4 nodes"
 start_platform
+# The model of the sample's configuration; with another one the nodes would order the engines to load it.
+engine_model=rota-large
 start_engines engines-a rota-llm lagos-a 7 --generation g3 --speed 2
 start_engines engines-b rota-llm lagos-b 7 --generation g2 --speed 1
 start_engines engines-c rota-llm ibadan-a 6 --generation g1 --speed 0.5
--- a/libs/node/src/order_driver.cpp
+++ b/libs/node/src/order_driver.cpp
@@ -242,8 +242,17 @@
     if (const auto poll = entry.polls.find(endpoint); poll != entry.polls.end())
         poll->second.running = false;
     const auto now = std::chrono::steady_clock::now();
-    if (auto state = parseState(result))
-        entry.orders.observe(now, endpoint, started, std::move(*state));
+    if (auto state = parseState(result)) {
+        if (const auto shown = entry.orders.observe(now, endpoint, started, std::move(*state)))
+            log_event("order_done")
+                .field("service", service)
+                .field("endpoint", endpoint)
+                .field("kind", orderKindTexts.name(shown->kind))
+                .field("name", shown->name)
+                .field("message", "answer lost, seen in the state");
+    } else {
+        entry.orders.unreachable(endpoint);
+    }
     advance(now, service, entry);
 }
 
--- a/libs/orders/include/orders/reconciler.h
+++ b/libs/orders/include/orders/reconciler.h
@@ -98,8 +98,11 @@
     void setDesired(desired_engine desired);
     /// All endpoints of the service; true for those that leave.
     void setEndpoints(const std::map<endpoint_id, bool>& endpoints);
-    /// An engine's state, read by a call that was started then.
-    void observe(monotonic_time now, const endpoint_id& endpoint, monotonic_time readStarted, observed_engine state);
+    /// An engine's state, read by a call that was started then. Returns the order with a lost answer that it shows as done.
+    std::optional<engine_order_change> observe(
+        monotonic_time now, const endpoint_id& endpoint, monotonic_time readStarted, observed_engine state);
+    /// The engine's state could not be read: it gets no orders until it is.
+    void unreachable(const endpoint_id& endpoint);
     /// Ends the wait for orders whose effect can no longer come.
     void tick(monotonic_time now);
 
--- a/libs/orders/src/reconciler.cpp
+++ b/libs/orders/src/reconciler.cpp
@@ -49,19 +49,33 @@
         engine.leaving = engine.leaving || !endpoints.contains(id);
 }
 
-void reconciler::observe(monotonic_time now, const endpoint_id& endpoint, monotonic_time readStarted, observed_engine state)
+std::optional<engine_order_change> reconciler::observe(
+    monotonic_time now, const endpoint_id& endpoint, monotonic_time readStarted, observed_engine state)
 {
     const auto found = m_engines.find(endpoint);
     if (found == m_engines.end() || readStarted < found->second.observedAt)
-        return;
+        return std::nullopt;
     auto& engine = found->second;
     engine.observed = std::move(state);
     engine.observedAt = readStarted;
     engine.missing = difference(m_desired, *engine.observed);
+    std::optional<engine_order_change> shown;
     if (engine.active && engine.active->unknown && readStarted > engine.active->sentAt
-        && std::ranges::find(engine.missing, engine.active->change) == engine.missing.end())
+        && std::ranges::find(engine.missing, engine.active->change) == engine.missing.end()) {
+        shown = engine.active->change;
         end(now, engine, order_state::done, "answer lost, seen in the state", true);
+    }
     refresh(now, engine);
+    return shown;
+}
+
+void reconciler::unreachable(const endpoint_id& endpoint)
+{
+    // An old state must not keep the lease or a permit. The engine still counts as changed where its last order was not read back.
+    if (const auto found = m_engines.find(endpoint); found != m_engines.end()) {
+        found->second.observed.reset();
+        found->second.missing.clear();
+    }
 }
 
 // Compares the shown orders with what is missing now.
@@ -222,8 +236,12 @@
 {
     std::vector<order_status> result;
     for (const auto& [id, engine] : m_engines) {
-        for (const auto& [change, order] : engine.orders)
-            result.push_back({ id, change, order.state, order.fence, order.message });
+        const bool unread = engine.touched() && !engine.active;
+        for (const auto& [change, order] : engine.orders) {
+            const bool waits = unread && order.state == order_state::done && order.message.empty() && order.changedAt == *engine.lastOrder;
+            result.push_back(
+                { id, change, order.state, order.fence, waits ? "waits until the engine's state is read back" : order.message });
+        }
         for (const auto& change : engine.missing) {
             if (!engine.orders.contains(change) && !engine.leaving)
                 result.push_back({ id, change, order_state::pending, std::nullopt, "" });
--- a/libs/orders/tests/order_simulation.cpp
+++ b/libs/orders/tests/order_simulation.cpp
@@ -257,7 +257,7 @@
     if (!claim && pick(0, 3) != 0)
         return;
     // A load must not run longer than its permit, with fencing or without.
-    const bool bounded = service == ignoringService || claim;
+    const bool bounded = claim || (service == ignoringService && !m_defects.longSendPauses);
     const long pause = bounded ? std::min(state.pauseNextSend, maxSendPauseMs) : state.pauseNextSend;
     state.pausedUntil = std::max(state.pausedUntil, m_now + pause);
     state.pauseNextSend = 0;
--- a/libs/orders/tests/order_simulation.h
+++ b/libs/orders/tests/order_simulation.h
@@ -29,6 +29,8 @@
     bool sameToken = false;
     /// A permit does not cover the time in which the load runs.
     bool shortPermits = false;
+    /// Pauses between check and send are longer than the bound.
+    bool longSendPauses = false;
 };
 
 /// Several nodes give orders and load models through one log, in virtual time. Real time is counted in milliseconds; each node
--- a/libs/orders/tests/order_simulation_tests.cpp
+++ b/libs/orders/tests/order_simulation_tests.cpp
@@ -71,6 +71,8 @@
     std::string name;
     defects broken;
     std::string expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const broken_variant& variant) { return out << variant.name; }
 };
 
 class broken_orders : public testing::TestWithParam<broken_variant> { };
@@ -87,7 +89,8 @@
     testing::Values(broken_variant { "no_deadline", { .noDeadline = true }, "two nodes hold the lease" },
         broken_variant { "no_quiet_wait", { .noQuietWait = true }, "overlap" },
         broken_variant { "same_token", { .sameToken = true }, "old lease took effect" },
-        broken_variant { "short_permits", { .shortPermits = true }, "loads at a time" }),
+        broken_variant { "short_permits", { .shortPermits = true }, "loads at a time" },
+        broken_variant { "long_send_pauses", { .longSendPauses = true }, "overlap" }),
     [](const auto& variant) { return variant.param.name; });
 
 } // namespace
--- a/libs/orders/tests/order_tests.cpp
+++ b/libs/orders/tests/order_tests.cpp
@@ -190,6 +190,26 @@
     EXPECT_FALSE(plan.busy());
 }
 
+// Guards against a lease or a permit that is kept for an engine that does not answer, and against a rolling change that goes on
+// while an engine has not come back from its order.
+TEST_F(reconciling, unreachable_engine_gets_no_orders_but_counts)
+{
+    observeAll(0s, "1");
+    auto order = plan.next(at(0s), at(0s), true);
+    ASSERT_TRUE(order);
+    plan.sent(at(0s), *order, log_offset(1));
+    plan.finished(at(1s), order->endpoint, order_outcome::done, "");
+    plan.unreachable(order->endpoint);
+    const auto second = plan.next(at(1s), at(0s), true);
+    ASSERT_TRUE(second);
+    plan.sent(at(1s), *second, log_offset(1));
+    plan.finished(at(2s), second->endpoint, order_outcome::done, "");
+    EXPECT_FALSE(plan.next(at(3s), at(0s), true)) << "two of eight engines have not come back";
+    for (const auto& [id, leaving] : endpoints)
+        plan.unreachable(id);
+    EXPECT_FALSE(plan.wanted(at(3s)).any);
+}
+
 // Guards against endless reloads where the desired models do not fit into an engine together.
 TEST_F(reconciling, success_that_does_not_show_counts_as_failure)
 {
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -37,11 +37,12 @@
     cluster_pids=()
 }
 
-# start_engines NAME SERVICE DOMAIN COUNT OPTIONS...: engines in one process, added to the list of vms.
+# start_engines NAME SERVICE DOMAIN COUNT OPTIONS...: engines in one process, added to the list of vms. They start with the model
+# engine_model, by default named as the service.
 start_engines() {
     local name=$1 service=$2 domain=$3 count=$4
     shift 4
-    start_program "$name" "$binaries/carawaylink-engine" --instances "$count" --model "$service" --history "$out/$name.jsonl" "$@"
+    start_program "$name" "$binaries/carawaylink-engine" --instances "$count" --model "${engine_model:-$service}" --history "$out/$name.jsonl" "$@"
     add_vms "$service" "$domain" ${program_address[$name]}
 }
 
