Refuse a peer that claims this node's own address

Cause: both sides of a handshake prove the cluster key over the same kind of text, so a process without the key could greet a node with the node's own greeting, receive its proof and send that back. Its messages were then accepted. Ruled out: a check of the nonce alone, since two connections to the same node could exchange their proofs. Change: a greeting with this node's own address is refused. An attacker that relays a whole handshake between two nodes is not excluded, since frames are not authenticated themselves.

--- a/libs/node/src/peer_channel.cpp
+++ b/libs/node/src/peer_channel.cpp
@@ -137,6 +137,9 @@
     if (hello.cluster != m_owner.settings->cluster)
         throw error(
             error_kind::unauthorized, "peer belongs to cluster \"" + hello.cluster + "\"", "check the setting cluster and the seeds");
+    // Both sides prove the key over the same kind of text: without this check a node's own proof could be sent back to it.
+    if (node_id(hello.node) == m_owner.self->process.node)
+        throw error(error_kind::unauthorized, "peer claims the address of this node", "give every node its own address");
     m_peer = { { node_id(hello.node), incarnation(hello.incarnation) }, failure_domain(hello.failure_domain), hello.region,
         hello.http_address };
     m_peerNonce = hello.nonce;
