Free the slot of a request that was cancelled after its grant

Cause: when a home gave up a waiting request while the owner's grant was on its way, cancel() forgot the request but left the granted slot to the scheduler, which does not cancel running requests. The home's return of the grant then met an unknown request and was dropped, and the entry in the pool's list of granted slots stayed for ever. Change: a cancel of a granted request returns its slot. Result: dispatch_test.slot_of_a_request_cancelled_after_its_grant_is_freed failed before (64 of 65 grants) and passes now.

--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -201,6 +201,14 @@
 void pool_host::cancel(monotonic_time now, const node_id&, const request_id& request)
 {
     if (auto* pool = poolOf(request)) {
+        if (pool->granted.contains(request)) {
+            // The grant was on its way when the home gave up; the home cancels only what it has not dispatched.
+            slot_release unused;
+            unused.request = request;
+            unused.outcome = release_outcome::unused;
+            release(now, unused);
+            return;
+        }
         pool->scheduler.cancel(now, request);
         std::erase_if(pool->deferred, [&](const scheduling_request& entry) { return entry.id == request; });
         m_requests.erase(request);
