Dispatch requests whose ticket has no witness

Cause: the home marked the intent as sent for every ticket, while the home table lets a ticket without a witness be dispatched from the state claimed only. On a node that is alone every ticketed request was refused as deadline_passed. Ruled out: the deadline, which was 60 s away in the test. Change: no intent is marked for a ticket without a witness. Result: dispatch_test.retry_gets_the_first_answer failed before and passes now.

--- a/libs/node/src/dispatch_control.cpp
+++ b/libs/node/src/dispatch_control.cpp
@@ -325,7 +325,8 @@
         return;
     }
     entry.at = stage::intent;
-    m_tickets.home().intentSent(*entry.opened);
+    if (!entry.opened->witness.node.value.empty())
+        m_tickets.home().intentSent(*entry.opened);
     m_tickets.recordIntent(*entry.opened, entry.request.ticket, entry.request.id, entry.endpoint,
         [this, id = grant.request](bool accepted) { intentAnswered(id, accepted); });
 }
