Ignore entries of the list of vms without an address

Cause: an entry whose address is missing or not IP:PORT became an endpoint; of a plain service it would have been granted slots.

--- a/libs/node/src/endpoint_directory.cpp
+++ b/libs/node/src/endpoint_directory.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_directory.h"
 
+#include "base/error.h"
 #include "base/log.h"
 #include "periodic_task.h"
 
@@ -32,6 +33,16 @@
     return status ? fallback : result;
 }
 
+bool isAddress(const std::string& address)
+{
+    try {
+        parseAddress(address);
+        return true;
+    } catch (const error&) {
+        return false;
+    }
+}
+
 } // namespace
 
 endpoint_directory::endpoint_directory(boost::asio::io_context& context, endpoint_directory_settings settings, handlers callbacks)
@@ -114,6 +125,10 @@
             continue;
         const auto& vm = value.as_object();
         const auto address = text(vm, "address");
+        if (!isAddress(address)) {
+            log_event("vm_list_entry_ignored", log_level::warning).field("address", address);
+            continue;
+        }
         if (text(vm, "role") == "node") {
             nodes.push_back(node_id(address));
             continue;
--- /dev/null
+++ b/libs/node/tests/node_tests.cpp
@@ -0,0 +1,147 @@
+#include "node_fixture.h"
+
+#include <future>
+
+namespace carawaylink {
+namespace {
+
+using namespace std::chrono_literals;
+
+class node_test : public node_fixture { };
+
+// Guards against answers that are altered or cut on their way from the engine or the service to the caller.
+TEST_F(node_test, callers_get_whole_answers_of_every_kind)
+{
+    const auto address = startNode("d1").httpAddress();
+    awaitServing();
+    const auto streamed = call(address, completion("s", 20, true));
+    EXPECT_EQ(streamed.status, 200U);
+    EXPECT_EQ(streamedText(streamed.body), answerOf("s", 20));
+    const auto whole = parse(call(address, completion("w", 20, false)).body);
+    EXPECT_EQ(whole.at("choices").at(0).at("text").as_string(), answerOf("w", 20));
+    EXPECT_EQ(whole.at("usage").at("completion_tokens").to_number<int>(), 20);
+
+    http_request chat { "POST", "/v1/chat/completions", key(),
+        R"({"model":"large","messages":[{"role":"user","content":"hi"}],"max_tokens":5,"user":"c","stream":true})" };
+    EXPECT_EQ(streamedText(call(address, chat).body, true), answerOf("c", 5));
+    chat.body = R"({"model":"large","messages":[{"role":"user","content":"hi"}],"max_tokens":5,"user":"c"})";
+    EXPECT_EQ(parse(call(address, chat).body).at("choices").at(0).at("message").at("content").as_string(), answerOf("c", 5));
+
+    EXPECT_EQ(call(address, { "GET", "/services/desk/seats/4", key(), {} }).body, R"({"service":"desk","path":"/seats/4"})");
+    EXPECT_NE(call(address, { "GET", "/v1/models", key(), {} }).body.find("\"large\""), std::string::npos);
+    EXPECT_EQ(call(address, { "GET", "/readyz", {}, {} }).status, 200U);
+}
+
+// Guards against answers with missing or repeated tokens when connections to the engine break again and again.
+TEST_F(node_test, streams_survive_broken_engine_connections)
+{
+    const auto address = startNode("d1").httpAddress();
+    awaitServing();
+    call(engineAddress, { "POST", "/faults", {}, R"({"cut_streams_after_tokens":7})" });
+    EXPECT_EQ(streamedText(call(address, completion("s", 40, true)).body), answerOf("s", 40));
+    EXPECT_EQ(parse(call(address, completion("w", 40, false)).body).at("choices").at(0).at("text").as_string(), answerOf("w", 40));
+    EXPECT_EQ(historyCount("\"received\"", ""), historyCount("\"finished\"", ""));
+}
+
+// Guards against a call that runs twice when its caller tries again with the same ticket at another node.
+TEST_F(node_test, retry_with_ticket_at_another_node_runs_once)
+{
+    startNode("d1");
+    startNode("d2");
+    awaitServing();
+    const auto before = historyCount("\"received\"", "");
+    const auto ticketText = ticketOf(*nodes[0]);
+    const auto request = completion("r", 30, true, { { "X-Carawaylink-Ticket", ticketText }, { "X-Carawaylink-Idempotent", "false" } });
+    auto first = std::async(std::launch::async, [&] { return call(nodes[0]->httpAddress(), request); });
+    auto second = std::async(std::launch::async, [&] { return call(nodes[1]->httpAddress(), request); });
+    EXPECT_EQ(streamedText(first.get().body), answerOf("r", 30));
+    EXPECT_EQ(streamedText(second.get().body), answerOf("r", 30));
+    EXPECT_EQ(historyCount("\"received\"", ""), before + 1);
+
+    // A plain call: the retry gets the first answer.
+    auto headers = key();
+    headers.push_back({ "X-Carawaylink-Ticket", ticketOf(*nodes[0]) });
+    const http_request order { "POST", "/services/desk/orders", headers, R"({"call":"c1"})" };
+    const auto answer = call(nodes[0]->httpAddress(), order);
+    EXPECT_EQ(answer.status, 200U) << answer.body;
+    EXPECT_EQ(call(nodes[1]->httpAddress(), order).body, answer.body);
+}
+
+// Guards against "not run" for a call that ran, and against a second run, after the home has died.
+TEST_F(node_test, ticket_of_a_dead_home_is_decided_by_its_witness)
+{
+    startNode("d1");
+    startNode("d2");
+    awaitServing();
+    const auto unused = ticketOf(*nodes[0]);
+    const auto used = ticketOf(*nodes[0]);
+    const auto withTicket = [](const std::string& text) { return completion("r", 10, true, { { "X-Carawaylink-Ticket", text } }); };
+    EXPECT_EQ(streamedText(call(nodes[0]->httpAddress(), withTicket(used)).body), answerOf("r", 10));
+    const auto runs = historyCount("\"received\"", "");
+    nodes[0].reset();
+    const auto& survivor = nodes[1]->httpAddress();
+    const auto repeated = call(survivor, withTicket(used));
+    EXPECT_EQ(streamedText(repeated.body), answerOf("r", 10)) << repeated.body;
+    const auto refused = call(survivor, withTicket(unused));
+    EXPECT_EQ(refused.status, 409U);
+    EXPECT_NE(refused.body.find("\"ran\":\"no\""), std::string::npos) << refused.body;
+    EXPECT_EQ(historyCount("\"received\"", ""), runs);
+    nodes.erase(nodes.begin());
+}
+
+// Guards against a planned stop that breaks running streams, or refuses callers that still hold its address.
+TEST_F(node_test, draining_finishes_streams_and_refuses_only_after_the_entry_lifetime)
+{
+    startNode("d1");
+    startNode("d2");
+    awaitServing();
+    auto& leaving = *nodes[0];
+    const auto address = leaving.httpAddress();
+    auto running = std::async(std::launch::async, [&] { return call(address, completion("long", 600, true)); });
+    waitUntil([&] { return historyCount("\"started\"", "") > historyCount("\"finished\"", ""); });
+    leaving.drain();
+    waitUntil([&] { return call(address, { "GET", "/readyz", {}, {} }).status == 503; });
+    EXPECT_EQ(call(address, completion("late", 1, false)).status, 200U);
+    waitUntil([&] {
+        const auto entry = call(nodes[1]->httpAddress(), { "GET", "/v1/entry", key(), {} }).body;
+        return entry.find(address) == std::string::npos && entry.find("addresses") != std::string::npos;
+    });
+    http_response refused;
+    waitUntil([&] {
+        refused = call(address, completion("refused", 1, false));
+        return refused.status != 200;
+    });
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_NE(refused.body.find("\"draining\""), std::string::npos) << refused.body;
+    EXPECT_NE(refused.body.find(nodes[1]->httpAddress()), std::string::npos) << refused.body;
+    EXPECT_EQ(streamedText(running.get().body), answerOf("long", 600));
+    EXPECT_TRUE(leaving.waitUntilStopped());
+}
+
+// Guards against one caller that does not read holding up others or filling the node's memory.
+TEST_F(node_test, slow_caller_holds_back_only_itself)
+{
+    const auto address = startNode("d1").httpAddress();
+    awaitServing();
+    raw_caller slow(address, raw_caller::text(completion("slow", 3000, true)));
+    slow.readSome();
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(streamedText(call(address, completion("fast", 20, true)).body), answerOf("fast", 20));
+    EXPECT_EQ(streamedText(slow.readAll()), answerOf("slow", 3000));
+}
+
+// Guards against an engine that generates for a caller that has left.
+TEST_F(node_test, caller_that_leaves_cancels_its_stream)
+{
+    const auto address = startNode("d1").httpAddress();
+    awaitServing();
+    raw_caller caller(address, raw_caller::text(completion("left", 100000, true)));
+    caller.readSome();
+    EXPECT_NE(caller.received.find("200 OK"), std::string::npos);
+    caller.close();
+    waitUntil([&] { return historyCount("\"cancelled\"", "") == 1; });
+    EXPECT_EQ(call(address, completion("next", 1, false)).status, 200U);
+}
+
+} // namespace
+} // namespace carawaylink
