Drop the handlers of all event loops before the first loop is destroyed

Cause: a connection on one loop holds the server's state with an acceptor of another loop, and handlers of the control loop hold connections of the front's loops. When a loop was destroyed, its waiting handlers freed objects that still referred to a loop destroyed before; the memory of that loop was written to. Change: io_threads::stop() drops the waiting handlers of its loops while all of them exist. Result: node_tests crashed with 'malloc(): mismatching next->prev_size' in one run and address sanitizer reported the use after free in ~basic_socket_acceptor in the first node test; after the change it reports neither.

--- a/libs/http/include/http/io_threads.h
+++ b/libs/http/include/http/io_threads.h
@@ -14,7 +14,6 @@
 class io_threads {
 public:
     explicit io_threads(std::size_t count);
-    /// Stops the loops and joins the threads.
     ~io_threads();
     io_threads(const io_threads&) = delete;
     io_threads& operator=(const io_threads&) = delete;
@@ -23,6 +22,8 @@
     boost::asio::io_context& context(std::size_t index);
     /// Runs work on the thread of that index.
     void post(std::size_t index, std::function<void()> work);
+    /// Stops the loops, joins the threads and drops what waits on the loops. Where objects of several io_threads hold each
+    /// other, stop all of these before the first one is destroyed.
     void stop();
 
 private:
--- a/libs/http/src/io_threads.cpp
+++ b/libs/http/src/io_threads.cpp
@@ -8,9 +8,20 @@
 
 namespace carawaylink {
 
+namespace {
+
+// A handler that waits on one loop may own a socket of another, so all loops drop their handlers before the first one goes.
+class loop_context : public boost::asio::io_context {
+public:
+    using boost::asio::io_context::io_context;
+    void dropHandlers() { shutdown(); }
+};
+
+} // namespace
+
 struct io_threads::implementation {
     struct loop {
-        boost::asio::io_context context { 1 };
+        loop_context context { 1 };
         boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
         std::thread thread;
     };
@@ -54,6 +65,8 @@
         if (loop->thread.joinable())
             loop->thread.join();
     }
+    for (auto& loop : m_implementation->loops)
+        loop->context.dropHandlers();
 }
 
 } // namespace carawaylink
