--- a/libs/membership/src/detector.h
+++ b/libs/membership/src/detector.h
@@ -41,7 +41,8 @@
     node_id target;
     std::uint32_t sequence = 0;
     monotonic_time stageEnds;
-    bool indirect = false;
+    /// Direct, then through helpers in two halves.
+    int stage = 0;
     std::size_t helpers = 0;
     std::vector<node_id> helpersHeard;
 };
@@ -92,6 +93,8 @@
     bool joined = false;
     /// The state exchanges after the start are over.
     bool settled = false;
+    /// The one exchange soon after that is over.
+    bool settledCheckDone = false;
     unsigned pulls = 0;
     /// Members in the last exchange, and how many of them arrived.
     std::size_t exchangeExpected = 0;
@@ -99,8 +102,6 @@
     /// Members learned since the last exchange was requested.
     std::size_t learned = 0;
     monotonic_time nextPull;
-    /// Doubles from exchange to exchange once settled.
-    duration pullInterval = std::chrono::seconds(5);
     monotonic_time nextStrangerPull;
     monotonic_time joinAnswerWindow;
     unsigned joinAnswersInWindow = 0;
--- a/libs/membership/src/gossip_queue.h
+++ b/libs/membership/src/gossip_queue.h
@@ -29,7 +29,10 @@
 
 /// The update without domain, region and address; a member that is unknown to the receiver is not added from it.
 member_update compact(member_update update);
-inline bool isCompact(const member_update& update) { return update.domain.value.empty(); }
+inline bool isCompact(const member_update& update)
+{
+    return update.domain.value.empty();
+}
 
 /// Times that an update is sent by each member: 3 * ceil(log2(members + 1)), which reaches all members with high probability.
 std::size_t transmissionLimit(std::size_t members);
--- a/libs/membership/src/packet_size.cpp
+++ b/libs/membership/src/packet_size.cpp
@@ -32,7 +32,8 @@
 
 std::size_t datagramSize(const membership_packet& packet)
 {
-    std::size_t bytes = datagramHeaderBytes + packetTableBytes + macBytes + updateVtableBytes * std::min(maxVtables, 1 + packet.updates.size()) + stringBytes(maxClusterNameBytes)
+    std::size_t bytes = datagramHeaderBytes + packetTableBytes + macBytes
+        + updateVtableBytes * std::min(maxVtables, 1 + packet.updates.size()) + stringBytes(maxClusterNameBytes)
         + stringBytes(packet.target.value.size()) + encodedSize(packet.sender);
     for (const auto& update : packet.updates)
         bytes += encodedSize(update);
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace carawaylink {
 namespace {
@@ -31,6 +32,7 @@
 constexpr duration strangerPullInterval = seconds(5);
 // The long interval keeps the repeated exchanges at about 50 B/s per member in any size.
 constexpr duration minLongPullInterval = seconds(30);
+constexpr duration firstCheckInterval = seconds(10);
 constexpr duration pullIntervalPerMember = milliseconds(2500);
 
 } // namespace
@@ -99,23 +101,25 @@
     const auto target = nextTarget();
     if (!target)
         return;
-    current = probe { *target, ping(*target), now + settings.probeTimeout * (1 + healthScore), false, 0, {} };
+    current = probe { *target, ping(*target), now + settings.probeTimeout * (1 + healthScore), 0, 0, {} };
 }
 
 void failure_detector::implementation::continueProbe(monotonic_time now)
 {
-    if (current->indirect) {
+    if (++current->stage > 2) {
         failProbe(now);
         return;
     }
-    current->indirect = true;
-    current->stageEnds = now + settings.probeTimeout * (1 + healthScore);
+    current->stageEnds = now + settings.probeTimeout * (1 + healthScore) / 2;
+    // Repeated directly as well: most probes fail because one datagram was lost, and each false suspicion costs gossip among all
+    // members. The pause between the two repetitions outlasts short bursts of loss.
+    send(packet_kind::ping, current->sequence, current->target);
+    if (current->stage == 2)
+        return;
     const auto helpers = randomMembers(settings.indirectProbes, current->target);
     current->helpers = helpers.size();
     for (const auto& helper : helpers)
         send(packet_kind::ping_request, current->sequence, helper, current->target);
-    // Repeated directly as well: most probes fail because one datagram was lost.
-    send(packet_kind::ping, current->sequence, current->target);
 }
 
 void failure_detector::implementation::failProbe(monotonic_time now)
@@ -204,8 +208,10 @@
 void failure_detector::implementation::pull(monotonic_time now, const node_id& from)
 {
     if (settled) {
-        pullInterval = std::min(2 * pullInterval, std::max<duration>(minLongPullInterval, probeOrder.size() * pullIntervalPerMember));
-        nextPull = now + pullInterval;
+        // The spread keeps members that started together from exchanging at the same time.
+        const duration longInterval = std::max<duration>(minLongPullInterval, probeOrder.size() * pullIntervalPerMember);
+        const duration interval = std::exchange(settledCheckDone, true) ? longInterval : firstCheckInterval;
+        nextPull = now + interval / 2 + duration(std::uniform_int_distribution<duration::rep>(0, interval.count())(random));
     } else {
         nextPull = now + settleInterval;
     }
--- a/libs/membership/tests/failure_detector_tests.cpp
+++ b/libs/membership/tests/failure_detector_tests.cpp
@@ -126,7 +126,8 @@
     EXPECT_LE(net->runUntil(20s, [&] { return net->allAgree(); }), 3s);
     EXPECT_EQ(net->at(2).self().run, run) << "the incarnation stays";
     EXPECT_GT(net->at(2).self().refutation, 0U);
-    EXPECT_TRUE(std::ranges::none_of(net->observations, [](const auto& seen) { return seen.observer == 2 && seen.update.state == member_state::dead; }));
+    EXPECT_TRUE(std::ranges::none_of(
+        net->observations, [](const auto& seen) { return seen.observer == 2 && seen.update.state == member_state::dead; }));
 }
 
 // Guards against pools of a node whose process is known to have ended waiting for the suspicion to end.
--- a/libs/membership/tests/network_fault_tests.cpp
+++ b/libs/membership/tests/network_fault_tests.cpp
@@ -56,8 +56,12 @@
         net.observations.clear();
         net.run(time);
         const auto result = falseDeaths(net);
+        const auto suspicions
+            = std::ranges::count(net.observations, member_state::suspect, [](const auto& seen) { return seen.update.state; });
+        EXPECT_GT(suspicions, 0) << "the loss must have an effect";
         const double memberHours = static_cast<double>(size) * std::chrono::duration<double, std::ratio<3600>>(time).count();
-        std::cout << "size=" << size << " false_deaths=" << result.count << " per_member_hour=" << static_cast<double>(result.count) / memberHours
+        std::cout << "size=" << size << " suspicions=" << suspicions << " false_deaths=" << result.count
+                  << " per_member_hour=" << static_cast<double>(result.count) / memberHours
                   << " longest_ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(result.longest).count() << '\n';
         EXPECT_LE(result.longest, 5s) << size;
         EXPECT_LE(static_cast<double>(result.count) / memberHours, 1) << size;
@@ -145,7 +149,8 @@
         net.start(2, { 0 });
         net.run(90s);
         const auto perNode = static_cast<double>(net.sent.bytes) / 120 / static_cast<double>(size);
-        std::cout << "size=" << size << " sent_bytes_per_s=" << perNode << " packets_per_s=" << static_cast<double>(net.sent.packets) / 120 / static_cast<double>(size) << '\n';
+        std::cout << "size=" << size << " sent_bytes_per_s=" << perNode
+                  << " packets_per_s=" << static_cast<double>(net.sent.packets) / 120 / static_cast<double>(size) << '\n';
         EXPECT_LE(2 * perNode, 3000) << size;
         EXPECT_LE(net.sent.largest, maxDatagramBytes);
     }
--- a/libs/membership/tests/simulated_network.h
+++ b/libs/membership/tests/simulated_network.h
@@ -40,6 +40,8 @@
     std::function<bool(std::size_t from, std::size_t to)> reachable = [](auto, auto) { return true; };
     std::vector<observation> observations;
     traffic sent;
+    /// Time spent in the detectors, without the network around them.
+    std::chrono::steady_clock::duration computing {};
 
     explicit network(std::size_t size, std::uint64_t seed, failure_detector_settings settings = {})
         : m_random(seed)
@@ -207,15 +209,23 @@
             return;
         if (item.kind == event_kind::datagram) {
             if (!node.paused)
-                perform(item.node, node.detector->receive(m_now, *item.packet));
+                perform(item.node, timed([&] { return node.detector->receive(m_now, *item.packet); }));
             else if (node.inbox.size() < inboxLimit)
                 node.inbox.push_back(*item.packet);
         } else if (item.run == node.run && !node.paused) {
-            perform(item.node, node.detector->tick(m_now));
+            perform(item.node, timed([&] { return node.detector->tick(m_now); }));
             schedule(tickInterval, item);
         }
     }
 
+    template <typename Function> std::vector<membership_action> timed(Function function)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        auto actions = function();
+        computing += std::chrono::steady_clock::now() - begin;
+        return actions;
+    }
+
     void perform(std::size_t index, std::vector<membership_action> actions)
     {
         for (auto& action : actions) {
