--- a/libs/bench/src/scheduling_bench.cpp
+++ b/libs/bench/src/scheduling_bench.cpp
@@ -24,6 +24,8 @@
 
 // Engines of carawaylink-engine with their default rates and this batch size.
 constexpr std::size_t maxRunning = 8;
+// Less than running requests and all shared prefixes need together, so that it matters where a prompt goes.
+constexpr std::size_t cacheTokens = 24000;
 constexpr double prefillTokensPerSecond = 8000;
 constexpr double iterationMilliseconds = 15 + 0.25 * maxRunning;
 constexpr double outputTokensPerSecond = maxRunning * 1000 / iterationMilliseconds;
@@ -71,9 +73,9 @@
     const service_id service("llm");
     const auto seconds = [](int count) { return std::chrono::milliseconds(1000 * count); };
     settings.classes = {
-        { "question", 25, service, tier(0), 250, 25, 20, 20, seconds(3), 0 },
+        { "question", 25, service, tier(0), 250, 25, 20, 60, seconds(3), 0 },
         { "reminder", 25, service, tier(1), 100, 20, 4, 0, seconds(4), 0 },
-        { "plan", 35, service, tier(2), 900, 80, 100, 12, seconds(10), 0 },
+        { "plan", 35, service, tier(2), 900, 80, 100, 40, seconds(10), 0 },
         { "tag", 15, service, tier(3), 150, 15, 4, 0, seconds(5), 0 },
     };
     return settings;
@@ -110,7 +112,7 @@
     std::string straggler;
     for (const auto& kind : engineKinds) {
         const auto addresses = fleet.startEngines({ kind.name, "llm", "zone-a", kind.count,
-            { "--generation", kind.generation, "--speed", std::to_string(kind.speed), "--max-running", std::to_string(maxRunning) } });
+            { "--generation", kind.generation, "--speed", std::to_string(kind.speed), "--max-running", std::to_string(maxRunning), "--cache-tokens", std::to_string(cacheTokens) } });
         for (const auto& address : addresses)
             fleet.setFaults(address, R"({"report_lag_ms":500,"event_delay_ms":300,"event_gap_share":0.05})");
         if (kind.name == std::string("medium"))
