Keep a cancelled engine stream alive while its result is read

Cause: cancel() is called through the exchange's pointer to the stream, and the exchange drops that pointer when the stream reports its end, so the result was read after the stream was freed. Result: address sanitizer reported the use after free in node_test.caller_that_leaves_cancels_its_stream; it no longer does.

--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -267,6 +267,8 @@
 {
     if (std::exchange(m_finished, true))
         return;
+    // onDone may drop the last reference to this stream while it reads m_result.
+    const auto self = shared_from_this();
     ++m_generation;
     m_timer.cancel();
     if (m_call && outcome != stream_outcome::complete)
