Bound max_tokens of a request

Cause: any positive 64-bit number was accepted and then added to the prompt tokens, a signed overflow.

--- a/libs/node/src/front_request.cpp
+++ b/libs/node/src/front_request.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::string_view bearerPrefix = "Bearer ";
+// Far above what any engine generates; sums with it cannot overflow.
+constexpr std::int64_t greatestOutputTokens = 100'000'000;
 constexpr std::int64_t maxDeadlineMilliseconds = 24LL * 3600 * 1000;
 
 [[noreturn]] void refuse(unsigned status, std::string type, std::string message, std::string remedy)
@@ -152,8 +154,9 @@
     result.service = service->second;
     result.prompt = readPrompt(body, result.chat);
     const auto* limit = body.if_contains("max_tokens");
-    if (limit && (!limit->is_int64() || limit->as_int64() < 1))
-        refuse(400, "invalid_request", "field \"max_tokens\" is not a positive whole number", "send a number from 1");
+    if (limit && (!limit->is_int64() || limit->as_int64() < 1 || limit->as_int64() > greatestOutputTokens))
+        refuse(400, "invalid_request", "field \"max_tokens\" is not a whole number in its range",
+            "send a number from 1 to " + std::to_string(greatestOutputTokens));
     result.maxOutputTokens = tokens(limit ? limit->as_int64() : team.defaultOutputTokens);
     const auto* stream = body.if_contains("stream");
     if (stream && !stream->is_bool())
