--- a/libs/bench/include/bench/cluster.h
+++ b/libs/bench/include/bench/cluster.h
@@ -27,15 +27,25 @@
     std::string region = "region-1";
     /// Further lines of the settings file, for example "policy: round_robin".
     std::vector<std::string> lines;
+    /// Address for peers to listen on; port 0 picks a free one.
+    std::string nodeAddress = "127.0.0.1:0";
+    std::string httpAddress = "127.0.0.1:0";
+    /// Address of a relay under which peers reach nodeAddress, which must then have a fixed port; empty for none.
+    std::string advertiseAddress;
 };
 
 struct running_node {
     node_options options;
+    /// Address to which the node binds.
     std::string nodeAddress;
     std::string httpAddress;
     std::unique_ptr<child_process> process;
     /// Settings of this run, to start a replacement at the same addresses.
     std::string settingsPath;
+
+    /// Address under which peers know the node.
+    const std::string& peerAddress() const { return options.advertiseAddress.empty() ? nodeAddress : options.advertiseAddress; }
+    bool running() const { return process && process->running(); }
 };
 
 /// Stand-ins and nodes on loopback with free ports. Everything is killed and reaped when the object goes.
@@ -60,6 +70,8 @@
     running_node& startNode(const node_options& options);
     /// Starts a stopped node again with the same settings, so at the same addresses.
     void restartNode(running_node& node);
+    /// Kills the program where it still runs and starts it again with the same command.
+    void restartProgram(const std::string& name);
     /// Publishes a fleet configuration on top of the one in force and returns the new version. Throws error(conflict) where it
     /// is refused.
     std::uint64_t publish(const std::string& fleetYaml);
@@ -94,7 +106,13 @@
     std::string m_folder;
     std::string m_logAddress;
     std::string m_vmListAddress;
+    struct program_command {
+        std::vector<std::string> words;
+        std::size_t listeners = 1;
+    };
+
     std::map<std::string, std::unique_ptr<child_process>> m_programs;
+    std::map<std::string, program_command> m_commands;
     std::vector<std::unique_ptr<running_node>> m_nodes;
     std::size_t m_poolCount = 0;
     std::uint64_t m_nextChange = 1;
--- a/libs/bench/src/child_process.cpp
+++ b/libs/bench/src/child_process.cpp
@@ -63,6 +63,8 @@
     constexpr mode_t mode = 0644;
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, m_outputPath.c_str(), flags, mode);
     posix_spawn_file_actions_addopen(&files, STDERR_FILENO, m_errorPath.c_str(), flags, mode);
+    // An inherited socket of this process would stay open, and listen, after it is closed here.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     const int failed = posix_spawn(&m_id, arguments.front(), &files, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&files);
     if (failed)
--- a/libs/bench/src/cluster.cpp
+++ b/libs/bench/src/cluster.cpp
@@ -39,11 +39,19 @@
 std::vector<std::map<std::string, std::string>> cluster::startProgram(
     const std::string& name, const std::vector<std::string>& command, std::size_t listeners)
 {
+    m_commands[name] = { command, listeners };
     auto& program = m_programs[name];
     program = std::make_unique<child_process>(name, m_folder, command);
     return program->waitUntilListening(listeners, startLimit);
 }
 
+void cluster::restartProgram(const std::string& name)
+{
+    const auto command = m_commands.at(name);
+    m_programs.at(name).reset();
+    startProgram(name, command.words, command.listeners);
+}
+
 void cluster::startPlatform(const std::vector<std::string>& logOptions)
 {
     std::vector<std::string> command { m_binaries + "/carawaylink-log", "--history", m_folder + "/log.jsonl" };
@@ -106,8 +114,8 @@
     auto& node = *m_nodes.emplace_back(std::make_unique<running_node>());
     node.options = options;
     node.settingsPath = m_folder + "/" + options.name + ".yaml";
-    node.nodeAddress = "127.0.0.1:0";
-    node.httpAddress = "127.0.0.1:0";
+    node.nodeAddress = options.nodeAddress;
+    node.httpAddress = options.httpAddress;
     startProcess(node);
     return node;
 }
@@ -121,6 +129,7 @@
 {
     std::ofstream file(node.settingsPath);
     file << "cluster: bench\nnode_address: " << node.nodeAddress << "\nhttp_address: " << node.httpAddress
+         << (node.options.advertiseAddress.empty() ? "" : "\nadvertise_address: " + node.options.advertiseAddress)
          << "\nfailure_domain: " << node.options.failureDomain << "\nregion: " << node.options.region << "\nlog_address: " << m_logAddress
          << "\nvm_list_address: " << m_vmListAddress << "\nhistory_file: " << m_folder << '/' << node.options.name << ".jsonl\nseeds: [";
     // Few seeds are enough; the list of vms and gossip bring the rest.
@@ -128,7 +137,7 @@
     std::size_t seeds = 0;
     for (const auto& other : m_nodes) {
         if (other.get() != &node && other->process && seeds < maxSeeds)
-            file << (seeds++ ? ", " : "") << '"' << other->nodeAddress << '"';
+            file << (seeds++ ? ", " : "") << '"' << other->peerAddress() << '"';
     }
     file << "]\ncluster_keys:\n  - id: k1\n    secret: a-secret-of-the-bench-cluster\noperator_keys:\n  - name: bench\n    sha256: "
          << sha256Hex(operatorKey) << '\n';
@@ -138,7 +147,9 @@
     node.process = std::make_unique<child_process>(
         node.options.name, m_folder, std::vector<std::string> { m_binaries + "/carawaylinkd", "--settings", node.settingsPath });
     const auto listening = node.process->waitUntilListening(1, startLimit).front();
-    node.nodeAddress = listening.at("node");
+    // A node behind a relay prints the address of the relay.
+    if (node.options.advertiseAddress.empty())
+        node.nodeAddress = listening.at("node");
     node.httpAddress = listening.at("http");
 }
 
--- /dev/null
+++ b/libs/bench/src/control_bench.cpp
@@ -0,0 +1,2 @@
+#include "bench/benches.h"
+namespace carawaylink::bench { int runControl(const bench_options&) { return 2; } int runRecovery(const bench_options&) { return 2; } }
--- a/libs/node/src/history.h
+++ b/libs/node/src/history.h
@@ -15,6 +15,8 @@
     /// Throws error(unavailable) where the file cannot be opened. An empty path writes nothing.
     history(const std::string& path, std::string node, std::uint64_t incarnation);
 
+    /// Names the node once its address is known; call before the first record.
+    void setNode(std::string node) { m_node = std::move(node); }
     bool enabled() const { return m_file != nullptr; }
     void record(std::string_view event, boost::json::object fields);
 
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -64,7 +64,7 @@
     });
     wired.get_future().get();
     ready = true;
-    record.record("started", {});
+    record.record("started", { { "http", httpAddress } });
     log_event("started")
         .field("node", self.node)
         .field("http", httpAddress)
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -78,6 +78,7 @@
     mesh = std::make_unique<peer_mesh>(control.context(0), identity, meshSettings, std::move(handlers));
     const auto bound = mesh->listen(settings.node_address);
     self.node = node_id(settings.advertise_address.empty() ? bound : settings.advertise_address);
+    record.setNode(self.node.value);
     auto advertised = identity;
     advertised.process = self;
     mesh->setSelf(advertised);
