--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -47,7 +47,7 @@
 }
 
 placement_option pool_scheduler::implementation::option(
-    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree)
+    request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded)
 {
     const auto prompt = record.request.promptTokens.value;
     const auto blocks = where.position < prefix_index::maxEndpoints ? cached[where.position] : 0;
@@ -60,8 +60,9 @@
     const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
     result.wait = isFree ? 0 : nextSlotWait(where);
-    const double saved = models.firstTokenSeconds(static_cast<double>(prompt)) - first;
-    result.score = result.wait + result.cost - (contended(record) ? (crowdedPrefixWeight - 1) * saved : 0);
+    result.score = result.wait + result.cost;
+    if (crowded && result.cachedTokens > 0)
+        result.score -= (crowdedPrefixWeight - 1) * (models.firstTokenSeconds(static_cast<double>(prompt)) - first);
     return result;
 }
 
@@ -83,18 +84,22 @@
     return others > (record.phase == request_phase::waiting || record.phase == request_phase::parked ? 1U : 0U);
 }
 
-double pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
+run_time pool_scheduler::implementation::bestCost(monotonic_time now, request_record& record)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    double best = std::numeric_limits<double>::infinity();
+    run_time best;
     for (const auto& entry : endpoints) {
         if (!entry->eligible() || entry->ejected)
             continue;
-        if (!modelsOf(*entry).learned(now))
-            return 0;
-        best = std::min(best, option(record, *entry, cached, true).cost);
+        const double cost = option(record, *entry, cached, true).cost;
+        if (now + preemptionLead + fromSeconds(cost) <= record.request.deadline)
+            best.slowest = std::max(best.slowest, cost);
+        if (best.seconds <= 0 || cost < best.seconds) {
+            best.seconds = cost;
+            best.learned = modelsOf(*entry).learned(now);
+        }
     }
-    return std::isinf(best) ? 0 : best;
+    return best;
 }
 
 double pool_scheduler::implementation::waitEstimate(request_record& record)
@@ -129,8 +134,17 @@
     for (auto& [level, queue] : tiers) {
         if (queue.size() == 0)
             continue;
-        if (auto* record = queue.next(longAllowed(level)))
-            return record;
+        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
+        for (;;) {
+            auto* record = queue.next(longAllowed(level));
+            const double median = queue.costs.value();
+            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+                return record;
+            // It was queued before enough shorter requests had shown that it is long; this happens once per request.
+            queue.remove(*record);
+            record->longRequest = true;
+            queue.push(*record, longAllowed(level));
+        }
     }
     return nullptr;
 }
@@ -141,10 +155,11 @@
         serveParked(now, out);
         auto* record = next();
         if (!record || std::ranges::none_of(endpoints, [&](const auto& entry) { return freeSlots(*entry, now) > 0; }))
-            return;
+            break;
         if (!place(now, *record, out))
-            return;
+            break;
     }
+    renewReservations(now, out);
 }
 
 void pool_scheduler::implementation::serveParked(monotonic_time now, actions& out)
@@ -167,7 +182,8 @@
 bool pool_scheduler::implementation::place(monotonic_time now, request_record& record, actions& out)
 {
     const auto cached = prefixes.match(record.request.prefixBlocks);
-    const double factor = contended(record) ? 1 + margin() : 1;
+    const bool crowded = contended(record);
+    const double factor = crowded ? 1 + margin() : 1;
     const auto fits = [&](const placement_option& choice) {
         return !modelsOf(*choice.endpoint).learned(now) || now + fromSeconds(choice.wait + choice.cost * factor) <= record.request.deadline;
     };
@@ -189,7 +205,7 @@
             continue;
         }
         anyFree = anyFree || isFree;
-        const auto choice = option(record, *entry, cached, isFree);
+        const auto choice = option(record, *entry, cached, isFree, crowded);
         auto& best = isFree ? bestFree : bestFull;
         if (fits(choice) && (!best.endpoint || choice.score < best.score))
             best = choice;
@@ -205,6 +221,7 @@
         park(now, record, *bestFull.endpoint, bestFull.wait);
     } else if (!preemptFor(now, record, out)) {
         countInversion(now, record, false);
+        unqueue(record);
         refuse(record, refusal_reason::deadline_unreachable, "no endpoint can finish the request before its deadline", out);
     }
     return true;
@@ -216,6 +233,8 @@
     auto& queue = queueOf(record);
     if (record.phase == request_phase::parked) {
         where.parked.erase(where.parked.iterator_to(record));
+        where.reserved -= record.reserved ? 1 : 0;
+        record.reserved = false;
         --queue.parked;
         queue.longRunning -= record.longRequest ? 1 : 0;
         --waiting;
