--- a/libs/bench/src/bench_fleet.cpp
+++ b/libs/bench/src/bench_fleet.cpp
@@ -87,8 +87,8 @@
             node.advertiseAddress = m_relay.addNode(ip, node.nodeAddress);
         }
         const auto& started = m_cluster->startNode(node);
-        entries.push_back(json::object { { "address", started.peerAddress() }, { "role", "node" }, { "state", "live" },
-            { "failure_domain", node.failureDomain } });
+        entries.push_back(json::object {
+            { "address", started.peerAddress() }, { "role", "node" }, { "state", "live" }, { "failure_domain", node.failureDomain } });
     }
     m_cluster->setVms(json::serialize(entries));
     m_cluster->publish(configuration(0));
@@ -117,4 +117,11 @@
     m_faultHistory->flush();
 }
 
+void bench_fleet::noteLive(const std::string& engine)
+{
+    m_faultHistory->write(json::serialize(
+        json::object { { "source", "engine" }, { "event", "live" }, { "endpoint", engine }, { "t_us", load::historyTimeUs() } }));
+    m_faultHistory->flush();
+}
+
 } // namespace carawaylink::bench
--- a/libs/bench/src/bench_fleet.h
+++ b/libs/bench/src/bench_fleet.h
@@ -63,6 +63,8 @@
     void offer(const std::vector<load::trace_call>& calls, std::uint64_t seed);
     /// Writes a line to the history of faults; `node` is the address of the node concerned, or empty.
     void noteFault(std::string_view event, const std::string& node = {});
+    /// Writes to the history that an engine takes work again; call before its switch "leaving" is cleared.
+    void noteLive(const std::string& engine);
 
 private:
     relay m_relay;
--- a/libs/bench/src/fault_injector.cpp
+++ b/libs/bench/src/fault_injector.cpp
@@ -140,7 +140,9 @@
         break;
     case fault_kind::engine_killed: {
         const std::lock_guard lock(m_processes);
-        processes.program(bench_fleet::engineName(fault.target)).kill();
+        auto& engine = processes.program(bench_fleet::engineName(fault.target));
+        expectRunning(engine.name(), engine);
+        engine.kill();
         break;
     }
     case fault_kind::engine_slow:
@@ -192,8 +194,11 @@
         processes.restartProgram(bench_fleet::engineName(fault.target));
         break;
     }
-    case fault_kind::engine_slow:
     case fault_kind::engine_leaving:
+        m_fleet.noteLive(m_fleet.engines().at(fault.target));
+        processes.setFaults(m_fleet.engines().at(fault.target), switches(fault.kind, false));
+        break;
+    case fault_kind::engine_slow:
     case fault_kind::streams_cut:
     case fault_kind::engine_silent:
         processes.setFaults(m_fleet.engines().at(fault.target), switches(fault.kind, false));
@@ -209,10 +214,30 @@
     print(fault, "end");
 }
 
+void fault_injector::expectRunning(const std::string& name, child_process& process)
+{
+    if (process.running())
+        return;
+    const std::lock_guard lock(m_mutex);
+    ++m_crashes;
+    std::cout << "crashed program=" << name << " see=" << m_fleet.processes().folder() << '/' << name << ".err" << std::endl;
+}
+
+std::size_t fault_injector::crashes()
+{
+    const std::lock_guard lock(m_processes);
+    for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i)
+        expectRunning(m_fleet.node(i).options.name, *m_fleet.node(i).process);
+    for (std::size_t i = 0; i < m_fleet.engines().size(); ++i)
+        expectRunning(bench_fleet::engineName(i), m_fleet.processes().program(bench_fleet::engineName(i)));
+    return m_crashes;
+}
+
 void fault_injector::killNode(std::size_t index)
 {
     const std::lock_guard lock(m_processes);
     auto& node = m_fleet.node(index);
+    expectRunning(node.options.name, *node.process);
     m_fleet.noteFault("kill_node", node.peerAddress());
     node.process->kill();
 }
@@ -238,6 +263,7 @@
     auto& node = m_fleet.node(index);
     {
         const std::lock_guard lock(m_processes);
+        expectRunning(node.options.name, *node.process);
         m_fleet.noteFault("drain_node", node.peerAddress());
         node.process->signal(SIGTERM);
     }
--- a/libs/bench/src/fault_injector.h
+++ b/libs/bench/src/fault_injector.h
@@ -21,11 +21,15 @@
     /// Waits until all faults have ended.
     void wait();
     std::size_t begun() const { return m_begun; }
+    /// Counts the nodes and engines that ended although no fault ended them; prints a line for each. Call after wait().
+    std::size_t crashes();
 
 private:
     void carryOut(const planned_fault& fault);
     void begin(const planned_fault& fault);
     void end(const planned_fault& fault);
+    /// Call with m_processes held, before a process is ended on purpose.
+    void expectRunning(const std::string& name, child_process& process);
     void killNode(std::size_t index);
     void restartNode(std::size_t index);
     void drainNode(std::size_t index);
@@ -38,6 +42,7 @@
     std::uint64_t m_seed;
     monotonic_time m_origin;
     std::size_t m_begun = 0;
+    std::size_t m_crashes = 0;
     std::size_t m_configuration = 0;
     std::map<std::pair<std::size_t, std::size_t>, link_state> m_links;
     /// Guards the processes of nodes.
--- a/libs/bench/src/faults_bench.cpp
+++ b/libs/bench/src/faults_bench.cpp
@@ -77,11 +77,12 @@
         std::cout << "not_agreed " << failure.what() << '\n';
     }
 
+    const auto crashes = injector.crashes();
     const auto report = checkHistories(fleet.processes().histories());
     report.print(std::cout);
     std::cout << "faults requests=" << report.requests << " faults=" << injector.begun() << ' ' << report.counts()
-              << " unknown_share=" << report.unknownShare << " agreed_at_end=" << (agreed ? 1 : 0) << std::endl;
-    return report.kept() && agreed ? 0 : 1;
+              << " unknown_share=" << report.unknownShare << " agreed_at_end=" << (agreed ? 1 : 0) << " crashes=" << crashes << std::endl;
+    return report.kept() && agreed && crashes == 0 ? 0 : 1;
 }
 
 } // namespace carawaylink::bench
--- a/libs/bench/src/relay.cpp
+++ b/libs/bench/src/relay.cpp
@@ -92,27 +92,28 @@
         void readHello()
         {
             auto& buffer = directions[0].buffer;
-            sockets[0].async_read_some(asio::buffer(buffer), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
-                if (status) {
-                    self->close();
-                    return;
-                }
-                const std::span<const std::uint8_t> bytes(self->directions[0].buffer.data(), size);
-                self->held.insert(self->held.end(), bytes.begin(), bytes.end());
-                try {
-                    self->decoder.append(bytes);
-                    const auto first = self->decoder.next();
-                    if (!first)
-                        return self->readHello();
-                    const auto* hello = first->body.Ashello();
-                    self->from = hello ? hello->node : std::string();
-                } catch (const error&) {
-                    self->close();
-                    return;
-                }
-                self->known = true;
-                self->forwardHello();
-            });
+            sockets[0].async_read_some(
+                asio::buffer(buffer), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+                    if (status) {
+                        self->close();
+                        return;
+                    }
+                    const std::span<const std::uint8_t> bytes(self->directions[0].buffer.data(), size);
+                    self->held.insert(self->held.end(), bytes.begin(), bytes.end());
+                    try {
+                        self->decoder.append(bytes);
+                        const auto first = self->decoder.next();
+                        if (!first)
+                            return self->readHello();
+                        const auto* hello = first->body.Ashello();
+                        self->from = hello ? hello->node : std::string();
+                    } catch (const error&) {
+                        self->close();
+                        return;
+                    }
+                    self->known = true;
+                    self->forwardHello();
+                });
         }
 
         void forwardHello()
@@ -125,13 +126,12 @@
             }
             boost::system::error_code ignored;
             std::ranges::for_each(sockets, [&](auto& socket) { socket.set_option(tcp::no_delay(true), ignored); });
-            asio::async_write(
-                sockets[1], asio::buffer(held), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
-                    if (status)
-                        return self->close();
-                    self->read(0);
-                    self->read(1);
-                });
+            asio::async_write(sockets[1], asio::buffer(held), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+                if (status)
+                    return self->close();
+                self->read(0);
+                self->read(1);
+            });
         }
 
         void read(std::size_t index)
@@ -365,10 +365,7 @@
         return count;
     }
 
-    static bool isSwallowed(const connection& entry)
-    {
-        return std::ranges::any_of(entry.directions, &connection::direction::swallowed);
-    }
+    static bool isSwallowed(const connection& entry) { return std::ranges::any_of(entry.directions, &connection::direction::swallowed); }
 
     asio::io_context context { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> work;
@@ -403,8 +400,8 @@
 std::size_t relay::swallowedConnections() const
 {
     return m_implementation->run([&] {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            m_implementation->connections, [](const auto& entry) { return implementation::isSwallowed(*entry); }));
+        return static_cast<std::size_t>(
+            std::ranges::count_if(m_implementation->connections, [](const auto& entry) { return implementation::isSwallowed(*entry); }));
     });
 }
 
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -131,6 +131,20 @@
     std::erase_if(m_requests, [&](const auto& entry) { return !m_pools.contains(entry.second.pool); });
 }
 
+void pool_host::recordRefusal(monotonic_time now, const slot_refusal& refused)
+{
+    const auto known = m_requests.find(refused.request);
+    if (known == m_requests.end())
+        return;
+    const auto inMilliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    boost::json::object fields { { "request", toString(refused.request) }, { "service", known->second.pool.service.value },
+        { "tier", known->second.level.value }, { "reason", refusalReasonNames.name(refused.reason) },
+        { "deadline_in_ms", inMilliseconds(known->second.deadline - now) } };
+    if (refused.bestCase)
+        fields["best_case_ms"] = inMilliseconds(*refused.bestCase);
+    m_history.record("refused", std::move(fields));
+}
+
 void pool_host::perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions)
 {
     for (const auto& action : actions) {
@@ -138,9 +152,13 @@
         if (const auto* grant = std::get_if<slot_grant>(&action)) {
             home = grant->home;
             pool.granted[grant->request] = { home, now };
-            m_history.record("granted", { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value } });
+            boost::json::object fields { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value } };
+            if (const auto known = m_requests.find(grant->request); known != m_requests.end())
+                fields["tier"] = known->second.level.value;
+            m_history.record("granted", std::move(fields));
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
             home = refused->home;
+            recordRefusal(now, *refused);
             m_requests.erase(refused->request);
         } else {
             const auto& preemption = std::get<slot_preemption>(action);
@@ -170,7 +188,7 @@
     auto& pool = *found->second;
     if (pool.granted.contains(request.id))
         return;
-    if (m_requests.emplace(request.id, known_request { id, request.home }).second) {
+    if (m_requests.emplace(request.id, known_request { id, request.home, request.level, request.deadline }).second) {
         m_history.record("queued",
             { { "request", toString(request.id) }, { "service", id.service.value }, { "pool", id.number }, { "tier", request.level.value },
                 { "team", request.team.value }, { "non_idempotent", request.nonIdempotent },
@@ -238,7 +256,8 @@
         return;
     auto& pool = *found->second;
     for (auto& [request, endpoint, outputTokens] : outstanding) {
-        if (!m_requests.emplace(request.id, known_request { id, request.home }).second && pool.granted.contains(request.id))
+        if (!m_requests.emplace(request.id, known_request { id, request.home, request.level, request.deadline }).second
+            && pool.granted.contains(request.id))
             continue;
         pool.granted[request.id] = { home, now };
         m_history.record("granted",
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -69,8 +69,12 @@
     struct known_request {
         pool_id pool;
         node_id home;
+        tier level;
+        monotonic_time deadline;
     };
 
+    /// Writes a refusal to the history, from which the checker decides whether a tier was inverted.
+    void recordRefusal(monotonic_time now, const slot_refusal& refused);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
     hosted_pool* poolOf(const request_id& request);
     void becomeReady(hosted_pool& pool, monotonic_time now);
--- a/libs/scheduling/include/scheduling/types.h
+++ b/libs/scheduling/include/scheduling/types.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,8 @@
     refusal_reason reason;
     std::string message;
     duration retryAfter {};
+    /// Cost on the best endpoint if it had a free slot now; nothing where no speed is known yet.
+    std::optional<duration> bestCase;
 };
 
 /// The home must cancel the running stream; its slot is given to a higher tier.
--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -222,7 +222,9 @@
     const auto perSlot = typicalWork.mean() / static_cast<double>(std::max<std::size_t>(1, slots));
     const auto seconds = std::clamp(perSlot * static_cast<double>(waiting + 1), 0.05, 60.0);
     auto outcome = "refused: " + std::string(refusalReasonNames.name(reason)) + ": " + message;
-    out.emplace_back(slot_refusal { record.request.id, record.request.home, reason, std::move(message), fromSeconds(seconds) });
+    const auto cost = bestCost(lastNow, record);
+    out.emplace_back(slot_refusal { record.request.id, record.request.home, reason, std::move(message), fromSeconds(seconds),
+        cost.learned ? std::optional(fromSeconds(cost.seconds)) : std::nullopt });
     forget(record, std::move(outcome), false);
 }
 
--- a/tools/carawaylink-bench/main.cpp
+++ b/tools/carawaylink-bench/main.cpp
@@ -9,8 +9,8 @@
 
 using namespace carawaylink::bench;
 
-void addBench(
-    CLI::App& app, bench_options& options, int& status, const std::string& name, const std::string& description, int (*run)(const bench_options&))
+void addBench(CLI::App& app, bench_options& options, int& status, const std::string& name, const std::string& description,
+    int (*run)(const bench_options&))
 {
     auto* command = app.add_subcommand(name, description);
     command->add_option("--seed", options.seed, "Seed of everything that is random")->capture_default_str();
