--- a/libs/bench/src/bench_fleet.cpp
+++ b/libs/bench/src/bench_fleet.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t failureDomains = 3;
-constexpr auto readyLimit = std::chrono::seconds(20);
 
 std::string temporaryFolder()
 {
@@ -92,7 +91,7 @@
     }
     m_cluster->setVms(json::serialize(entries));
     m_cluster->publish(configuration(0));
-    m_cluster->waitUntilReady(readyLimit);
+    m_cluster->waitUntilReady(shape.readyLimit);
 }
 
 void bench_fleet::offer(const std::vector<load::trace_call>& calls, std::uint64_t seed)
--- a/libs/bench/src/bench_fleet.h
+++ b/libs/bench/src/bench_fleet.h
@@ -38,6 +38,7 @@
     bool relayed = true;
     /// Further settings lines of every node.
     std::vector<std::string> nodeLines;
+    duration readyLimit = std::chrono::seconds(20);
 };
 
 /// Nodes in three failure domains, engines of three speeds for the service "llm" and endpoints of the plain service "desk".
--- a/libs/bench/src/control_bench.cpp
+++ b/libs/bench/src/control_bench.cpp
@@ -1,11 +1,200 @@
 #include "bench/benches.h"
+
+#include "base/error.h"
+#include "bench/linear_trend.h"
+#include "bench_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
 namespace carawaylink::bench {
-int runControl(const bench_options&)
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr double targetNodes = 750;
+constexpr double targetBytes = 3000;
+constexpr double targetCpuPercent = 4.9;
+constexpr double targetMegabytes = 64;
+constexpr auto idleTime = std::chrono::seconds(8);
+// A peak hour has three times the mean of 11,000 changes and 65 failures a day.
+constexpr double changesPerSecond = 3 * 11000.0 / 86400;
+constexpr std::size_t changes = 5;
+// The largest number of nodes whose processes and stand-ins stay below the limits of the machine.
+constexpr std::size_t maxNodes = 290;
+constexpr std::uint64_t maxResidentBytes = 12ULL << 30;
+constexpr auto agreeLimit = std::chrono::seconds(60);
+
+/// Counters of a node since its start.
+struct node_counters {
+    double bytes = 0;
+    double messages = 0;
+    double cpuSeconds = 0;
+    double residentBytes = 0;
+};
+
+struct control_rates {
+    double bytesPerSecond = 0;
+    double messagesPerSecond = 0;
+    double cpuPercent = 0;
+    double megabytes = 0;
+};
+
+/// Adds up the gauges of that name over their labels.
+double sumOf(const std::string& page, const std::string& name)
 {
-    return 2;
+    std::istringstream lines(page);
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with('#') || line.find("name=\"" + name + "\"") == std::string::npos)
+            continue;
+        sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+    return sum;
 }
-int runRecovery(const bench_options&)
+
+node_counters countersOf(const running_node& node)
 {
-    return 2;
+    const auto page = blocking_http_client().send(node.httpAddress, { "GET", "/metrics", {}, {} }, std::chrono::seconds(5)).body;
+    const auto usage = node.process->usage();
+    return { sumOf(page, "mesh_sent_bytes") + sumOf(page, "membership_sent_bytes"),
+        sumOf(page, "mesh_sent_messages") + sumOf(page, "membership_sent_messages"), usage.cpuSeconds,
+        static_cast<double>(usage.residentBytes) };
 }
+
+class control_stage {
+public:
+    control_stage(const bench_options& options, const std::string& folder, std::size_t nodes)
+        : m_fleet(options, folder, { .nodes = nodes, .enginesPerSpeed = 1, .services = 1, .relayed = false, .readyLimit = agreeLimit })
+    {
+    }
+
+    control_rates idle()
+    {
+        return measure([] { std::this_thread::sleep_for(idleTime); });
+    }
+
+    /// Changes at the rate of a peak hour, and one killed and replaced node. 65 failures a day are 0.02 in this time, so the share
+    /// of failures is far above that of a peak hour.
+    control_rates changing()
+    {
+        return measure([this] {
+            const auto begin = clock::now();
+            for (std::size_t i = 1; i <= changes; ++i) {
+                m_fleet.processes().publish(bench_fleet::configuration(++m_configuration));
+                if (i == changes / 2) {
+                    auto& last = m_fleet.node(m_fleet.nodeCount() - 1);
+                    last.process->kill();
+                    m_fleet.processes().restartNode(last);
+                }
+                std::this_thread::sleep_until(begin + std::chrono::duration<double>(static_cast<double>(i) / changesPerSecond));
+            }
+        });
+    }
+
+    std::uint64_t residentBytes()
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i)
+            sum += m_fleet.node(i).process->usage().residentBytes;
+        return sum;
+    }
+
+private:
+    /// Means over all nodes but the last, which is replaced meanwhile. The counters are refreshed once per second.
+    template <typename Work> control_rates measure(Work work)
+    {
+        const auto counted = std::max<std::size_t>(1, m_fleet.nodeCount() - 1);
+        std::vector<node_counters> before;
+        std::vector<clock::time_point> readAt;
+        for (std::size_t i = 0; i < counted; ++i) {
+            before.push_back(countersOf(m_fleet.node(i)));
+            readAt.push_back(clock::now());
+        }
+        work();
+        control_rates result;
+        for (std::size_t i = 0; i < counted; ++i) {
+            const auto after = countersOf(m_fleet.node(i));
+            const auto seconds = std::chrono::duration<double>(clock::now() - readAt[i]).count();
+            const auto weight = 1 / static_cast<double>(counted);
+            result.bytesPerSecond += weight * (after.bytes - before[i].bytes) / seconds;
+            result.messagesPerSecond += weight * (after.messages - before[i].messages) / seconds;
+            result.cpuPercent += weight * 100 * (after.cpuSeconds - before[i].cpuSeconds) / seconds;
+            result.megabytes += weight * after.residentBytes / 1e6;
+        }
+        return result;
+    }
+
+    bench_fleet m_fleet;
+    std::size_t m_configuration = 0;
+};
+
+void printRow(std::size_t nodes, std::string_view state, const control_rates& rates)
+{
+    std::cout << std::fixed << std::setprecision(2) << "row nodes=" << nodes << " state=" << state
+              << " bytes_per_s=" << rates.bytesPerSecond << " messages_per_s=" << rates.messagesPerSecond
+              << " cpu_percent=" << rates.cpuPercent << " rss_mb=" << rates.megabytes << std::endl;
+}
+
+/// Prints the trend of one figure and returns whether its extrapolation meets the target.
+bool printTrend(std::string_view name, std::string_view state, const linear_trend& trend, double target)
+{
+    const auto value = trend.at(targetNodes);
+    const bool met = value <= target;
+    std::cout << std::setprecision(4) << "trend state=" << state << " figure=" << name << " per_node=" << trend.slope
+              << " at_750_nodes=" << value << " target=" << target << " met=" << (met ? 1 : 0) << std::endl;
+    return met;
+}
+
+} // namespace
+
+int runControl(const bench_options& options)
+{
+    run_folder folder(options.folder);
+    std::vector<double> counts;
+    std::vector<control_rates> idleRows;
+    std::vector<control_rates> changingRows;
+    for (const auto nodes : options.nodes) {
+        if (nodes > maxNodes)
+            throw error(error_kind::limit_exceeded, std::to_string(nodes) + " nodes are too many for one machine",
+                "use at most " + std::to_string(maxNodes));
+        const auto stageFolder = folder.path() + "/" + std::to_string(nodes);
+        std::filesystem::create_directories(stageFolder);
+        control_stage stage(options, stageFolder, nodes);
+        idleRows.push_back(stage.idle());
+        printRow(nodes, "idle", idleRows.back());
+        changingRows.push_back(stage.changing());
+        printRow(nodes, "changing", changingRows.back());
+        counts.push_back(static_cast<double>(nodes));
+        if (stage.residentBytes() > maxResidentBytes / 2) {
+            std::cout << "stopped at nodes=" << nodes << ": twice as many would not fit the memory\n";
+            break;
+        }
+    }
+
+    bool met = true;
+    const auto trends = [&](std::string_view state, const std::vector<control_rates>& rows) {
+        const auto trend = [&](double control_rates::*field) {
+            std::vector<double> values;
+            std::ranges::transform(rows, std::back_inserter(values), [&](const auto& row) { return row.*field; });
+            return fitTrend(counts, values);
+        };
+        met = printTrend("bytes_per_s", state, trend(&control_rates::bytesPerSecond), targetBytes) && met;
+        met = printTrend("cpu_percent", state, trend(&control_rates::cpuPercent), targetCpuPercent) && met;
+        met = printTrend("rss_mb", state, trend(&control_rates::megabytes), targetMegabytes) && met;
+    };
+    trends("idle", idleRows);
+    trends("changing", changingRows);
+    const auto& last = changingRows.back();
+    std::cout << std::setprecision(2) << "control nodes=" << counts.back() << " bytes_per_s_per_node=" << last.bytesPerSecond
+              << " cpu_percent=" << last.cpuPercent << " rss_mb=" << last.megabytes << " messages_per_s=" << last.messagesPerSecond
+              << " targets_met_at_750=" << (met ? 1 : 0) << std::endl;
+    return met ? 0 : 1;
+}
+
 } // namespace carawaylink::bench
--- a/libs/bench/src/fault_injector.cpp
+++ b/libs/bench/src/fault_injector.cpp
@@ -298,6 +298,17 @@
     }
 }
 
+std::size_t fault_injector::runningNode(std::size_t start)
+{
+    const std::lock_guard lock(m_processes);
+    for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+        const auto index = (start + i) % m_fleet.nodeCount();
+        if (m_fleet.node(index).running())
+            return index;
+    }
+    throw error(error_kind::unavailable, "no node runs", "plan fewer faults of nodes");
+}
+
 void fault_injector::race(const planned_fault& fault)
 {
     auto& processes = m_fleet.processes();
@@ -306,7 +317,9 @@
         const std::lock_guard lock(m_mutex);
         number = m_configuration += 2;
     }
-    const auto current = json::parse(processes.admin(m_fleet.node(fault.target), { "GET", "/admin/config", {}, {} }).body);
+    const auto first = runningNode(fault.target);
+    const auto second = runningNode(first + 1);
+    const auto current = json::parse(processes.admin(m_fleet.node(first), { "GET", "/admin/config", {}, {} }).body);
     const auto base = current.at("version").to_number<std::uint64_t>();
     const auto publish = [&](std::size_t node, std::size_t change) {
         try {
@@ -320,8 +333,8 @@
             print(fault, "answer", failure.what());
         }
     };
-    std::jthread other([&] { publish(fault.second, number); });
-    publish(fault.target, number - 1);
+    std::jthread other([&] { publish(second, number); });
+    publish(first, number - 1);
 }
 
 } // namespace carawaylink::bench
--- a/libs/bench/src/fault_injector.h
+++ b/libs/bench/src/fault_injector.h
@@ -35,6 +35,8 @@
     void drainNode(std::size_t index);
     void setEngine(std::size_t index, const std::string& json);
     void changeLinks(const planned_fault& fault, bool on);
+    /// The first node from `start` on whose process has not ended.
+    std::size_t runningNode(std::size_t start);
     void race(const planned_fault& fault);
     void print(const planned_fault& fault, std::string_view phase, const std::string& detail = {});
 
--- a/libs/node/src/endpoint_directory.cpp
+++ b/libs/node/src/endpoint_directory.cpp
@@ -169,6 +169,25 @@
         description.generation = text(object, "generation");
         description.maxRunning = static_cast<std::size_t>(std::max<std::int64_t>(1, number(object, "max_running", 1)));
         description.cacheCapacity = tokens(number(object, "cache_tokens", defaultCacheTokens));
+        readLoad(endpoint);
+    });
+}
+
+void endpoint_directory::readLoad(const endpoint_id& endpoint)
+{
+    http_call_options options;
+    options.idleTimeout = std::chrono::seconds(2);
+    m_client.send(endpoint.value, { "GET", "/load", {}, {} }, options, [this, alive = m_alive, endpoint](const http_result& result) {
+        if (!*alive || !result.ok() || result.response.status != 200)
+            return;
+        const auto found = m_endpoints.find(endpoint);
+        boost::system::error_code status;
+        const auto document = json::parse(result.response.body, status);
+        if (found == m_endpoints.end() || status || !document.is_object())
+            return;
+        const auto* leaving = document.as_object().if_contains("leaving");
+        if (leaving && leaving->is_bool() && leaving->as_bool())
+            markLeaving(endpoint);
         found->second.described = true;
         m_handlers.onChange();
     });
--- a/libs/node/src/endpoint_directory.h
+++ b/libs/node/src/endpoint_directory.h
@@ -58,6 +58,8 @@
     void poll();
     void apply(const std::string& body);
     void describe(const endpoint_id& endpoint);
+    /// Completes the description: an endpoint may be leaving already when this node first sees it.
+    void readLoad(const endpoint_id& endpoint);
 
     boost::asio::io_context& m_context;
     endpoint_directory_settings m_settings;
--- a/libs/node/src/endpoint_monitor.h
+++ b/libs/node/src/endpoint_monitor.h
@@ -25,6 +25,8 @@
     endpoint_monitor(boost::asio::io_context& context, duration interval, bool followCache, handlers callbacks);
     ~endpoint_monitor();
 
+    /// Polls now the endpoints that are not being polled already.
+    void poll();
     /// Last report of an endpoint, for the baseline policies; zeros before the first.
     load_report lastReport(const endpoint_id& endpoint) const;
 
@@ -36,7 +38,6 @@
         load_report report;
     };
 
-    void poll();
     void pollLoad(const endpoint_id& endpoint, polled_endpoint& state);
     void pollCache(const endpoint_id& endpoint, polled_endpoint& state);
 
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -2,11 +2,13 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "http/client.h"
 #include "membership/ownership.h"
 #include "node_state.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <thread>
 
 namespace carawaylink {
 
@@ -20,6 +22,7 @@
 // Callers' answers of /v1/entry may be this much older than their lifetime says.
 constexpr auto entryLag = std::chrono::milliseconds(500);
 constexpr std::size_t entryAddressCount = 3;
+constexpr auto vmListTimeout = std::chrono::seconds(2);
 // Up to this many members every node keeps a connection to every other, so that a killed process is noticed at once.
 constexpr std::size_t maxFullMesh = 32;
 
@@ -48,8 +51,27 @@
     control.stop();
 }
 
+void node::implementation::awaitVmList()
+{
+    if (settings.vm_list_address.empty())
+        return;
+    constexpr int attemptsPerLine = 10;
+    for (int attempt = 0;; ++attempt) {
+        try {
+            if (blocking_http_client().send(settings.vm_list_address, { "GET", "/vms", {}, {} }, vmListTimeout).status == 200)
+                return;
+        } catch (const error&) {
+            // The address may be unreachable for as long as the list is down.
+        }
+        if (attempt % attemptsPerLine == 0)
+            log_event("waiting_for_vm_list", log_level::warning).field("address", settings.vm_list_address);
+        std::this_thread::sleep_for(std::chrono::milliseconds(settings.timing->vm_list_poll_ms));
+    }
+}
+
 void node::implementation::start()
 {
+    awaitVmList();
     startFront();
     std::promise<void> wired;
     runOnControl([&] {
--- a/libs/node/src/node_state.h
+++ b/libs/node/src/node_state.h
@@ -32,6 +32,9 @@
     void start();
     void runOnControl(std::function<void()> work) { control.post(0, std::move(work)); }
 
+    /// Returns when the list of vms answers: a node without it would own pools without endpoints and refuse all their requests.
+    void awaitVmList();
+
     // Wiring of parts, in node_wiring.cpp.
     void startMesh();
     void startScheduling();
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -127,6 +127,12 @@
         message.pool = pool.number;
         mesh->send(peer, std::move(message));
     };
+    hostHandlers.pollEndpoints = [this] {
+        runOnControl([this] {
+            if (monitor)
+                monitor->poll();
+        });
+    };
     host = std::make_unique<pool_host>(
         self.node, milliseconds(timing.pool_sync_wait_ms), milliseconds(timing.grant_lifetime_ms), record, std::move(hostHandlers));
     dispatch = std::make_unique<dispatch_control>(self, *host, *mesh, *tickets, record);
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -37,6 +37,9 @@
     std::map<endpoint_id, endpoint_description> endpoints;
     /// Homes that have not reported yet what they run here.
     std::set<node_id> awaited;
+    /// Engines that have not reported yet: one of them may be leaving, which only the previous owner knew.
+    std::set<endpoint_id> unreported;
+    std::set<endpoint_id> reported;
     monotonic_time syncDeadline;
     bool ready = false;
     std::vector<scheduling_request> deferred;
@@ -119,8 +122,13 @@
             if (directory.endpoints().at(description.id).leaving)
                 pool.scheduler.markLeaving(description.id);
         }
-        if (!pool.ready && pool.awaited.empty())
-            becomeReady(pool, now);
+        if (!pool.ready && policy.definition.kind == schema::service_kind::engine) {
+            pool.unreported = { endpointIds.begin(), endpointIds.end() };
+            std::erase_if(pool.unreported, [&](const endpoint_id& endpoint) { return pool.reported.contains(endpoint); });
+            if (!pool.unreported.empty())
+                m_handlers.pollEndpoints();
+        }
+        becomeReadyWhereSynced(pool, now);
     }
     std::erase_if(m_pools, [&](const auto& entry) {
         if (owned.contains(entry.first))
@@ -269,7 +277,12 @@
         submit(now, id, std::move(request));
     if (complete)
         pool.awaited.erase(home);
-    if (!pool.ready && pool.awaited.empty())
+    becomeReadyWhereSynced(pool, now);
+}
+
+void pool_host::becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now)
+{
+    if (!pool.ready && pool.awaited.empty() && pool.unreported.empty())
         becomeReady(pool, now);
 }
 
@@ -311,8 +324,14 @@
 void pool_host::observe(monotonic_time now, const load_report& report)
 {
     for (auto& [id, pool] : m_pools) {
-        if (pool->endpoints.contains(report.endpoint))
-            pool->scheduler.observe(now, report);
+        if (!pool->endpoints.contains(report.endpoint))
+            continue;
+        pool->scheduler.observe(now, report);
+        if (pool->ready)
+            continue;
+        pool->reported.insert(report.endpoint);
+        pool->unreported.erase(report.endpoint);
+        becomeReadyWhereSynced(*pool, now);
     }
 }
 
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -27,6 +27,8 @@
         /// Tells a home that this node does not own the pool of its request.
         std::function<void(const node_id& home, const request_id& request)> rejectOwner;
         std::function<void(const node_id& peer, const pool_id& pool)> requestSync;
+        /// Asks for load reports of the endpoints of the owned pools now.
+        std::function<void()> pollEndpoints;
     };
 
     pool_host(node_id self, duration syncWait, duration grantLifetime, history& record, handlers callbacks);
@@ -75,6 +77,7 @@
 
     /// Writes a refusal to the history, from which the checker decides whether a tier was inverted.
     void recordRefusal(monotonic_time now, const slot_refusal& refused);
+    void becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
     hosted_pool* poolOf(const request_id& request);
     void becomeReady(hosted_pool& pool, monotonic_time now);
