Look a replaced peer up again after its loss was reported

Cause: outgoingReady() kept a reference to the map entry of a peer while the handler of the lost process called forget(), which erased the entry. A node that was killed and started again within the redial delay made several of its peers crash (double free, SIGABRT). Ruled out: the refused redial in dialed(), which does not use the entry again.

--- a/libs/node/src/peer_mesh.cpp
+++ b/libs/node/src/peer_mesh.cpp
@@ -179,10 +179,15 @@
         node_id peer;
         if (!outgoingChannel(channel, peer))
             return;
-        auto& entry = peers[peer];
         // Another process may answer at the address of a replaced vm.
-        if (entry.lastProcess && *entry.lastProcess != channel.peer().process)
-            reportGone(entry);
+        if (auto& known = peers[peer]; known.lastProcess && *known.lastProcess != channel.peer().process) {
+            reportGone(known);
+            // The handler may have forgotten the peer, and with it this channel; the new process is dialed once it is a member.
+            const auto found = peers.find(peer);
+            if (found == peers.end() || found->second.channel.get() != &channel)
+                return;
+        }
+        auto& entry = peers[peer];
         entry.lastProcess = channel.peer().process;
         entry.redialDelay = firstRedialDelay;
         auto queue = std::move(entry.queue);
--- /dev/null
+++ b/libs/node/tests/peer_mesh_tests.cpp
@@ -0,0 +1,76 @@
+#include "peer_mesh.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace carawaylink {
+namespace {
+
+constexpr auto limit = std::chrono::seconds(5);
+
+/// A mesh and what it reported.
+struct observed_mesh {
+    observed_mesh(boost::asio::io_context& context, const std::string& address, std::uint64_t run)
+    {
+        peer_mesh_settings settings;
+        settings.cluster = "test";
+        settings.keys = { { "k1", "a-secret-of-the-test-cluster" } };
+        peer_mesh_handlers handlers;
+        handlers.onMessage = [](const peer_identity&, wire::envelopeT&) {};
+        handlers.onConnected = [this](const peer_identity& peer) { connected.push_back(peer.process.run); };
+        handlers.onProcessGone = [this](const process_identity& process) {
+            gone.push_back(process.run);
+            if (onGone)
+                onGone(process);
+        };
+        handlers.makeHeartbeat = [] { return wire::heartbeatT(); };
+        mesh = std::make_unique<peer_mesh>(context, peer_identity {}, settings, handlers);
+        node = node_id(mesh->listen(address));
+        mesh->setSelf({ { node, incarnation(run) }, failure_domain("a"), "r", {} });
+    }
+
+    std::unique_ptr<peer_mesh> mesh;
+    node_id node;
+    std::vector<incarnation> connected;
+    std::vector<incarnation> gone;
+    std::function<void(const process_identity&)> onGone;
+};
+
+class peer_mesh_tests : public testing::Test {
+protected:
+    template <typename Condition> bool runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            context.run_one_until(end);
+        return condition();
+    }
+
+    boost::asio::io_context context;
+};
+
+// Guards against the use of a channel that the handler of a lost process has just dropped: a node that was killed and started
+// again within the redial delay made its peers crash.
+TEST_F(peer_mesh_tests, process_replacedAtItsAddressAndForgotten_isDialedAnewOnly)
+{
+    observed_mesh first(context, "127.0.0.1:0", 1);
+    auto second = std::make_unique<observed_mesh>(context, "127.0.0.1:0", 2);
+    const auto address = second->node;
+    first.onGone = [&](const process_identity& process) { first.mesh->forget(process.node); };
+    first.mesh->keepConnected({ address });
+    ASSERT_TRUE(runUntil([&] { return first.connected.size() == 1; }));
+
+    second.reset();
+    observed_mesh replacement(context, address.value, 3);
+    ASSERT_TRUE(runUntil([&] { return !first.gone.empty(); }));
+    EXPECT_EQ(first.gone, std::vector { incarnation(2) });
+    EXPECT_EQ(first.connected, std::vector { incarnation(2) });
+    EXPECT_EQ(first.mesh->connections(), 0U);
+
+    first.mesh->keepConnected({ address });
+    ASSERT_TRUE(runUntil([&] { return first.connected.size() == 2; }));
+    EXPECT_EQ(first.connected.back(), incarnation(3));
+}
+
+} // namespace
+} // namespace carawaylink
