--- a/libs/bench/src/bench_fleet.cpp
+++ b/libs/bench/src/bench_fleet.cpp
@@ -29,6 +29,9 @@
     , m_temporary(path.empty())
 {
     std::filesystem::create_directories(m_path);
+    // The programs append to their histories, and those of two runs must not be judged together.
+    if (!std::filesystem::is_empty(m_path))
+        throw error(error_kind::invalid_argument, "folder " + m_path + " is not empty", "name a new or an empty folder");
 }
 
 run_folder::~run_folder()
