Drop slot requests queued for a lost connection and name a node without configuration

Cause: frames that wait for a connection carry the time left until the deadline as of their queuing. After a partition the owner got each request twice, the second time with a deadline several seconds too late, and granted slots for requests that their home had ended. onConnected registers all waiting requests again, so the queued copies are not needed. A node that had started without a configuration refused every key with 401 unknown_key; it now refuses with 503 starting, which callers repeat elsewhere.

--- a/libs/node/src/front_request.cpp
+++ b/libs/node/src/front_request.cpp
@@ -104,6 +104,8 @@
 
 const team_policy& authenticate(const fleet_view& view, const http_request& request)
 {
+    if (view.version.value == 0)
+        refuse(503, "starting", "this node has no configuration yet", "send the request to another entry address");
     const auto header = request.header("Authorization");
     if (!header || !header->starts_with(bearerPrefix))
         refuse(401, "missing_key", "the request has no bearer key", "send \"Authorization: Bearer KEY\" with your team's key");
--- a/libs/node/src/peer_mesh.cpp
+++ b/libs/node/src/peer_mesh.cpp
@@ -195,8 +195,11 @@
         entry.queuedBytes = 0;
         if (handlers.onConnected)
             handlers.onConnected(channel.peer());
-        for (auto& [kind, frame] : queue)
-            channel.send(kind, std::move(frame));
+        for (auto& [kind, frame] : queue) {
+            // onConnected has registered every waiting request again; the time left in these frames is that of their queuing.
+            if (kind != wire::message::slot_request)
+                channel.send(kind, std::move(frame));
+        }
     }
 
     void outgoingEnded(peer_channel& channel, channel_end reason)
