--- a/libs/bench/include/bench/benches.h
+++ b/libs/bench/include/bench/benches.h
@@ -13,7 +13,7 @@
     std::string folder;
     std::uint64_t seed = 1;
     /// Numbers of nodes of the bench "control".
-    std::vector<std::size_t> nodes { 5, 10, 20, 40, 80 };
+    std::vector<std::size_t> nodes { 5, 10, 20, 40, 80, 160 };
 };
 
 // Every bench prints its figures, the last line being "NAME key=value ...", and returns the exit status: 0, or 1 where a promise
--- a/libs/bench/src/control_bench.cpp
+++ b/libs/bench/src/control_bench.cpp
@@ -8,6 +8,9 @@
 #include <cmath>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <numeric>
+#include <ranges>
 #include <sstream>
 #include <thread>
 
@@ -21,6 +24,10 @@
 constexpr double targetBytes = 3000;
 constexpr double targetCpuPercent = 4.9;
 constexpr double targetMegabytes = 64;
+// Nodes keep a connection to every other up to this many members (maxFullMesh of the daemon). Above it they close connections
+// that were idle for 30 s, so the costs of both sizes follow different lines.
+constexpr std::size_t fullMeshNodes = 32;
+constexpr auto closeIdleTime = std::chrono::seconds(35);
 constexpr auto idleTime = std::chrono::seconds(8);
 // A peak hour has three times the mean of 11,000 changes and 65 failures a day.
 constexpr double changesPerSecond = 3 * 11000.0 / 86400;
@@ -32,7 +39,8 @@
 
 /// Counters of a node since its start.
 struct node_counters {
-    double bytes = 0;
+    /// By kind of message.
+    std::map<std::string, double> bytes;
     double messages = 0;
     double cpuSeconds = 0;
     double residentBytes = 0;
@@ -40,31 +48,43 @@
 
 struct control_rates {
     double bytesPerSecond = 0;
+    std::map<std::string, double> bytesByKind;
     double messagesPerSecond = 0;
     double cpuPercent = 0;
     double megabytes = 0;
 };
 
-/// Adds up the gauges of that name over their labels.
-double sumOf(const std::string& page, const std::string& name)
+/// Values of the gauges of that name by their label "kind".
+std::map<std::string, double> gaugesOf(const std::string& page, const std::string& name)
 {
+    constexpr std::string_view label = "kind=\"";
     std::istringstream lines(page);
-    double sum = 0;
+    std::map<std::string, double> values;
     for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with('#') || line.find("name=\"" + name + "\"") == std::string::npos)
+        const auto kind = line.find(label);
+        if (line.starts_with('#') || kind == std::string::npos || line.find("name=\"" + name + "\"") == std::string::npos)
             continue;
-        sum += std::stod(line.substr(line.rfind(' ') + 1));
+        const auto begin = kind + label.size();
+        values[line.substr(begin, line.find('"', begin) - begin)] += std::stod(line.substr(line.rfind(' ') + 1));
     }
-    return sum;
+    return values;
+}
+
+double sumOf(const std::map<std::string, double>& values)
+{
+    const auto numbers = values | std::views::values;
+    return std::accumulate(numbers.begin(), numbers.end(), 0.0);
 }
 
 node_counters countersOf(const running_node& node)
 {
     const auto page = blocking_http_client().send(node.httpAddress, { "GET", "/metrics", {}, {} }, std::chrono::seconds(5)).body;
     const auto usage = node.process->usage();
-    return { sumOf(page, "mesh_sent_bytes") + sumOf(page, "membership_sent_bytes"),
-        sumOf(page, "mesh_sent_messages") + sumOf(page, "membership_sent_messages"), usage.cpuSeconds,
-        static_cast<double>(usage.residentBytes) };
+    auto bytes = gaugesOf(page, "mesh_sent_bytes");
+    for (const auto& [kind, value] : gaugesOf(page, "membership_sent_bytes"))
+        bytes["membership_" + kind] += value;
+    return { std::move(bytes), sumOf(gaugesOf(page, "mesh_sent_messages")) + sumOf(gaugesOf(page, "membership_sent_messages")),
+        usage.cpuSeconds, static_cast<double>(usage.residentBytes) };
 }
 
 class control_stage {
@@ -72,6 +92,8 @@
     control_stage(const bench_options& options, const std::string& folder, std::size_t nodes)
         : m_fleet(options, folder, { .nodes = nodes, .enginesPerSpeed = 1, .services = 1, .relayed = false, .readyLimit = agreeLimit })
     {
+        if (nodes > fullMeshNodes)
+            std::this_thread::sleep_for(closeIdleTime);
     }
 
     control_rates idle()
@@ -122,7 +144,9 @@
             const auto after = countersOf(m_fleet.node(i));
             const auto seconds = std::chrono::duration<double>(clock::now() - readAt[i]).count();
             const auto weight = 1 / static_cast<double>(counted);
-            result.bytesPerSecond += weight * (after.bytes - before[i].bytes) / seconds;
+            result.bytesPerSecond += weight * (sumOf(after.bytes) - sumOf(before[i].bytes)) / seconds;
+            for (const auto& [kind, value] : after.bytes)
+                result.bytesByKind[kind] += weight * (value - before[i].bytes[kind]) / seconds;
             result.messagesPerSecond += weight * (after.messages - before[i].messages) / seconds;
             result.cpuPercent += weight * 100 * (after.cpuSeconds - before[i].cpuSeconds) / seconds;
             result.megabytes += weight * after.residentBytes / 1e6;
@@ -138,7 +162,12 @@
 {
     std::cout << std::fixed << std::setprecision(2) << "row nodes=" << nodes << " state=" << state
               << " bytes_per_s=" << rates.bytesPerSecond << " messages_per_s=" << rates.messagesPerSecond
-              << " cpu_percent=" << rates.cpuPercent << " rss_mb=" << rates.megabytes << std::endl;
+              << " cpu_percent=" << rates.cpuPercent << " rss_mb=" << rates.megabytes;
+    for (const auto& [kind, value] : rates.bytesByKind) {
+        if (value >= 0.01 * rates.bytesPerSecond)
+            std::cout << ' ' << kind << '=' << value;
+    }
+    std::cout << std::endl;
 }
 
 /// Prints the trend of one figure and returns whether its extrapolation meets the target.
