--- a/libs/bench/src/control_bench.cpp
+++ b/libs/bench/src/control_bench.cpp
@@ -5,7 +5,7 @@
 #include "bench_fleet.h"
 
 #include <algorithm>
-#include <cmath>
+#include <filesystem>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -182,9 +182,9 @@
 
 } // namespace
 
-int runControl(const bench_options& options)
+int runControlBench(const bench_options& options)
 {
-    run_folder folder(options.folder);
+    requireEmpty(options.folder);
     std::vector<double> counts;
     std::vector<control_rates> idleRows;
     std::vector<control_rates> changingRows;
@@ -192,7 +192,7 @@
         if (nodes > maxNodes)
             throw error(error_kind::limit_exceeded, std::to_string(nodes) + " nodes are too many for one machine",
                 "use at most " + std::to_string(maxNodes));
-        const auto stageFolder = folder.path() + "/" + std::to_string(nodes);
+        const auto stageFolder = options.folder + "/" + std::to_string(nodes);
         std::filesystem::create_directories(stageFolder);
         control_stage stage(options, stageFolder, nodes);
         idleRows.push_back(stage.idle());
--- a/libs/load/src/fairness.cpp
+++ b/libs/load/src/fairness.cpp
@@ -8,8 +8,12 @@
 namespace carawaylink::load {
 namespace {
 
-constexpr std::int64_t windowUs = 1'000'000;
-constexpr std::int64_t backloggedUs = 900'000;
+// Shorter windows favour large teams: the window in which a small team's only waiting request is served is not one in which
+// it waits throughout.
+constexpr std::int64_t windowUs = 5'000'000;
+constexpr std::int64_t backloggedUs = windowUs / 10 * 9;
+// Shorter waits are the passage through a queue. At 1,000 calls/s their union fills every window of an idle fleet.
+constexpr std::int64_t shortestBacklogUs = 50'000;
 
 using interval = std::pair<std::int64_t, std::int64_t>;
 
@@ -45,43 +49,62 @@
     return result;
 }
 
-bool addNodeWaiting(const history& merged, group_map& groups)
+/// Adds the times that requests spent in the queues of nodes and engines.
+void addWaiting(const history& merged, const std::vector<call_outcome>& outcomes, group_map& groups)
 {
-    std::unordered_map<std::string_view, const history_record*> queued;
-    bool any = false;
+    std::unordered_map<std::string_view, const call_outcome*> byCall;
+    for (const auto& outcome : outcomes)
+        byCall[outcome.call] = &outcome;
+    const auto add = [&](const std::string& service, std::int64_t tier, const std::string& team, interval waited) {
+        if (waited.second - waited.first >= shortestBacklogUs)
+            groups[{ service, tier }][team].waiting.push_back(waited);
+    };
+    std::map<std::pair<std::string_view, std::string_view>, const history_record*> queued;
     for (const auto& record : merged.records()) {
-        if (record.source != history_source::node || record.request.empty())
+        if (record.request.empty() || (record.source != history_source::node && record.source != history_source::engine))
+            continue;
+        // The queue of a node has no endpoint; engines are told apart by theirs.
+        const bool atNode = record.source == history_source::node;
+        const std::pair<std::string_view, std::string_view> key { atNode ? std::string_view() : record.endpoint, record.request };
+        if (record.event == (atNode ? "queued" : "received")) {
+            queued.emplace(key, &record);
             continue;
-        if (record.event == "queued") {
-            queued.emplace(record.request, &record);
-            any = true;
-        } else if (const auto found = queued.find(record.request); found != queued.end()) {
-            const auto& begin = *found->second;
-            groups[{ begin.service, begin.tier }][begin.team].waiting.emplace_back(begin.timeUs, record.timeUs);
-            queued.erase(found);
         }
+        const auto found = queued.find(key);
+        if (found == queued.end())
+            continue;
+        const auto& begin = *found->second;
+        const interval waited { begin.timeUs, record.timeUs };
+        if (atNode)
+            add(begin.service, begin.tier, begin.team, waited);
+        else if (const auto outcome = byCall.find(begin.call); outcome != byCall.end())
+            add(outcome->second->service, outcome->second->tier, outcome->second->team, waited);
+        queued.erase(found);
     }
-    return any;
 }
 
-void addServed(const std::vector<call_outcome>& outcomes, group_map& groups)
+/// Charges the work of each call to the window of its first token, as the fair queue charges it at the grant.
+void addServed(const history& merged, const std::vector<call_outcome>& outcomes, group_map& groups)
 {
+    std::unordered_map<std::string_view, std::int64_t> cached;
+    for (const auto& record : merged.records()) {
+        if (record.source == history_source::engine && record.event == "first_token")
+            cached[record.call] = std::max<std::int64_t>(0, record.cachedTokens);
+    }
     for (const auto& outcome : outcomes) {
         if (outcome.firstTokenUs < 0)
             continue;
-        auto& served = groups[{ outcome.service, outcome.tier }][outcome.team].served;
-        const auto first = outcome.arrivalUs + outcome.firstTokenUs;
-        served[first / windowUs] += static_cast<double>(outcome.promptTokens);
-        const auto length = static_cast<double>(std::max<std::int64_t>(1, outcome.endUs - first));
-        forEachWindow({ first, std::max(outcome.endUs, first + 1) }, [&](std::int64_t window, std::int64_t part) {
-            served[window] += static_cast<double>(outcome.tokens) * static_cast<double>(part) / length;
-        });
+        const auto found = cached.find(outcome.call);
+        const auto work = outcome.promptTokens - (found == cached.end() ? 0 : found->second) + outcome.tokens;
+        groups[{ outcome.service, outcome.tier }][outcome.team].served[(outcome.arrivalUs + outcome.firstTokenUs) / windowUs]
+            += static_cast<double>(work);
     }
 }
 
 struct group_result {
     std::optional<double> index;
     double served = 0;
+    std::int64_t windows = 0;
 };
 
 group_result measureGroup(const team_map& teams, const std::map<std::string, double>& weights)
@@ -98,6 +121,7 @@
     for (const auto& [window, names] : backlogged) {
         if (names.size() < 2)
             continue;
+        ++result.windows;
         for (const auto& name : names) {
             const auto& served = teams.at(name).served;
             const auto found = served.find(window);
@@ -127,27 +151,24 @@
     return sum * sum / (static_cast<double>(values.size()) * squares);
 }
 
-std::optional<double> weightedJain(
+std::optional<fairness> weightedJain(
     const history& merged, const std::vector<call_outcome>& outcomes, const std::map<std::string, double>& weights)
 {
     group_map groups;
-    if (!addNodeWaiting(merged, groups)) {
-        for (const auto& outcome : outcomes) {
-            const auto until = outcome.firstTokenUs < 0 ? outcome.endUs : outcome.arrivalUs + outcome.firstTokenUs;
-            groups[{ outcome.service, outcome.tier }][outcome.team].waiting.emplace_back(outcome.arrivalUs, until);
-        }
-    }
-    addServed(outcomes, groups);
+    addWaiting(merged, outcomes, groups);
+    addServed(merged, outcomes, groups);
     double sum = 0;
     double served = 0;
+    std::int64_t windows = 0;
     for (const auto& [key, teams] : groups) {
         const auto group = measureGroup(teams, weights);
         if (!group.index)
             continue;
         sum += *group.index * group.served;
         served += group.served;
+        windows += group.windows;
     }
-    return served > 0 ? std::optional(sum / served) : std::nullopt;
+    return served > 0 ? std::optional(fairness { sum / served, windows }) : std::nullopt;
 }
 
 } // namespace carawaylink::load
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -311,7 +311,7 @@
 {
     stopReported = true;
     log_event("drain_end", complete ? log_level::info : log_level::warning).field("complete", complete).field("running", front->running());
-    record.record("drain_end", { { "complete", complete } });
+    record.record("drain_end", { { "http", httpAddress }, { "complete", complete } });
     server->stopAccepting();
     membership->leave();
     usage->flush([this, complete] {
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -139,20 +139,6 @@
     std::erase_if(m_requests, [&](const auto& entry) { return !m_pools.contains(entry.second.pool); });
 }
 
-void pool_host::recordRefusal(monotonic_time now, const slot_refusal& refused)
-{
-    const auto known = m_requests.find(refused.request);
-    if (known == m_requests.end())
-        return;
-    const auto inMilliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
-    boost::json::object fields { { "request", toString(refused.request) }, { "service", known->second.pool.service.value },
-        { "tier", known->second.level.value }, { "reason", refusalReasonNames.name(refused.reason) },
-        { "deadline_in_ms", inMilliseconds(known->second.deadline - now) } };
-    if (refused.bestCase)
-        fields["best_case_ms"] = inMilliseconds(*refused.bestCase);
-    m_history.record("refused", std::move(fields));
-}
-
 void pool_host::perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions)
 {
     for (const auto& action : actions) {
@@ -160,13 +146,12 @@
         if (const auto* grant = std::get_if<slot_grant>(&action)) {
             home = grant->home;
             pool.granted[grant->request] = { home, now };
-            boost::json::object fields { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value } };
-            if (const auto known = m_requests.find(grant->request); known != m_requests.end())
-                fields["tier"] = known->second.level.value;
-            m_history.record("granted", std::move(fields));
+            m_history.record("granted",
+                { { "request", toString(grant->request) }, { "endpoint", grant->endpoint.value },
+                    { "tier", m_requests[grant->request].level.value } });
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
             home = refused->home;
-            recordRefusal(now, *refused);
+            recordRefusal(pool.id, now, *refused);
             m_requests.erase(refused->request);
         } else {
             const auto& preemption = std::get<slot_preemption>(action);
@@ -177,6 +162,18 @@
     }
 }
 
+void pool_host::recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused)
+{
+    const auto found = m_requests.find(refused.request);
+    if (found == m_requests.end())
+        return;
+    const auto milliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    m_history.record("refused",
+        { { "request", toString(refused.request) }, { "service", pool.service.value }, { "tier", found->second.level.value },
+            { "reason", refusalReasonNames.name(refused.reason) }, { "best_case_ms", milliseconds(refused.bestCase) },
+            { "deadline_in_ms", milliseconds(found->second.deadline - now) } });
+}
+
 pool_host::hosted_pool* pool_host::poolOf(const request_id& request)
 {
     const auto found = m_requests.find(request);
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -75,10 +75,9 @@
         monotonic_time deadline;
     };
 
-    /// Writes a refusal to the history, from which the checker decides whether a tier was inverted.
-    void recordRefusal(monotonic_time now, const slot_refusal& refused);
     void becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
+    void recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused);
     hosted_pool* poolOf(const request_id& request);
     void becomeReady(hosted_pool& pool, monotonic_time now);
 
--- a/libs/scheduling/include/scheduling/types.h
+++ b/libs/scheduling/include/scheduling/types.h
@@ -4,7 +4,6 @@
 #include "base/ids.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -86,8 +85,8 @@
     refusal_reason reason;
     std::string message;
     duration retryAfter {};
-    /// Cost on the best endpoint if it had a free slot now; nothing where no speed is known yet.
-    std::optional<duration> bestCase;
+    /// Estimated run time on the best endpoint without any wait; zero where it was not estimated.
+    duration bestCase {};
 };
 
 /// The home must cancel the running stream; its slot is given to a higher tier.
--- a/libs/scheduling/src/displacement.cpp
+++ b/libs/scheduling/src/displacement.cpp
@@ -9,10 +9,13 @@
 /// Preemption is due while a run time of this many mean deviations above the estimate still fits, about 99 in 100 requests.
 constexpr double preemptionDeviations = 3;
 constexpr double largestPreemptionFactor = 3;
+constexpr double samplesOfSize = 3;
 /// Pause before a request that found nothing to preempt looks again.
 constexpr duration retryPreemption = std::chrono::milliseconds(50);
 /// The same while no lower tier runs at all; lower tiers rarely start while higher ones wait.
 constexpr duration idlePreemption = std::chrono::milliseconds(250);
+/// Slots; a tier with less recent demand is not in service.
+constexpr double negligibleDemand = 0.05;
 /// An empty list of endpoints may be a passing state of the VM list.
 constexpr duration noEndpointGrace = std::chrono::seconds(1);
 
@@ -42,6 +45,7 @@
         return false;
     }
     const auto cost = bestCost(now, record);
+    record.bestCase = cost.seconds;
     const double wait = waitEstimate(record);
     const double needed = cost.seconds * (wait > 0 ? 1 + margin() : 1);
     if (!cost.learned || now + fromSeconds(wait + needed) <= record.request.deadline) {
@@ -60,11 +64,17 @@
     return false;
 }
 
+double pool_scheduler::implementation::preemptionFactor() const
+{
+    return std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
+}
+
 monotonic_time pool_scheduler::implementation::preemptionDue(const request_record& record, const run_time& cost) const
 {
-    const double factor = std::clamp(estimateError.mean() + preemptionDeviations * estimateError.deviation(), 1.0, largestPreemptionFactor);
+    // Nothing is known yet about outputs of this size: they may be as long as the maximum allows.
+    const bool unknown = outputShares.of(record.request.maxOutputTokens.value).samples() < samplesOfSize;
     // Preemption must also be possible where only slow endpoints run lower tiers.
-    const double needed = std::max(cost.seconds * factor, cost.slowest);
+    const double needed = std::max(cost.seconds * (unknown ? largestPreemptionFactor : preemptionFactor()), cost.slowest);
     return record.request.deadline - fromSeconds(needed) - preemptionLead - retryPreemption;
 }
 
@@ -114,17 +124,46 @@
     return true;
 }
 
+bool pool_scheduler::implementation::mayDefer(monotonic_time now, request_record& record)
+{
+    std::size_t rivals = 0;
+    for (auto entry = tiers.begin(); entry != tiers.upper_bound(record.request.level); ++entry)
+        rivals += entry->second.size() + entry->second.parked;
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const double factor = preemptionFactor();
+    std::size_t victims = 0;
+    for (const auto& entry : endpoints) {
+        if (!entry->eligible() || entry->ejected || entry->victims.empty())
+            continue;
+        const double cost = option(record, *entry, cached, true).cost;
+        if (now + fromSeconds(cost * factor) + preemptionLead + 2 * retryPreemption > record.request.deadline)
+            continue;
+        for (const auto& victim : entry->victims) {
+            if (victim.request.level <= record.request.level)
+                break;
+            if (++victims > rivals)
+                return true;
+        }
+    }
+    return false;
+}
+
+bool pool_scheduler::implementation::mostUrgent(tier level) const
+{
+    return std::all_of(tiers.begin(), tiers.lower_bound(level), [&](const auto& entry) {
+        const auto& queue = entry.second;
+        return queue.size() + queue.parked + queue.running == 0 && queue.shortDemand.at(lastNow) < negligibleDemand;
+    });
+}
+
 bool pool_scheduler::implementation::lowerPreemptible(tier level) const
 {
     return std::any_of(tiers.upper_bound(level), tiers.end(), [](const auto& entry) { return entry.second.preemptible > 0; });
 }
 
-endpoint_record* pool_scheduler::implementation::findVictim(
-    monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor)
+endpoint_record* pool_scheduler::implementation::findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start)
 {
-    if (!settings.preemption)
-        return nullptr;
-    if (!lowerPreemptible(record.request.level))
+    if (!settings.preemption || !lowerPreemptible(record.request.level))
         return nullptr;
     const auto cached = prefixes.match(record.request.prefixBlocks);
     endpoint_record* best = nullptr;
@@ -135,7 +174,7 @@
         if (victim.request.level <= record.request.level || (best && !victim_order {}(victim, *best->victims.begin())))
             continue;
         if (start && modelsOf(*entry).learned(now)
-            && *start + fromSeconds(factor * option(record, *entry, cached, true).cost) > record.request.deadline)
+            && *start + fromSeconds(option(record, *entry, cached, true).cost) > record.request.deadline)
             continue;
         best = entry.get();
     }
@@ -176,19 +215,30 @@
 
 void pool_scheduler::implementation::countInversion(monotonic_time now, request_record& record, bool queueSpace)
 {
-    // Work that would miss its deadline even on an idle pool is not refused for lack of capacity.
-    if (!queueSpace && record.submitted + fromSeconds(bestCost(now, record).seconds) > record.request.deadline)
+    const auto lower
+        = [&](const auto& entry) { return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0; };
+    if (queueSpace) {
+        inversions += std::ranges::any_of(tiers, lower) || findVictim(now, record, std::nullopt) ? 1 : 0;
         return;
-    // Nor is work whose estimate grew while it waited, and that would still be in time by the estimate of its admission.
-    if (!queueSpace && record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline)
+    }
+    // Work whose estimate grew while it waited, and that would be in time by the estimate of its admission, is not refused for
+    // lack of capacity.
+    if (!settings.preemption || !lowerPreemptible(record.request.level)
+        || (record.admittedCost > 0 && now + fromSeconds(record.admittedCost) <= record.request.deadline))
         return;
-    // Nor is work that left less time to spare than a preemption takes, by the estimate that grants use under load.
-    const auto start = queueSpace ? std::nullopt : std::optional(record.submitted + preemptionLead);
-    const bool lowerRunning = findVictim(now, record, start, 1 + margin()) != nullptr;
-    const bool lowerWaiting = queueSpace && std::ranges::any_of(tiers, [&](const auto& entry) {
-        return entry.first > record.request.level && entry.second.size() + entry.second.parked > 0;
+    // A stream could have been displaced from its grant on, or from the arrival of the request plus the time that a preemption
+    // takes; it counts where its endpoint would have finished the request then, by the estimate that grants use under load.
+    const auto cached = prefixes.match(record.request.prefixBlocks);
+    const bool displaceable = std::ranges::any_of(endpoints, [&](const auto& entry) {
+        if (!entry->eligible() || entry->ejected)
+            return false;
+        const auto needed = fromSeconds(option(record, *entry, cached, true).cost * (1 + margin()));
+        return std::ranges::any_of(entry->victims, [&](const request_record& victim) {
+            return victim.request.level > record.request.level
+                && std::max(victim.granted, record.submitted + preemptionLead) + needed <= record.request.deadline;
+        });
     });
-    inversions += lowerRunning || lowerWaiting ? 1 : 0;
+    inversions += displaceable ? 1 : 0;
 }
 
 void pool_scheduler::implementation::renewReservations(monotonic_time now, actions& out)
@@ -207,6 +257,7 @@
 void pool_scheduler::implementation::checkWaiting(monotonic_time now, request_record& record, actions& out)
 {
     const auto cost = bestCost(now, record);
+    record.bestCase = cost.seconds;
     const auto latest = record.request.deadline - (cost.learned ? fromSeconds(cost.seconds) : duration {});
     const bool passed = now >= record.request.deadline;
     if (passed || now > latest) {
@@ -216,8 +267,13 @@
             "no slot was free in time: waited " + milliseconds(toSeconds(now - record.submitted)), out);
         return;
     }
-    if (record.reserved || !preemptFor(now, record, out))
-        setTimer(record, std::min(latest + duration(1), now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption)));
+    // A long request of the most urgent tier in service is not refused for slots that are kept for short ones. For other tiers
+    // this would fill the reserve under overload, and more urgent work would have to preempt it again.
+    if (record.phase == request_phase::waiting && record.longRequest && mostUrgent(record.request.level) && place(now, record, out))
+        return;
+    const auto retry = now + (lowerPreemptible(record.request.level) ? retryPreemption : idlePreemption);
+    if (record.reserved || mayDefer(now, record) || !preemptFor(now, record, out))
+        setTimer(record, std::min(latest + duration(1), retry));
 }
 
 void pool_scheduler::implementation::runTimers(monotonic_time now, actions& out)
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -12,8 +12,21 @@
 /// While other work waits, prefill that a cached prefix saves is also engine time for that work, so it counts this many times
 /// its own duration; without other work it only shortens the request itself.
 constexpr double crowdedPrefixWeight = 3;
+/// While this share of the slots is taken, a request that an endpoint can finish safely in time goes where slots are free rather
+/// than where it ends soonest, which leaves fast endpoints to requests that need them. Below, there is no contention; above, there
+/// is hardly a choice.
+constexpr double busyFrom = 0.3;
+constexpr double busyUntil = 0.95;
+
+double occupancy(const endpoint_record& where)
+{
+    return static_cast<double>(where.running) / static_cast<double>(std::max<std::size_t>(1, where.description.maxRunning));
+}
+
 /// Share of the slots of an endpoint that may be reserved by requests waiting for its cached prefixes.
 constexpr std::size_t parkedShare = 4;
+/// Time that a due probe waits for a request of the least urgent tier; under overload, none may come up.
+constexpr duration probePatience = std::chrono::seconds(5);
 /// Errors of the estimate beyond this are noise of the first samples and must not refuse work.
 constexpr double largestMargin = 0.5;
 constexpr double marginSamples = 5;
@@ -33,10 +46,22 @@
         return where.running == 0 && now >= where.nextProbe ? 1 : 0;
     if (circuit == circuit_state::half_open)
         return where.running == 0 ? 1 : 0;
-    const auto taken = where.running + *std::ranges::min_element(where.foreign.excess);
+    const auto taken = where.running + where.foreignRunning(now);
     return where.description.maxRunning > taken ? where.description.maxRunning - taken : 0;
 }
 
+bool pool_scheduler::implementation::mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const
+{
+    // A probe may be slow: it is neither long nor a request that cannot be repeated, and has time to spare.
+    if (record.longRequest || record.request.nonIdempotent
+        || now + fromSeconds(choice.cost * settings.stragglerFactor) > record.request.deadline)
+        return false;
+    // The least urgent tier in service probes, unless none of its requests came up for some time.
+    const bool lowest = std::none_of(tiers.upper_bound(record.request.level), tiers.end(),
+        [](const auto& entry) { return entry.second.size() + entry.second.parked + entry.second.running > 0; });
+    return lowest || now > choice.endpoint->nextProbe + probePatience;
+}
+
 double pool_scheduler::implementation::nextSlotWait(const endpoint_record& where) const
 {
     const auto ahead = static_cast<double>(where.parked.size() + 1);
@@ -57,8 +82,12 @@
     // The last token is always computed, also for a prompt that is cached completely.
     result.cachedTokens = std::clamp<std::int64_t>(blocks * tokensPerBlock, 0, std::max<std::int64_t>(0, prompt - 1));
     const double first = models.firstTokenSeconds(static_cast<double>(prompt - result.cachedTokens));
-    const double concurrency = static_cast<double>(std::min(where.running + 1, where.description.maxRunning));
+    // The endpoint will be as busy as the pool is on average while the request runs, if it is not busier already.
+    const double busy = static_cast<double>(where.description.maxRunning * std::min(running, slots))
+        / static_cast<double>(std::max<std::size_t>(1, slots));
+    const double concurrency = std::max(busy, static_cast<double>(std::min(where.running + 1, where.description.maxRunning)));
     result.cost = first + record.expectedOutput * models.secondsPerToken(concurrency);
+    result.firstToken = first;
     result.wait = isFree ? 0 : nextSlotWait(where);
     result.score = result.wait + result.cost;
     if (crowded && result.cachedTokens > 0)
@@ -66,6 +95,18 @@
     return result;
 }
 
+bool pool_scheduler::implementation::partlyBusy() const
+{
+    const auto total = static_cast<double>(slots);
+    return static_cast<double>(running) > busyFrom * total && static_cast<double>(running) < busyUntil * total;
+}
+
+bool pool_scheduler::implementation::isSafe(monotonic_time now, const request_record& record, const placement_option& choice)
+{
+    return modelsOf(*choice.endpoint).learned(now)
+        && now + preemptionLead + fromSeconds(choice.wait + choice.cost * preemptionFactor()) <= record.request.deadline;
+}
+
 double pool_scheduler::implementation::margin() const
 {
     if (estimateError.samples() < marginSamples)
@@ -132,13 +173,13 @@
 request_record* pool_scheduler::implementation::next()
 {
     for (auto& [level, queue] : tiers) {
-        if (queue.size() == 0)
-            continue;
-        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
-        for (;;) {
+        // Where only long requests that are held back wait, short ones of less urgent tiers may use the slots kept free.
+        while (queue.size() > 0) {
             auto* record = queue.next(longAllowed(level));
+            if (!record)
+                break;
             const double median = queue.costs.value();
-            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+            if (record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
                 return record;
             // It was queued before enough shorter requests had shown that it is long; this happens once per request.
             queue.remove(*record);
@@ -190,22 +231,24 @@
     placement_option bestFree;
     placement_option bestFull;
     bool anyFree = false;
+    const bool spareFast = partlyBusy();
     for (const auto& entry : endpoints) {
         if (!entry->eligible() || entry->breaker.state(now) == circuit_state::open)
             continue;
         const bool isFree = freeSlots(*entry, now) > 0;
         if (entry->ejected) {
-            // A probe may be slow: it is neither long nor a request that cannot be repeated.
-            if (!isFree || record.longRequest || record.request.nonIdempotent)
+            if (!isFree)
                 continue;
-            if (const auto choice = option(record, *entry, cached, true); fits(choice)) {
+            if (const auto choice = option(record, *entry, cached, true); mayProbe(now, record, choice)) {
                 grant(now, record, choice, out);
                 return true;
             }
             continue;
         }
         anyFree = anyFree || isFree;
-        const auto choice = option(record, *entry, cached, isFree, crowded);
+        auto choice = option(record, *entry, cached, isFree, crowded);
+        if (spareFast && isSafe(now, record, choice))
+            choice.score += choice.firstToken + occupancy(*entry) - choice.cost;
         auto& best = isFree ? bestFree : bestFull;
         if (fits(choice) && (!best.endpoint || choice.score < best.score))
             best = choice;
--- a/libs/scheduling/src/pool_state.cpp
+++ b/libs/scheduling/src/pool_state.cpp
@@ -13,14 +13,14 @@
 constexpr std::size_t historySize = 2048;
 /// Lead in virtual time that short requests may gain by long_slot_share, in requests of the long team.
 constexpr double longCreditRequests = 2;
-/// Slots kept free of long requests per slot that recent short ones kept busy; their arrivals are bursty.
+/// Slots kept for short requests beyond their mean demand, as a multiple of its square root (square-root staffing, Halfin and
+/// Whitt 1981): with 1.5, one short request in ten or fewer finds all of them taken.
 constexpr double shortHeadroom = 1.5;
 
 } // namespace
 
 pool_scheduler::implementation::implementation(pool_scheduler_settings initial)
     : settings(initial)
-    , outputShare(0.5, 0.25, 0.98)
     , estimateError(1.0, 0.1, 0.98)
     , workError(1.0, 0, 0.98)
     , typicalWork(1.0, 0, 0.98)
@@ -51,8 +51,7 @@
 {
     const auto& request = record.request;
     record.owner = &flowOf(team(request.team), request.level);
-    const double share = expectedOutputShare(record.owner->outputShare, outputShare);
-    record.expectedOutput = std::max(1.0, share * static_cast<double>(request.maxOutputTokens.value));
+    record.expectedOutput = expectedOutput(record.owner->outputShares, outputShares, request.maxOutputTokens.value);
     record.charge = static_cast<double>(request.promptTokens.value) + record.expectedOutput;
     const double concurrency = static_cast<double>(running) / static_cast<double>(std::max<std::size_t>(1, endpoints.size()));
     record.work = poolSpeed.firstToken.at(static_cast<double>(request.promptTokens.value))
@@ -101,11 +100,20 @@
     timers.insert(record);
 }
 
+bool pool_scheduler::implementation::preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const
+{
+    // Where a less urgent tier runs, that one is preempted first.
+    return level->second.longRisk.at(lastNow) > settings.preemptionRiskLimit
+        && std::none_of(std::next(level), tiers.end(), [](const auto& entry) { return entry.second.running > 0; });
+}
+
 bool pool_scheduler::implementation::longAllowed(tier level) const
 {
     const auto own = tiers.find(level);
     if (own == tiers.end())
         return true;
+    if (preemptionLikely(own))
+        return false;
     // A team of short requests that is ahead of its share waits for fairness, not because of long requests; without this
     // exception an endless backlog of short requests would keep teams of long ones below their shares for good.
     if (own->second.shortTeamsAhead(longCreditRequests))
@@ -121,8 +129,8 @@
     if (own->second.shortWaiting())
         return held < std::max<std::size_t>(1, share);
     // The queue of short requests is empty most of the time at moderate load. Long requests that filled all slots in such a
-    // moment would make the next short ones wait for a whole long request: 8 s in the median in a test with 16 slots.
-    const auto expected = static_cast<std::size_t>(std::ceil(shortHeadroom * demand));
+    // moment would make the next short ones wait for a whole long request: 4.4 s at p99 in the test of this rule, 0 with it.
+    const auto expected = static_cast<std::size_t>(std::ceil(demand + shortHeadroom * std::sqrt(demand)));
     return held + std::min(expected, slots - std::max<std::size_t>(1, share)) < slots;
 }
 
@@ -222,9 +230,8 @@
     const auto perSlot = typicalWork.mean() / static_cast<double>(std::max<std::size_t>(1, slots));
     const auto seconds = std::clamp(perSlot * static_cast<double>(waiting + 1), 0.05, 60.0);
     auto outcome = "refused: " + std::string(refusalReasonNames.name(reason)) + ": " + message;
-    const auto cost = bestCost(lastNow, record);
-    out.emplace_back(slot_refusal { record.request.id, record.request.home, reason, std::move(message), fromSeconds(seconds),
-        cost.learned ? std::optional(fromSeconds(cost.seconds)) : std::nullopt });
+    out.emplace_back(slot_refusal {
+        record.request.id, record.request.home, reason, std::move(message), fromSeconds(seconds), fromSeconds(record.bestCase) });
     forget(record, std::move(outcome), false);
 }
 
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -21,6 +21,8 @@
     /// Estimated seconds until a slot is free there, and on the endpoint.
     double wait = 0;
     double cost = 0;
+    /// Estimated seconds to the first token; part of the cost.
+    double firstToken = 0;
     /// Lower is better.
     double score = 0;
     std::int64_t cachedTokens = 0;
@@ -52,6 +54,7 @@
     endpoint_record& endpoint(const endpoint_id& id);
     void recount();
     void setTimer(request_record& record, monotonic_time when);
+    bool preemptionLikely(std::map<tier, tier_queue>::const_iterator level) const;
     bool longAllowed(tier level) const;
     void enqueue(request_record& record);
     void unqueue(request_record& record);
@@ -72,9 +75,14 @@
     void grant(monotonic_time now, request_record& record, const placement_option& option, actions& out);
     placement_option option(
         request_record& record, endpoint_record& where, const prefix_index::lengths& cached, bool isFree, bool crowded = false);
+    bool mayProbe(monotonic_time now, const request_record& record, const placement_option& choice) const;
     double nextSlotWait(const endpoint_record& where) const;
     run_time bestCost(monotonic_time now, request_record& record);
     double waitEstimate(request_record& record);
+    /// True where slots are neither plentiful nor exhausted.
+    bool partlyBusy() const;
+    /// True where the request meets its deadline there even if it runs much longer than estimated.
+    bool isSafe(monotonic_time now, const request_record& record, const placement_option& choice);
     double margin() const;
     /// Time without a message after which a running request is taken for lost.
     duration silenceLimit(const request_record& record) const;
@@ -88,9 +96,15 @@
     bool displaceOwn(request_record& record, actions& out);
     bool preemptFor(monotonic_time now, request_record& record, actions& out);
     /// The endpoint whose first victim should be preempted for the request. With `start`, only endpoints that could finish the
-    /// request in time from then on, with `factor` times the estimated run time, are considered.
-    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start, double factor = 1);
+    /// request in time from then on are considered.
+    endpoint_record* findVictim(monotonic_time now, request_record& record, std::optional<monotonic_time> start);
     bool lowerPreemptible(tier level) const;
+    /// True where no more urgent tier waits, runs or did so recently.
+    bool mostUrgent(tier level) const;
+    /// Estimate of the run time that nearly all requests stay below, as a multiple of the estimate.
+    double preemptionFactor() const;
+    /// True while endpoints that are still fast enough run more lower-tier streams than there are requests to claim them.
+    bool mayDefer(monotonic_time now, request_record& record);
     /// When a waiting request begins to take slots from lower tiers.
     monotonic_time preemptionDue(const request_record& record, const run_time& cost) const;
     void preempt(request_record& victim, actions& out);
@@ -103,12 +117,13 @@
 
     // observation.cpp: what finished and running requests teach.
     void observeProgress(monotonic_time now, const slot_progress& progress);
+    void learnFromWindows(monotonic_time now);
     void learn(monotonic_time now, request_record& record, const slot_release& release);
     void settleCharge(request_record& record, const slot_release& release);
     void settlePrefix(request_record& record, const slot_release& release);
     void judgeProbe(monotonic_time now, request_record& record, const slot_release& release);
     void setLeaving(endpoint_record& where);
-    void observeLoad(const load_report& report);
+    void observeLoad(monotonic_time now, const load_report& report);
 
     pool_scheduler_settings settings;
     monotonic_time lastNow {};
@@ -126,7 +141,7 @@
     std::uint64_t usedPositions = 0;
     straggler_detector stragglers;
     speed_model poolSpeed;
-    recent_mean outputShare;
+    output_shares outputShares;
     /// Observed total time divided by the estimate at the grant.
     recent_mean estimateError;
     /// Observed total time divided by request_record::work.
--- a/libs/scheduling/src/tier_queue.cpp
+++ b/libs/scheduling/src/tier_queue.cpp
@@ -6,19 +6,18 @@
 
 namespace {
 
-/// Shares of the maximum output before any sample; half of the maximum is off by at most a factor of two for most requests.
-constexpr double outputSharePrior = 0.5;
-constexpr double outputShareDecay = 0.97;
 /// Fewer values give a median that one request can move, and with it what counts as long.
 constexpr std::size_t medianNeeds = 8;
 constexpr double demandWindowSeconds = 30;
+constexpr double riskDecay = 0.9;
+/// Two to three run times of long requests, so that the outcome of the last attempt is known before the next one.
+constexpr double riskWindowSeconds = 60;
 
 } // namespace
 
 flow::flow(team_record& ownerTeam, tier ownTier)
     : team(ownerTeam)
     , level(ownTier)
-    , outputShare(outputSharePrior, 0.25, outputShareDecay)
 {
 }
 
@@ -59,15 +58,37 @@
 
 void recent_demand::add(monotonic_time now, double seconds)
 {
-    m_demand = at(now) + seconds / demandWindowSeconds;
+    if (m_start == monotonic_time {})
+        m_start = now;
+    m_demand = decayed(now) + seconds / demandWindowSeconds;
     m_last = std::max(m_last, now);
 }
 
 double recent_demand::at(monotonic_time now) const
+{
+    if (m_demand <= 0)
+        return 0;
+    // Until the window is full, the sum covers less time than the time constant.
+    const double covered = -std::expm1(-std::max(1.0, toSeconds(now - m_start)) / demandWindowSeconds);
+    return decayed(now) / covered;
+}
+
+double recent_demand::decayed(monotonic_time now) const
 {
     return now <= m_last ? m_demand : m_demand * std::exp(-toSeconds(now - m_last) / demandWindowSeconds);
 }
 
+void preemption_risk::add(monotonic_time now, bool preempted)
+{
+    m_share = at(now) * riskDecay + (preempted ? 1 - riskDecay : 0);
+    m_last = now;
+}
+
+double preemption_risk::at(monotonic_time now) const
+{
+    return m_share * std::exp(-std::max(0.0, toSeconds(now - m_last)) / riskWindowSeconds);
+}
+
 void tier_queue::link(flow& self)
 {
     if (!self.shortRequests.empty())
--- a/libs/scheduling/src/tier_queue.h
+++ b/libs/scheduling/src/tier_queue.h
@@ -21,7 +21,7 @@
     tier level;
     /// Tokens of cost divided by weight.
     double virtualTime = 0;
-    recent_mean outputShare;
+    output_shares outputShares;
     /// Sum of request_record::work of the queue.
     double work = 0;
     deadline_set shortRequests;
@@ -60,7 +60,21 @@
     double at(monotonic_time now) const;
 
 private:
+    double decayed(monotonic_time now) const;
+
     double m_demand = 0;
+    monotonic_time m_start {};
+    monotonic_time m_last {};
+};
+
+/// Share of recent requests that were preempted. It fades while there are no samples, so that held back work is tried again.
+class preemption_risk {
+public:
+    void add(monotonic_time now, bool preempted);
+    double at(monotonic_time now) const;
+
+private:
+    double m_share = 0;
     monotonic_time m_last {};
 };
 
@@ -99,6 +113,7 @@
 
     running_median costs;
     recent_demand shortDemand;
+    preemption_risk longRisk;
     /// Long requests of this tier that hold or have reserved a slot.
     std::size_t longRunning = 0;
     std::size_t running = 0;
