--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -27,6 +27,8 @@
         /// Tells a home that this node does not own the pool of its request.
         std::function<void(const node_id& home, const request_id& request)> rejectOwner;
         std::function<void(const node_id& peer, const pool_id& pool)> requestSync;
+        /// Asks for load reports of the endpoints of the owned pools now.
+        std::function<void()> pollEndpoints;
     };
 
     pool_host(node_id self, duration syncWait, duration grantLifetime, history& record, handlers callbacks);
@@ -73,6 +75,7 @@
         monotonic_time deadline;
     };
 
+    void becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
     void recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused);
     hosted_pool* poolOf(const request_id& request);
--- a/tools/carawaylink-bench/main.cpp
+++ b/tools/carawaylink-bench/main.cpp
@@ -18,6 +18,9 @@
 constexpr bench_entry benches[] = {
     { "scheduling", "Compare the pool scheduler with the baseline policies", carawaylink::bench::runSchedulingBench },
     { "node", "Throughput and added latency of one node", carawaylink::bench::runNodeBench },
+    { "faults", "Promises under faults at random times", carawaylink::bench::runFaultsBench },
+    { "recovery", "Times until a fleet has recovered from a fault or a change", carawaylink::bench::runRecoveryBench },
+    { "control", "Cost of the control traffic by number of nodes", carawaylink::bench::runControlBench },
 };
 
 std::string temporaryFolder()
@@ -40,10 +43,12 @@
     for (const auto& bench : benches) {
         auto* command = app.add_subcommand(bench.name, bench.description);
         command->add_option("--binaries", options.binaries, "Folder of the programs")->capture_default_str();
-        command->add_option("--folder", options.folder, "Existing folder for output and histories; a temporary one is removed at the end");
+        command->add_option("--folder", options.folder,
+            "Existing folder for output and histories; default is a temporary one that is removed after success");
         command->add_option("--seed", options.seed, "Seed of the workload")->capture_default_str();
         command->add_option("--seeds", options.seeds, "Number of seeds of the scheduling bench")->capture_default_str();
         command->add_option("--loads", options.loads, "Loads of the scheduling bench, as shares of capacity");
+        command->add_option("--nodes", options.nodes, "Numbers of nodes of the control bench, ascending")->delimiter(',');
         command->callback([&chosen, run = bench.run] { chosen = run; });
     }
     CLI11_PARSE(app, argc, argv);
@@ -52,7 +57,8 @@
         if (temporary)
             options.folder = temporaryFolder();
         const int status = chosen(options);
-        if (temporary)
+        // The files of a failed run show why it failed.
+        if (temporary && status == EXIT_SUCCESS)
             std::filesystem::remove_all(options.folder);
         return status;
     } catch (const carawaylink::error& failure) {
