--- a/libs/node/tests/peer_redial_tests.cpp
+++ b/libs/node/tests/peer_redial_tests.cpp
@@ -36,7 +36,7 @@
     std::function<void(const process_identity&)> onGone;
 };
 
-class peer_mesh_tests : public testing::Test {
+class peer_redial : public testing::Test {
 protected:
     template <typename Condition> bool runUntil(Condition condition)
     {
@@ -51,7 +51,7 @@
 
 // Guards against the use of a channel that the handler of a lost process has just dropped: a node that was killed and started
 // again within the redial delay made its peers crash.
-TEST_F(peer_mesh_tests, process_replacedAtItsAddressAndForgotten_isDialedAnewOnly)
+TEST_F(peer_redial, process_replaced_and_forgotten_is_dialed_anew_only)
 {
     observed_mesh first(context, "127.0.0.1:0", 1);
     auto second = std::make_unique<observed_mesh>(context, "127.0.0.1:0", 2);
