--- a/libs/node/src/endpoint_directory.cpp
+++ b/libs/node/src/endpoint_directory.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_directory.h"
 
+#include "base/error.h"
 #include "base/log.h"
 #include "periodic_task.h"
 
@@ -32,6 +33,16 @@
     return status ? fallback : result;
 }
 
+bool isAddress(const std::string& address)
+{
+    try {
+        parseAddress(address);
+        return true;
+    } catch (const error&) {
+        return false;
+    }
+}
+
 } // namespace
 
 endpoint_directory::endpoint_directory(boost::asio::io_context& context, endpoint_directory_settings settings, handlers callbacks)
@@ -114,6 +125,10 @@
             continue;
         const auto& vm = value.as_object();
         const auto address = text(vm, "address");
+        if (!isAddress(address)) {
+            log_event("vm_list_entry_ignored", log_level::warning).field("address", address);
+            continue;
+        }
         if (text(vm, "role") == "node") {
             nodes.push_back(node_id(address));
             continue;
@@ -171,6 +186,25 @@
         description.generation = text(object, "generation");
         description.maxRunning = static_cast<std::size_t>(std::max<std::int64_t>(1, number(object, "max_running", 1)));
         description.cacheCapacity = tokens(number(object, "cache_tokens", defaultCacheTokens));
+        readLoad(endpoint);
+    });
+}
+
+void endpoint_directory::readLoad(const endpoint_id& endpoint)
+{
+    http_call_options options;
+    options.idleTimeout = std::chrono::seconds(2);
+    m_client.send(endpoint.value, { "GET", "/load", {}, {} }, options, [this, alive = m_alive, endpoint](const http_result& result) {
+        if (!*alive || !result.ok() || result.response.status != 200)
+            return;
+        const auto found = m_endpoints.find(endpoint);
+        boost::system::error_code status;
+        const auto document = json::parse(result.response.body, status);
+        if (found == m_endpoints.end() || status || !document.is_object())
+            return;
+        const auto* leaving = document.as_object().if_contains("leaving");
+        if (leaving && leaving->is_bool() && leaving->as_bool())
+            markLeaving(endpoint);
         found->second.described = true;
         m_handlers.onChange();
     });
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -78,6 +78,7 @@
     mesh = std::make_unique<peer_mesh>(control.context(0), identity, meshSettings, std::move(handlers));
     const auto bound = mesh->listen(settings.node_address);
     self.node = node_id(settings.advertise_address.empty() ? bound : settings.advertise_address);
+    record.setNode(self.node.value);
     auto advertised = identity;
     advertised.process = self;
     mesh->setSelf(advertised);
@@ -126,6 +127,12 @@
         message.pool = pool.number;
         mesh->send(peer, std::move(message));
     };
+    hostHandlers.pollEndpoints = [this] {
+        runOnControl([this] {
+            if (monitor)
+                monitor->poll();
+        });
+    };
     host = std::make_unique<pool_host>(
         self.node, milliseconds(timing.pool_sync_wait_ms), milliseconds(timing.grant_lifetime_ms), record, std::move(hostHandlers));
     dispatch = std::make_unique<dispatch_control>(self, *host, *mesh, *tickets, record);
