--- a/libs/bench/tests/order_tests.cpp
+++ b/libs/bench/tests/order_tests.cpp
@@ -27,9 +27,9 @@
         ASSERT_NE(mkdtemp(pattern.data()), nullptr);
         m_folder = pattern;
         fleet = std::make_unique<cluster>(CARAWAYLINK_BINARIES, m_folder);
-        fleet->startPlatform({ "--weight-loads", "1", "--weight-load-ms", "150" });
+        fleet->startPlatform({ "--weight-loads", "1", "--weight-load-ms", "100" });
         engines = fleet->startEngines({ "engines", "llm", "zone-a", engineCount,
-            { "--adapter-load-ms", adapterLoadMs, "--model-load-ms", "200", "--weight-store", fleet->logAddress() } });
+            { "--adapter-load-ms", adapterLoadMs, "--model-load-ms", "100", "--weight-store", fleet->logAddress() } });
         for (const auto* name : { "node-1", "node-2", "node-3" })
             fleet->startNode({ name, "zone-a" });
         fleet->publish(yaml("llm", ""));
@@ -143,7 +143,7 @@
 // Guards against a rolling change that ends with its holder, that takes too many engines at once, or that keeps its lease.
 TEST_F(order_cluster, holder_killed_another_finishes)
 {
-    start("300");
+    start("500");
     const auto isNew = [](const json::object& object) { return object.at("version") == "2" && lists(object, "adapters", "style"); };
     fleet->publish(yaml("llm", ", version: \"2\", adapters: [style]"));
     ASSERT_TRUE(waitFor(6s, [&] { return reached(isNew) >= 2; }));
