--- a/demo.sh
+++ b/demo.sh
@@ -10,22 +10,13 @@
 trap 'stop_cluster; rm -rf "$out"' EXIT
 
 echo "== Starting the platform's stand-ins, 20 engines, 3 service endpoints and 4 nodes"
-start_platform
-start_engines engines-a rota-llm lagos-a 7 --generation g3 --speed 2
-start_engines engines-b rota-llm lagos-b 7 --generation g2 --speed 1
-start_engines engines-c rota-llm ibadan-a 6 --generation g1 --speed 0.5
-start_service app-1 rota-app lagos-a
-start_service app-2 rota-app lagos-b
-start_service app-3 rota-app ibadan-a
-for number in 1 2 3 4; do
-    start_sample_node "node-$number" "samples/oduya/node-$number.yaml"
-done
+start_oduya
 export CARAWAYLINK_OPERATOR_KEY=operator-key
 cli() { "$binaries/carawaylink" --node "${node_http[node-1]}" --node "${node_http[node-2]}" "$@"; }
 
 echo "== carawaylink config apply samples/oduya/fleet.yaml"
 cli config apply samples/oduya/fleet.yaml --author demo | tail -3
-wait_until_ready rota-app
+wait_until_ready rota-app key-choir-1
 
 entry=${node_http[node-1]}
 key="Authorization: Bearer key-choir-1"
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -91,13 +91,40 @@
     [ -n "$first_node" ] || first_node=$(sed -n 's/^listening .* node=\([0-9.:]*\).*/\1/p' "$out/$name.out")
 }
 
-# wait_until_ready SERVICE: waits until a lookup of a plain service is answered through every node.
+# wait_until_ready SERVICE KEY: waits until a lookup of a plain service is answered through every node.
 wait_until_ready() {
     local address try
     for address in "${node_http[@]}"; do
         for try in $(seq 1 200); do
-            curl -sf -m 2 -H "Authorization: Bearer key-choir-1" "http://$address/services/$1/lookup" >/dev/null && break
+            curl -sf -m 2 -H "Authorization: Bearer $2" "http://$address/services/$1/lookup" >/dev/null && break
             sleep 0.05
         done
     done
 }
+
+# start_oduya, start_luzon: the sample deployments at their true number of endpoints, engines of three speeds, 4 nodes.
+start_oduya() {
+    start_platform
+    start_engines engines-a rota-llm lagos-a 7 --generation g3 --speed 2
+    start_engines engines-b rota-llm lagos-b 7 --generation g2 --speed 1
+    start_engines engines-c rota-llm ibadan-a 6 --generation g1 --speed 0.5
+    start_service app-1 rota-app lagos-a
+    start_service app-2 rota-app lagos-b
+    start_service app-3 rota-app ibadan-a
+    start_sample_nodes oduya
+}
+start_luzon() {
+    start_platform
+    start_engines engines-a prepress-llm ncr-a 4 --generation g3 --speed 2
+    start_engines engines-b prepress-llm ncr-b 3 --generation g2 --speed 1
+    start_engines engines-c prepress-llm ncr-c 3 --generation g1 --speed 0.5
+    local number
+    for number in 1 2 3 4; do start_service "app-$number" plate-desk ncr-d; done
+    start_sample_nodes luzon
+}
+start_sample_nodes() {
+    local number
+    for number in 1 2 3 4; do
+        start_sample_node "node-$number" "samples/$1/node-$number.yaml"
+    done
+}
