Drop handlers that are set on a closed connection

Cause: after its caller had left, a preempted or cancelled stream set a drain handler that holds the responder. The connection was closed already, so the handler was never called nor dropped, and connection and responder kept each other for ever.

--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -176,8 +176,9 @@
     std::size_t pendingBytes() const { return m_pending.size() + m_writing.size(); }
     std::size_t thread() const { return m_thread; }
     io_threads& threads() { return m_state->threads; }
-    void setOnDrained(std::function<void()> handler) { m_onDrained = std::move(handler); }
-    void setOnClosed(std::function<void()> handler) { m_onClosed = std::move(handler); }
+    // A handler often holds the responder; kept by a closed connection, it would keep both for ever.
+    void setOnDrained(std::function<void()> handler) { m_onDrained = m_closed ? nullptr : std::move(handler); }
+    void setOnClosed(std::function<void()> handler) { m_onClosed = m_closed ? nullptr : std::move(handler); }
 
 private:
     template <typename Message> void fillHead(Message& message, unsigned status, const std::vector<http_header>& headers)
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -140,6 +140,29 @@
     released.get_future().wait();
 }
 
+// Guards against a connection that is never freed because a handler that was set after its end holds it.
+TEST_F(http_loopback, handlers_set_after_the_end_are_dropped)
+{
+    std::shared_ptr<http_call> running;
+    threads.post(1, [&] { running = client.send(address, { "GET", "/hold", {}, {} }, {}, [](const http_result&) {}); });
+    std::promise<void> arrived;
+    const auto awaitHeld = [&](const auto& self) -> void { threads.post(0, [&, self] { held ? arrived.set_value() : self(self); }); };
+    awaitHeld(awaitHeld);
+    arrived.get_future().wait();
+    threads.post(1, [&] { running->cancel(); });
+    EXPECT_EQ(callerLeft.get_future().wait_for(std::chrono::seconds(10)), std::future_status::ready);
+    const auto token = std::make_shared<int>();
+    std::promise<void> released;
+    threads.post(0, [&] {
+        held->onDrained([responder = held, token] { responder->abort(); });
+        held->onClosed([responder = held, token] {});
+        held.reset();
+        released.set_value();
+    });
+    released.get_future().wait();
+    EXPECT_EQ(token.use_count(), 1);
+}
+
 // Guards against hostile requests that use memory or a connection without bound.
 TEST_F(http_loopback, bad_requests_get_typed_errors)
 {
