--- a/cmake/carawaylink.cmake
+++ b/cmake/carawaylink.cmake
@@ -31,6 +31,11 @@
     add_compile_options(-fsanitize=${CARAWAYLINK_SANITIZE} -fno-omit-frame-pointer)
     add_link_options(-fsanitize=${CARAWAYLINK_SANITIZE})
 endif()
+if(CARAWAYLINK_FUZZ)
+    # Every library needs the coverage counters; the fuzzer's main() is linked to the programs in fuzz/ only.
+    add_compile_options(-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
 
 # carawaylink_library(NAME DEPENDS lib... TEST_DEPENDS lib...)
 # Builds libs/NAME from src/*.cpp and, where tests/*.cpp exist, the test program NAME_tests.
--- a/libs/node/tests/node_fixture.h
+++ b/libs/node/tests/node_fixture.h
@@ -26,7 +26,7 @@
     {
         engine_server_options options;
         options.engine.model = "llm";
-        options.engine.tokenTime = std::chrono::milliseconds(2);
+        options.engine.tokenTime = std::chrono::milliseconds(1);
         options.engine.tokenTimePerSequence = {};
         engine = std::make_unique<engine_server>(options, std::make_shared<history_writer>(engineHistory.string()));
         engineAddress = engine->listen("127.0.0.1:0");
--- a/libs/node/tests/node_tests.cpp
+++ b/libs/node/tests/node_tests.cpp
@@ -123,11 +123,20 @@
 {
     const auto address = startNode("d1").httpAddress();
     awaitServing();
-    raw_caller slow(address, raw_caller::text(completion("slow", 3000, true)));
+    // 2 KB per token: far more than the node and the sockets hold for a caller that does not read.
+    const std::string user(2000, 's');
+    const auto finished = historyCount("\"finished\"", "");
+    raw_caller slow(address, raw_caller::text(completion(user, 3000, true)));
     slow.readSome();
-    for (int i = 0; i < 5; ++i)
+    int calls = 0;
+    // Longer than the idle limit of an engine's connection, so that the held back stream must not be taken for a silent one.
+    const auto end = std::chrono::steady_clock::now() + 1500ms;
+    while (std::chrono::steady_clock::now() < end || historyCount("\"finished\"", "") <= finished + static_cast<std::size_t>(calls)) {
         EXPECT_EQ(streamedText(call(address, completion("fast", 20, true)).body), answerOf("fast", 20));
-    EXPECT_EQ(streamedText(slow.readAll()), answerOf("slow", 3000));
+        ++calls;
+        ASSERT_LT(std::chrono::steady_clock::now(), end + 10s);
+    }
+    EXPECT_EQ(streamedText(slow.readAll()), answerOf(user, 3000));
 }
 
 // Guards against an engine that generates for a caller that has left.
--- /dev/null
+++ b/scripts/run_sanitizers.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Builds and runs the tests of the concurrent parts under a sanitizer; exits non-zero on a report or a failed test.
+# Usage: scripts/run_sanitizers.sh [thread|address]...   (both without arguments)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ $# -gt 0 ] || set -- thread address
+parts=(base wire ticket membership scheduling http node)
+# liburcu is not instrumented, so thread sanitizer does not see the order that its grace periods give to memory accesses.
+# It is told by __tsan annotations in rcu_cell where these exist; nothing is suppressed here.
+export TSAN_OPTIONS="halt_on_error=0 exitcode=66 second_deadlock_stack=1"
+export ASAN_OPTIONS="detect_stack_use_after_return=1 detect_leaks=1"
+status=0
+for sanitizer in "$@"; do
+    ./build.sh --sanitize "$sanitizer" "${parts[@]/%/_tests}" >&2
+    for part in "${parts[@]}"; do
+        log="build-$sanitizer/$part.log"
+        if timeout 300 "build-$sanitizer/libs/$part/${part}_tests" >"$log" 2>&1; then
+            echo "$sanitizer $part: $(grep -E '^\[  PASSED' "$log" | tail -1)"
+        else
+            status=1
+            echo "$sanitizer $part: FAILED, $(grep -c 'Sanitizer: ' "$log" || true) reports, see $log"
+            grep -E '^\[  FAILED|SUMMARY: ' "$log" | sort | uniq -c | head -20
+        fi
+    done
+done
+exit "$status"
