--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -11,7 +11,7 @@
 
 /// While other work waits, prefill that a cached prefix saves is also engine time for that work, so it counts this many times
 /// its own duration; without other work it only shortens the request itself.
-constexpr double crowdedPrefixWeight = 3;
+constexpr double crowdedPrefixWeight = 12;
 /// While this share of the slots is taken, a request that an endpoint can finish safely in time goes where slots are free rather
 /// than where it ends soonest, which leaves fast endpoints to requests that need them. Below, there is no contention; above, there
 /// is hardly a choice.
@@ -173,13 +173,13 @@
 request_record* pool_scheduler::implementation::next()
 {
     for (auto& [level, queue] : tiers) {
-        if (queue.size() == 0)
-            continue;
-        // Where only long requests that are held back wait, less urgent tiers do not overtake them.
-        for (;;) {
+        // Where only long requests that are held back wait, short ones of less urgent tiers may use the slots kept free.
+        while (queue.size() > 0) {
             auto* record = queue.next(longAllowed(level));
+            if (!record)
+                break;
             const double median = queue.costs.value();
-            if (!record || record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
+            if (record->longRequest || median <= 0 || record->work <= settings.longRequestFactor * median)
                 return record;
             // It was queued before enough shorter requests had shown that it is long; this happens once per request.
             queue.remove(*record);
