--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -37,11 +37,12 @@
     cluster_pids=()
 }
 
-# start_engines NAME SERVICE DOMAIN COUNT OPTIONS...: engines in one process, added to the list of vms.
+# start_engines NAME SERVICE DOMAIN COUNT OPTIONS...: engines in one process, added to the list of vms. They start with the model
+# engine_model, by default named as the service.
 start_engines() {
     local name=$1 service=$2 domain=$3 count=$4
     shift 4
-    start_program "$name" "$binaries/carawaylink-engine" --instances "$count" --model "$service" --history "$out/$name.jsonl" "$@"
+    start_program "$name" "$binaries/carawaylink-engine" --instances "$count" --model "${engine_model:-$service}" --history "$out/$name.jsonl" "$@"
     add_vms "$service" "$domain" ${program_address[$name]}
 }
 
@@ -104,6 +105,8 @@
 
 # start_oduya, start_luzon: the sample deployments at their true number of endpoints, engines of three speeds, 4 nodes.
 start_oduya() {
+    # The model of the sample's configuration; with another one the nodes would order the engines to load it.
+    local engine_model=rota-large
     start_platform
     start_engines engines-a rota-llm lagos-a 7 --generation g3 --speed 2
     start_engines engines-b rota-llm lagos-b 7 --generation g2 --speed 1
@@ -114,6 +117,7 @@
     start_sample_nodes oduya
 }
 start_luzon() {
+    local engine_model=prepress-large
     start_platform
     start_engines engines-a prepress-llm ncr-a 4 --generation g3 --speed 2
     start_engines engines-b prepress-llm ncr-b 3 --generation g2 --speed 1
