--- a/libs/bench/src/recovery_bench.cpp
+++ b/libs/bench/src/recovery_bench.cpp
@@ -222,6 +222,21 @@
     });
 }
 
+/// Prints the completions of tier 0 per 100 ms around the kill.
+void printGoodput(const std::vector<std::int64_t>& completionsUs, std::int64_t killUs)
+{
+    constexpr std::int64_t bucketUs = 100000;
+    constexpr std::int64_t first = -5;
+    constexpr std::int64_t last = 20;
+    std::cout << "goodput of tier 0 per 100 ms from " << first * bucketUs / 1000 << " ms on:";
+    for (auto bucket = first; bucket < last; ++bucket) {
+        const auto begin = killUs + bucket * bucketUs;
+        std::cout << ' '
+                  << std::ranges::count_if(completionsUs, [&](std::int64_t time) { return time >= begin && time < begin + bucketUs; });
+    }
+    std::cout << '\n';
+}
+
 } // namespace
 
 int runRecoveryBench(const bench_options& options)
@@ -251,6 +266,7 @@
         if (outcome.tier == 0 && outcome.result == load::call_result::complete && outcome.inTime)
             completions.push_back(outcome.endUs);
     }
+    printGoodput(completions, times.killUs);
     const auto gap = goodputGap(completions, times.killUs);
     const auto leave
         = std::max(lastWorkMs(merged, times.leavingEngine, times.leavingUs), lastWorkMs(merged, times.listedEngine, times.listedUs));
