Measure failures apart from changes in the control bench

The former run killed a node within 13 s of changes, 0.08 failures/s, where a peak hour has 0.002/s. The cost of a failure above idle is now measured on its own and added at that rate. The trend used all sizes, although the costs below and above the full mesh of 32 nodes follow different lines.

--- a/libs/bench/src/control_bench.cpp
+++ b/libs/bench/src/control_bench.cpp
@@ -32,6 +32,8 @@
 // A peak hour has three times the mean of 11,000 changes and 65 failures a day.
 constexpr double changesPerSecond = 3 * 11000.0 / 86400;
 constexpr std::size_t changes = 5;
+constexpr double failuresPerSecond = 3 * 65.0 / 86400;
+constexpr auto failureTime = std::chrono::seconds(4);
 // The largest number of nodes whose processes and stand-ins stay below the limits of the machine.
 constexpr std::size_t maxNodes = 290;
 constexpr std::uint64_t maxResidentBytes = 12ULL << 30;
@@ -47,6 +49,8 @@
 };
 
 struct control_rates {
+    /// Time of the measurement.
+    double seconds = 0;
     double bytesPerSecond = 0;
     std::map<std::string, double> bytesByKind;
     double messagesPerSecond = 0;
@@ -101,24 +105,29 @@
         return measure([] { std::this_thread::sleep_for(idleTime); });
     }
 
-    /// Changes at the rate of a peak hour, and one killed and replaced node. 65 failures a day are 0.02 in this time, so the share
-    /// of failures is far above that of a peak hour.
+    /// Changes at the rate of a peak hour.
     control_rates changing()
     {
         return measure([this] {
             const auto begin = clock::now();
             for (std::size_t i = 1; i <= changes; ++i) {
                 m_fleet.processes().publish(bench_fleet::configuration(++m_configuration));
-                if (i == changes / 2) {
-                    auto& last = m_fleet.node(m_fleet.nodeCount() - 1);
-                    last.process->kill();
-                    m_fleet.processes().restartNode(last);
-                }
                 std::this_thread::sleep_until(begin + std::chrono::duration<double>(static_cast<double>(i) / changesPerSecond));
             }
         });
     }
 
+    /// One node is killed and replaced.
+    control_rates failure()
+    {
+        return measure([this] {
+            auto& last = m_fleet.node(m_fleet.nodeCount() - 1);
+            last.process->kill();
+            m_fleet.processes().restartNode(last);
+            std::this_thread::sleep_for(failureTime);
+        });
+    }
+
     std::uint64_t residentBytes()
     {
         std::uint64_t sum = 0;
@@ -144,6 +153,7 @@
             const auto after = countersOf(m_fleet.node(i));
             const auto seconds = std::chrono::duration<double>(clock::now() - readAt[i]).count();
             const auto weight = 1 / static_cast<double>(counted);
+            result.seconds += weight * seconds;
             result.bytesPerSecond += weight * (sumOf(after.bytes) - sumOf(before[i].bytes)) / seconds;
             for (const auto& [kind, value] : after.bytes)
                 result.bytesByKind[kind] += weight * (value - before[i].bytes[kind]) / seconds;
@@ -158,6 +168,17 @@
     std::size_t m_configuration = 0;
 };
 
+/// Changes at the rate of a peak hour, plus the cost of a failure above idle at its rate.
+control_rates peakHour(const control_rates& idle, control_rates changing, const control_rates& failure)
+{
+    const auto share = failure.seconds * failuresPerSecond;
+    changing.bytesPerSecond += share * std::max(0.0, failure.bytesPerSecond - idle.bytesPerSecond);
+    changing.messagesPerSecond += share * std::max(0.0, failure.messagesPerSecond - idle.messagesPerSecond);
+    changing.cpuPercent += share * std::max(0.0, failure.cpuPercent - idle.cpuPercent);
+    changing.bytesByKind.clear();
+    return changing;
+}
+
 void printRow(std::size_t nodes, std::string_view state, const control_rates& rates)
 {
     std::cout << std::fixed << std::setprecision(2) << "row nodes=" << nodes << " state=" << state
@@ -188,6 +209,7 @@
     std::vector<double> counts;
     std::vector<control_rates> idleRows;
     std::vector<control_rates> changingRows;
+    std::vector<control_rates> peakRows;
     for (const auto nodes : options.nodes) {
         if (nodes > maxNodes)
             throw error(error_kind::limit_exceeded, std::to_string(nodes) + " nodes are too many for one machine",
@@ -199,6 +221,10 @@
         printRow(nodes, "idle", idleRows.back());
         changingRows.push_back(stage.changing());
         printRow(nodes, "changing", changingRows.back());
+        const auto failure = stage.failure();
+        printRow(nodes, "failure", failure);
+        peakRows.push_back(peakHour(idleRows.back(), changingRows.back(), failure));
+        printRow(nodes, "peak_hour", peakRows.back());
         counts.push_back(static_cast<double>(nodes));
         if (stage.residentBytes() > maxResidentBytes / 2) {
             std::cout << "stopped at nodes=" << nodes << ": twice as many would not fit the memory\n";
@@ -208,18 +234,22 @@
 
     bool met = true;
     const auto trends = [&](std::string_view state, const std::vector<control_rates>& rows) {
-        const auto trend = [&](double control_rates::*field) {
+        // The line of the larger sizes, where two of them were measured.
+        const auto large = std::ranges::find_if(counts, [](double nodes) { return nodes > fullMeshNodes; });
+        const auto first = counts.end() - large >= 2 ? large - counts.begin() : 0;
+        const std::vector<double> sizes(counts.begin() + first, counts.end());
+        const auto trend = [&](auto field) {
             std::vector<double> values;
-            std::ranges::transform(rows, std::back_inserter(values), [&](const auto& row) { return row.*field; });
-            return fitTrend(counts, values);
+            std::transform(rows.begin() + first, rows.end(), std::back_inserter(values), [&](const auto& row) { return row.*field; });
+            return fitTrend(sizes, values);
         };
         met = printTrend("bytes_per_s", state, trend(&control_rates::bytesPerSecond), targetBytes) && met;
         met = printTrend("cpu_percent", state, trend(&control_rates::cpuPercent), targetCpuPercent) && met;
         met = printTrend("rss_mb", state, trend(&control_rates::megabytes), targetMegabytes) && met;
     };
     trends("idle", idleRows);
-    trends("changing", changingRows);
-    const auto& last = changingRows.back();
+    trends("peak_hour", peakRows);
+    const auto& last = peakRows.back();
     std::cout << std::setprecision(2) << "control nodes=" << counts.back() << " bytes_per_s_per_node=" << last.bytesPerSecond
               << " cpu_percent=" << last.cpuPercent << " rss_mb=" << last.megabytes << " messages_per_s=" << last.messagesPerSecond
               << " targets_met_at_750=" << (met ? 1 : 0) << std::endl;
