--- a/libs/membership/src/detector.h
+++ b/libs/membership/src/detector.h
@@ -32,7 +32,7 @@
     bool knowsSelf = false;
     /// Only while suspect.
     monotonic_time suspectUntil;
-    /// Only for a suspicion raised here: when to tell the member again.
+    /// Only while suspect: when to tell the member (again).
     std::optional<monotonic_time> nextNotice;
 };
 
@@ -115,6 +115,7 @@
     void applyAboutSelf(const member_update& update);
     void addMember(monotonic_time now, const member_update& update, update_source source);
     void addToProbeOrder(const node_id& node);
+    void removeFromProbeOrder(const node_id& node);
     void index(const member_update& member);
     void changeState(monotonic_time now, member_record& record, member_state state);
     void suspect(monotonic_time now, member_record& record, unsigned score);
