Refuse misaligned frames, close idle peer connections sooner, judge waiting lower-tier work by the slot it got

Cause: the frame fuzzer read 8-byte elements at odd addresses, since the FlatBuffers verifier checks only a vector's length; connections opened for one configuration change kept their heartbeats for 30 s; the checker took a request whose deadline passed for an inversion where lower work only waited. Change: the decoder checks the elements; idle limit 5 s; for deadline reasons a lower request counts where it got its slot while the refused one would still have finished in it, which also finds slots given away before and after the refusal.

--- a/libs/bench/src/scheduling_bench.cpp
+++ b/libs/bench/src/scheduling_bench.cpp
@@ -112,7 +112,8 @@
     std::string straggler;
     for (const auto& kind : engineKinds) {
         const auto addresses = fleet.startEngines({ kind.name, "llm", "zone-a", kind.count,
-            { "--generation", kind.generation, "--speed", std::to_string(kind.speed), "--max-running", std::to_string(maxRunning), "--cache-tokens", std::to_string(cacheTokens) } });
+            { "--generation", kind.generation, "--speed", std::to_string(kind.speed), "--max-running", std::to_string(maxRunning),
+                "--cache-tokens", std::to_string(cacheTokens) } });
         for (const auto& address : addresses)
             fleet.setFaults(address, R"({"report_lag_ms":500,"event_delay_ms":300,"event_gap_share":0.05})");
         if (kind.name == std::string("medium"))
--- a/libs/load/src/checker_tiers.cpp
+++ b/libs/load/src/checker_tiers.cpp
@@ -12,10 +12,15 @@
 constexpr std::array<std::string_view, 5> capacityReasons { "deadline_unreachable", "deadline_passed", "queue_full", "team_queue_full",
     "displaced" };
 
+// Work of a lower tier that only waits holds no slot: what it could give up is a place in the queue, which these reasons ask for.
+constexpr std::array<std::string_view, 3> queueReasons { "queue_full", "team_queue_full", "displaced" };
+
 /// One stay of a request in a queue or on an endpoint.
 struct stay {
     std::int64_t begin = 0;
     std::int64_t end = INT64_MAX;
+    /// When it got a slot; INT64_MAX where it never did.
+    std::int64_t granted = INT64_MAX;
     std::int64_t tier = -1;
     bool displaceable = true;
     std::string service;
@@ -44,11 +49,13 @@
                 m_queued[record.request] = &record;
                 if (found == open.end()) {
                     open[record.request] = m_stays.size();
-                    m_stays.push_back({ record.timeUs, INT64_MAX, record.tier, !record.nonIdempotent, record.service, { &record } });
+                    m_stays.push_back({ record.timeUs, INT64_MAX, INT64_MAX, record.tier, !record.nonIdempotent, record.service, { &record } });
                 }
             } else if (found != open.end() && (record.event == "granted" || endsStay(record))) {
                 auto& current = m_stays[found->second];
                 current.lines.push_back(&record);
+                if (record.event == "granted")
+                    current.granted = std::min(current.granted, record.timeUs);
                 if (endsStay(record)) {
                     current.end = record.timeUs;
                     open.erase(found);
@@ -112,11 +119,17 @@
         if (record.bestCaseMs > deadline)
             continue;
         result.check();
+        // A slot helps where the refused request could still have finished in it: lower work that never got one, or got it too
+        // late for that, took nothing from the request.
+        const bool asksForQueue = std::ranges::find(queueReasons, record.reason) != queueReasons.end();
+        const auto latestStart = record.timeUs + (record.deadlineInMs - record.bestCaseMs) * 1000;
         auto& candidates = active[record.service];
         while (!candidates.empty() && candidates.begin()->first < record.timeUs)
             candidates.erase(candidates.begin());
         for (auto item = candidates.upper_bound({ record.timeUs + tolerance, SIZE_MAX }); item != candidates.end(); ++item) {
             const auto& lower = stays[item->second];
+            if (!asksForQueue && lower.granted > latestStart)
+                continue;
             if (lower.tier <= record.tier || !lower.displaceable || lower.begin >= record.timeUs - tolerance)
                 continue;
             auto trace = lower.lines;
--- a/libs/node/src/peer_mesh.h
+++ b/libs/node/src/peer_mesh.h
@@ -34,7 +34,7 @@
     /// Longest wait before the next attempt after failed ones.
     duration maxRedialDelay = std::chrono::seconds(2);
     /// Connections on which nothing but heartbeats went for this long are closed unless keepConnected() names the peer.
-    duration idleLimit = std::chrono::seconds(30);
+    duration idleLimit = std::chrono::seconds(5);
     std::size_t maxQueuedBytes = 8U << 20;
     std::vector<key_ring::key> keys;
 };
--- a/libs/wire/src/frame.cpp
+++ b/libs/wire/src/frame.cpp
@@ -14,6 +14,31 @@
 constexpr flatbuffers::uoffset_t maxTableDepth = 16;
 constexpr flatbuffers::uoffset_t maxTables = 200000;
 
+// The verifier checks the alignment of a vector's length only, but elements of 8 bytes are read in place too.
+bool isAligned(const slot_request* request)
+{
+    if (!request || !request->prefix_blocks())
+        return true;
+    return reinterpret_cast<std::uintptr_t>(request->prefix_blocks()->Data()) % alignof(std::uint64_t) == 0;
+}
+
+bool isAligned(const pool_sync& sync)
+{
+    const bool waiting
+        = !sync.waiting() || std::ranges::all_of(*sync.waiting(), [](const slot_request* request) { return isAligned(request); });
+    return waiting && (!sync.outstanding() || std::ranges::all_of(*sync.outstanding(), [](const outstanding_slot* slot) {
+        return isAligned(slot->request());
+    }));
+}
+
+bool isAligned(const envelope& root)
+{
+    if (const auto* request = root.body_as_slot_request())
+        return isAligned(request);
+    const auto* sync = root.body_as_pool_sync();
+    return !sync || isAligned(*sync);
+}
+
 std::uint32_t readLength(const std::uint8_t* bytes)
 {
     return static_cast<std::uint32_t>(bytes[0]) | static_cast<std::uint32_t>(bytes[1]) << 8 | static_cast<std::uint32_t>(bytes[2]) << 16
@@ -60,7 +85,7 @@
         m_buffer.begin() + static_cast<std::ptrdiff_t>(m_consumed + frameHeaderBytes + size));
     flatbuffers::Verifier verifier(frame.data(), frame.size(), maxTableDepth, maxTables);
     const auto* root = VerifyenvelopeBuffer(verifier) ? Getenvelope(frame.data()) : nullptr;
-    if (!root || root->body_type() == message::NONE || !root->body())
+    if (!root || root->body_type() == message::NONE || !root->body() || !isAligned(*root))
         throw error(error_kind::invalid_message, "frame does not hold a valid envelope",
             "close the connection and check that the peer speaks protocol version " + std::to_string(protocolVersion));
     m_consumed += frameHeaderBytes + size;
--- a/libs/wire/tests/frame_tests.cpp
+++ b/libs/wire/tests/frame_tests.cpp
@@ -38,6 +38,22 @@
     EXPECT_EQ(request->prefix_blocks.size(), 3U);
 }
 
+// Guards against elements of 8 bytes being read at an address that is not a multiple of 8 (found by the frame fuzzer).
+TEST_F(frames, misaligned_elements_throw_invalid_message)
+{
+    auto bytes = sample();
+    const auto* request = flatbuffers::GetRoot<envelope>(bytes.data() + frameHeaderBytes)->body_as_slot_request();
+    const auto* blocks = reinterpret_cast<const std::uint8_t*>(request->prefix_blocks());
+    // Moves the vector four bytes back over its alignment padding, with one element less so that it stays inside the frame.
+    const auto field
+        = const_cast<std::uint8_t*>(reinterpret_cast<const flatbuffers::Table*>(request)->GetAddressOf(slot_request::VT_PREFIX_BLOCKS));
+    flatbuffers::WriteScalar(field, flatbuffers::ReadScalar<flatbuffers::uoffset_t>(field) + 4);
+    flatbuffers::WriteScalar(const_cast<std::uint8_t*>(blocks) + 4, flatbuffers::uoffset_t(1));
+    frame_decoder decoder;
+    decoder.append(bytes);
+    EXPECT_THROW(decoder.next(), error);
+}
+
 // Guards against a hostile length that makes the receiver buffer without bound.
 TEST_F(frames, oversized_length_throws_invalid_message)
 {
