Keep a new pool unready until its endpoints are described and all homes were asked

Cause: a node that has just started took over pools before it knew the list of vms or the other members. Its pool had no endpoint and no home to wait for, became ready at once and refused every request with no_endpoint. Change: such a pool waits for a described endpoint and for homes that become known meanwhile, at most pool_sync_wait_ms.

--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -37,6 +37,8 @@
     std::map<endpoint_id, endpoint_description> endpoints;
     /// Homes that have not reported yet what they run here.
     std::set<node_id> awaited;
+    /// All homes that were asked.
+    std::set<node_id> asked;
     /// Engines that have not reported yet: one of them may be leaving, which only the previous owner knew.
     std::set<endpoint_id> unreported;
     std::set<endpoint_id> reported;
@@ -97,16 +99,11 @@
             slot = std::make_unique<hosted_pool>(settings);
             slot->id = id;
             slot->syncDeadline = now + m_syncWait;
-            for (const auto& member : view.members) {
-                if (member.node != m_self && member.state == member_state::alive)
-                    slot->awaited.insert(member.node);
-            }
-            log_event("pool_owned").field("service", id.service).field("pool", id.number).field("homes", slot->awaited.size());
+            log_event("pool_owned").field("service", id.service).field("pool", id.number).field("members", view.members.size());
             m_history.record("owner", { { "service", id.service.value }, { "pool", id.number } });
-            for (const auto& peer : slot->awaited)
-                m_handlers.requestSync(peer, id);
         }
         auto& pool = *slot;
+        askHomes(pool, view);
         pool.scheduler.setSettings(settings);
         pool.scheduler.setTeams(shares);
         std::vector<endpoint_description> descriptions;
@@ -285,9 +282,21 @@
     becomeReadyWhereSynced(pool, now);
 }
 
+void pool_host::askHomes(hosted_pool& pool, const fleet_view& view)
+{
+    // A node that has just started learns of the other members only after it took over its first pools.
+    for (const auto& member : view.members) {
+        if (pool.ready || member.node == m_self || member.state != member_state::alive || !pool.asked.insert(member.node).second)
+            continue;
+        pool.awaited.insert(member.node);
+        m_handlers.requestSync(member.node, pool.id);
+    }
+}
+
 void pool_host::becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now)
 {
-    if (!pool.ready && pool.awaited.empty() && pool.unreported.empty())
+    // Without a described endpoint every request would be refused; tick() ends the wait for a service that has none.
+    if (!pool.ready && pool.awaited.empty() && pool.unreported.empty() && !pool.endpoints.empty())
         becomeReady(pool, now);
 }
 
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -75,6 +75,8 @@
         monotonic_time deadline;
     };
 
+    /// Asks the homes that were not asked yet what they run in a pool that is not ready.
+    void askHomes(hosted_pool& pool, const fleet_view& view);
     void becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
     void recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused);
