Drop what a home's complete list leaves out; record refusals where they take effect

Change: pool_host drops the requests of a home that its complete list leaves out; the home records a refusal when it accepts it, with the best case carried in slot_refusal.

--- a/libs/load/src/checker_tiers.cpp
+++ b/libs/load/src/checker_tiers.cpp
@@ -49,7 +49,8 @@
                 m_queued[record.request] = &record;
                 if (found == open.end()) {
                     open[record.request] = m_stays.size();
-                    m_stays.push_back({ record.timeUs, INT64_MAX, INT64_MAX, record.tier, !record.nonIdempotent, record.service, { &record } });
+                    m_stays.push_back(
+                        { record.timeUs, INT64_MAX, INT64_MAX, record.tier, !record.nonIdempotent, record.service, { &record } });
                 }
             } else if (found != open.end() && (record.event == "granted" || endsStay(record))) {
                 auto& current = m_stays[found->second];
--- a/libs/load/tests/checker_tests.cpp
+++ b/libs/load/tests/checker_tests.cpp
@@ -114,19 +114,19 @@
     const std::string node = R"({"source":"node","node":"127.0.0.1:7000",)";
     const auto lines = [&](const std::string& endOfLower) {
         return node + R"("t_us":2000,"event":"queued","request":"low","service":"other","tier":3,"deadline_in_ms":9000}
-)" + node
-            + R"("t_us":2000,"event":"queued","request":"qz","service":"other","tier":0,"deadline_in_ms":900}
+)" + node + R"("t_us":2000,"event":"queued","request":"qz","service":"other","tier":0,"deadline_in_ms":900}
 )" + endOfLower
-            + node + R"("t_us":902000,"event":"refused","request":"qz","service":"other","tier":0,"reason":"deadline_passed","best_case_ms":50,"deadline_in_ms":0}
-)" + node
-            + R"("t_us":1902000,"event":"released","request":"low","outcome":"completed"}
+            + node
+            + R"("t_us":902000,"event":"refused","request":"qz","service":"other","tier":0,"reason":"deadline_passed","best_case_ms":50,"deadline_in_ms":0}
+)" + node + R"("t_us":1902000,"event":"released","request":"low","outcome":"completed"}
 )";
     };
     breachOf(2, lines(node + R"("t_us":840000,"event":"granted","request":"low","endpoint":"e9","tier":3}
 )"));
     EXPECT_TRUE(check(lines(""))[1].kept());
     EXPECT_TRUE(check(lines(node + R"("t_us":860000,"event":"granted","request":"low","endpoint":"e9","tier":3}
-)"))[1].kept());
+)"))[1]
+                    .kept());
 }
 
 // Guards against refusals that concern limits, or requests that fit no endpoint, being taken for inversions.
--- a/libs/node/src/dispatch_control.cpp
+++ b/libs/node/src/dispatch_control.cpp
@@ -381,6 +381,11 @@
             return;
         }
     }
+    const auto milliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    m_history.record("refused",
+        { { "request", toString(refusedSlot.request) }, { "service", entry.request.service.value }, { "tier", entry.request.level.value },
+            { "reason", refusalReasonNames.name(refusedSlot.reason) }, { "best_case_ms", milliseconds(refusedSlot.bestCase) },
+            { "deadline_in_ms", milliseconds(entry.request.deadline - now) } });
     refuse(refusedSlot.request, fromOwner(refusedSlot));
 }
 
--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -39,13 +39,15 @@
     };
 }
 
-wire::slot_refusalT encodeRefusal(const request_id& request, std::string_view reason, const std::string& message, duration retryAfter)
+wire::slot_refusalT encodeRefusal(
+    const request_id& request, std::string_view reason, const std::string& message, duration retryAfter, duration bestCase)
 {
     wire::slot_refusalT result;
     result.request = encodeKey(request);
     result.reason = reason;
     result.message = message;
     result.retry_after_ms = encodeMilliseconds(retryAfter);
+    result.best_case_ms = encodeMilliseconds(bestCase);
     return result;
 }
 
@@ -107,8 +109,9 @@
             message.lifetime_ms = settings.timing->grant_lifetime_ms;
             mesh->send(home, std::move(message));
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
-            mesh->send(
-                home, encodeRefusal(refused->request, refusalReasonNames.name(refused->reason), refused->message, refused->retryAfter));
+            mesh->send(home,
+                encodeRefusal(
+                    refused->request, refusalReasonNames.name(refused->reason), refused->message, refused->retryAfter, refused->bestCase));
         } else {
             wire::slot_preemptT message;
             message.request = encodeKey(std::get<slot_preemption>(action).request);
@@ -119,7 +122,7 @@
         if (home == self.node)
             dispatch->ownerRejected(std::chrono::steady_clock::now(), self.node, request);
         else
-            mesh->send(home, encodeRefusal(request, notOwnerReason, "this node does not own the pool", {}));
+            mesh->send(home, encodeRefusal(request, notOwnerReason, "this node does not own the pool", {}, {}));
     };
     hostHandlers.requestSync = [this](const node_id& peer, const pool_id& pool) {
         wire::pool_sync_requestT message;
@@ -224,7 +227,7 @@
         else
             dispatch->deliver(now, peer,
                 slot_refusal { id, self.node, refusalReasonNames.parse(refused->reason).value_or(refusal_reason::unavailable),
-                    refused->message, milliseconds(refused->retry_after_ms) });
+                    refused->message, milliseconds(refused->retry_after_ms), milliseconds(refused->best_case_ms) });
     } else if (const auto* preempt = body.Asslot_preempt()) {
         dispatch->deliver(now, peer, slot_preemption { decodeKey(preempt->request), self.node });
     } else if (const auto* cancel = body.Asslot_cancel()) {
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <unordered_set>
 
 namespace carawaylink {
 
@@ -46,6 +47,8 @@
     bool ready = false;
     std::vector<scheduling_request> deferred;
     std::unordered_map<request_id, granted_slot> granted;
+    /// Requests of a home's list that is still arriving.
+    std::map<node_id, std::unordered_set<request_id>> listed;
 };
 
 pool_host::pool_host(node_id self, duration syncWait, duration grantLifetime, history& record, handlers callbacks)
@@ -148,7 +151,8 @@
                     { "tier", m_requests[grant->request].level.value } });
         } else if (const auto* refused = std::get_if<slot_refusal>(&action)) {
             home = refused->home;
-            recordRefusal(pool.id, now, *refused);
+            // The home records the refusal where it takes effect: after a change of owner it ignores the old one.
+            m_history.record("released", { { "request", toString(refused->request) }, { "outcome", "refused" } });
             m_requests.erase(refused->request);
         } else {
             const auto& preemption = std::get<slot_preemption>(action);
@@ -159,18 +163,6 @@
     }
 }
 
-void pool_host::recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused)
-{
-    const auto found = m_requests.find(refused.request);
-    if (found == m_requests.end())
-        return;
-    const auto milliseconds = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
-    m_history.record("refused",
-        { { "request", toString(refused.request) }, { "service", pool.service.value }, { "tier", found->second.level.value },
-            { "reason", refusalReasonNames.name(refused.reason) }, { "best_case_ms", milliseconds(refused.bestCase) },
-            { "deadline_in_ms", milliseconds(found->second.deadline - now) } });
-}
-
 pool_host::hosted_pool* pool_host::poolOf(const request_id& request)
 {
     const auto found = m_requests.find(request);
@@ -265,7 +257,10 @@
     if (found == m_pools.end())
         return;
     auto& pool = *found->second;
+    auto& listed = pool.listed[home];
+    std::ranges::transform(waiting, std::inserter(listed, listed.end()), &scheduling_request::id);
     for (auto& [request, endpoint, outputTokens] : outstanding) {
+        listed.insert(request.id);
         if (!m_requests.emplace(request.id, known_request { id, request.home, request.level, request.deadline }).second
             && pool.granted.contains(request.id))
             continue;
@@ -277,8 +272,10 @@
     }
     for (auto& request : waiting)
         submit(now, id, std::move(request));
-    if (complete)
+    if (complete) {
+        dropUnlisted(pool, now, home);
         pool.awaited.erase(home);
+    }
     becomeReadyWhereSynced(pool, now);
 }
 
@@ -300,6 +297,32 @@
         becomeReady(pool, now);
 }
 
+// An owner that was paused still holds requests that their home has long released or given to another owner meanwhile.
+void pool_host::dropUnlisted(hosted_pool& pool, monotonic_time now, const node_id& home)
+{
+    const auto listed = std::move(pool.listed[home]);
+    pool.listed.erase(home);
+    std::vector<request_id> stale;
+    for (const auto& [request, known] : m_requests) {
+        if (known.pool == pool.id && known.home == home && !listed.contains(request))
+            stale.push_back(request);
+    }
+    if (stale.empty())
+        return;
+    log_event("pool_requests_dropped").field("service", pool.id.service).field("pool", pool.id.number).field("home", home).field(
+        "requests", stale.size());
+    for (const auto& request : stale) {
+        if (!pool.granted.contains(request)) {
+            cancel(now, home, request);
+            continue;
+        }
+        slot_release unused;
+        unused.request = request;
+        unused.outcome = release_outcome::unused;
+        release(now, unused);
+    }
+}
+
 void pool_host::becomeReady(hosted_pool& pool, monotonic_time now)
 {
     pool.ready = true;
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -79,8 +79,8 @@
     void askHomes(hosted_pool& pool, const fleet_view& view);
     void becomeReadyWhereSynced(hosted_pool& pool, monotonic_time now);
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
-    void recordRefusal(const pool_id& pool, monotonic_time now, const slot_refusal& refused);
     hosted_pool* poolOf(const request_id& request);
+    void dropUnlisted(hosted_pool& pool, monotonic_time now, const node_id& home);
     void becomeReady(hosted_pool& pool, monotonic_time now);
 
     node_id m_self;
--- a/libs/node/tests/dispatch_tests.cpp
+++ b/libs/node/tests/dispatch_tests.cpp
@@ -194,6 +194,21 @@
     EXPECT_EQ(grantsDelivered(), slots + 1);
 }
 
+// Guards against an owner that was paused refusing work because of requests that their home has released meanwhile.
+TEST_F(dispatch_test, requests_missing_from_a_complete_list_are_dropped)
+{
+    setMembers({ self });
+    const node_id home("home");
+    for (std::uint64_t i = 1; i <= slots + 1; ++i)
+        host->submit(now, pool, foreign(i, home));
+    EXPECT_EQ(grantsDelivered(), slots);
+    host->sync(now, home, pool, { foreign(slots + 2, home) }, {}, false);
+    EXPECT_EQ(host->status(now).front().status.running, slots);
+    host->sync(now, home, pool, {}, {}, true);
+    EXPECT_EQ(host->status(now).front().status.running, 1U);
+    EXPECT_EQ(host->status(now).front().status.waiting, 0U);
+}
+
 // Guards against a dispatch without the witness's acknowledgement, and against its slot being kept.
 TEST_F(dispatch_test, refused_intent_gives_not_run_and_no_dispatch)
 {
