Grant a request again whose grant was lost with its connection

Cause: pool_host::sync() ignored a request that its home reports as waiting where the owner had granted it. The home got no grant until its deadline; the owner took the slot back after two grant lifetimes without telling the home. Ruled out: a second dispatch, since the home dispatches a request once and ignores a grant for one that does not wait.

--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -275,8 +275,18 @@
                 { "service", id.service.value }, { "non_idempotent", request.nonIdempotent } });
         pool.scheduler.restore(now, std::move(request), endpoint, outputTokens);
     }
-    for (auto& request : waiting)
+    for (auto& request : waiting) {
+        // The grant was lost with the connection that carried it. Where it arrives after all, the home ignores the second one,
+        // whose slot is freed with the request.
+        const auto slot = pool.granted.find(request.id);
+        if (slot != pool.granted.end() && slot->second.home == home) {
+            slot_release unused;
+            unused.request = request.id;
+            unused.outcome = release_outcome::unused;
+            release(now, unused);
+        }
         submit(now, id, std::move(request));
+    }
     if (complete)
         pool.awaited.erase(home);
     becomeReadyWhereSynced(pool, now);
