--- a/libs/load/src/checker_tiers.cpp
+++ b/libs/load/src/checker_tiers.cpp
@@ -52,6 +52,11 @@
                     m_stays.push_back(
                         { record.timeUs, INT64_MAX, INT64_MAX, record.tier, !record.nonIdempotent, record.service, { &record } });
                 }
+            } else if (found == open.end() && record.event == "granted" && !record.service.empty()) {
+                // A new owner learned of a request that its predecessor had granted.
+                open[record.request] = m_stays.size();
+                m_stays.push_back(
+                    { record.timeUs, INT64_MAX, record.timeUs, record.tier, !record.nonIdempotent, record.service, { &record } });
             } else if (found != open.end() && (record.event == "granted" || endsStay(record))) {
                 auto& current = m_stays[found->second];
                 current.lines.push_back(&record);
--- a/libs/node/src/pool_host.cpp
+++ b/libs/node/src/pool_host.cpp
@@ -134,6 +134,7 @@
         if (owned.contains(entry.first))
             return false;
         log_event("pool_given_up").field("service", entry.first.service).field("pool", entry.first.number);
+        recordEnds("pool_given_up", [&](const known_request& known) { return known.pool == entry.first; });
         return true;
     });
     std::erase_if(m_requests, [&](const auto& entry) { return !m_pools.contains(entry.second.pool); });
@@ -270,8 +271,18 @@
                 { "service", id.service.value }, { "non_idempotent", request.nonIdempotent } });
         pool.scheduler.restore(now, std::move(request), endpoint, outputTokens);
     }
-    for (auto& request : waiting)
+    for (auto& request : waiting) {
+        // The grant was lost with the connection that carried it. Where it arrives after all, the home ignores the second one,
+        // whose slot is freed with the request.
+        const auto slot = pool.granted.find(request.id);
+        if (slot != pool.granted.end() && slot->second.home == home) {
+            slot_release unused;
+            unused.request = request.id;
+            unused.outcome = release_outcome::unused;
+            release(now, unused);
+        }
         submit(now, id, std::move(request));
+    }
     if (complete) {
         dropUnlisted(pool, now, home);
         pool.awaited.erase(home);
@@ -309,8 +320,11 @@
     }
     if (stale.empty())
         return;
-    log_event("pool_requests_dropped").field("service", pool.id.service).field("pool", pool.id.number).field("home", home).field(
-        "requests", stale.size());
+    log_event("pool_requests_dropped")
+        .field("service", pool.id.service)
+        .field("pool", pool.id.number)
+        .field("home", home)
+        .field("requests", stale.size());
     for (const auto& request : stale) {
         if (!pool.granted.contains(request)) {
             cancel(now, home, request);
@@ -337,6 +351,14 @@
         perform(pool, now, pool.scheduler.submit(now, std::move(request)));
 }
 
+void pool_host::recordEnds(std::string_view outcome, const std::function<bool(const known_request&)>& concerned)
+{
+    for (const auto& [request, known] : m_requests) {
+        if (concerned(known))
+            m_history.record("released", { { "request", toString(request) }, { "outcome", outcome } });
+    }
+}
+
 void pool_host::homeLost(monotonic_time now, const node_id& home)
 {
     for (auto& [id, pool] : m_pools) {
@@ -345,6 +367,8 @@
         std::erase_if(pool->granted, [&](const auto& entry) { return entry.second.home == home; });
         perform(*pool, now, pool->scheduler.homeLost(now, home));
     }
+    // Streams of a dead home cannot be cancelled by anyone.
+    recordEnds("home_lost", [&](const known_request& known) { return known.home == home; });
     std::erase_if(m_requests, [&](const auto& entry) { return entry.second.home == home; });
 }
 
--- a/libs/node/src/pool_host.h
+++ b/libs/node/src/pool_host.h
@@ -81,6 +81,8 @@
     void perform(hosted_pool& pool, monotonic_time now, const std::vector<scheduling_action>& actions);
     hosted_pool* poolOf(const request_id& request);
     void dropUnlisted(hosted_pool& pool, monotonic_time now, const node_id& home);
+    /// Notes in the history that requests ended here without a release by their home.
+    void recordEnds(std::string_view outcome, const std::function<bool(const known_request&)>& concerned);
     void becomeReady(hosted_pool& pool, monotonic_time now);
 
     node_id m_self;
