Repeat requests that an endpoint did not take as ones the scheduler accepts

Ruled out: a lost grant, a pool that was not ready. Change: an engine that received nothing is reported as rejected; the repetition of a call that may have run gets an id of its own. The configured part of the view is built once per configuration and expiry instead of every second.

--- a/libs/node/src/completion_exchange.cpp
+++ b/libs/node/src/completion_exchange.cpp
@@ -210,7 +210,8 @@
         const bool leaving = result.endpointLeaving;
         if (leaving)
             m_context->gateway.endpointLeaving(m_endpoint);
-        release(result.outcome == stream_outcome::rejected ? release_outcome::rejected : release_outcome::failed, result);
+        // Also for an unreachable engine: the scheduler takes a request again only where it certainly did not run.
+        release(release_outcome::rejected, result);
         const bool callersFault = result.status >= 400 && result.status < 500 && result.status != 429;
         if (callersFault) {
             answer({ result.status, { { "Content-Type", "application/json" } }, result.body });
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "config/exceptions.h"
 #include "http/client.h"
 #include "membership/ownership.h"
 #include "node_state.h"
@@ -139,13 +140,23 @@
     runOnControl([this] { updateView(); });
 }
 
+// Exceptions are applied once per configuration and expiry, since that takes time with thousands of teams.
+void node::implementation::refreshConfigured(std::chrono::sys_seconds utc)
+{
+    const auto& fold = config->fold();
+    if (!fold.configuration() || (configured.version == fold.version() && utc < configuredUntil))
+        return;
+    configured = buildFleetView(*fold.configuration(), fold.version(), utc);
+    configuredUntil = nextExpiry(*fold.configuration(), utc).value_or(std::chrono::sys_seconds::max());
+}
+
 void node::implementation::updateView()
 {
     viewUpdatePending = false;
     const auto now = std::chrono::steady_clock::now();
     const auto utc = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
-    const auto& fold = config->fold();
-    auto next = fold.configuration() ? buildFleetView(*fold.configuration(), fold.version(), utc) : fleet_view {};
+    refreshConfigured(utc);
+    auto next = configured;
     next.members = liveMembers();
     next.leavingEndpoints = directory->leaving();
     next.draining = draining;
--- a/libs/node/src/node_state.h
+++ b/libs/node/src/node_state.h
@@ -50,6 +50,7 @@
     void memberChanged(const member_changed& change);
     void scheduleViewUpdate();
     void updateView();
+    void refreshConfigured(std::chrono::sys_seconds utc);
     std::vector<member_update> liveMembers() const;
 
     void acquire(dispatch_request request, std::size_t thread, dispatch_callback callback);
@@ -90,6 +91,9 @@
     std::unique_ptr<order_driver> orders;
     std::unique_ptr<request_front> front;
     std::unique_ptr<http_server> server;
+    /// The part of the view that follows from the configuration, and until when it holds.
+    fleet_view configured;
+    std::chrono::sys_seconds configuredUntil {};
     team_rate_limit rateLimit;
     /// Read by front threads too.
     std::mutex retryMutex;
--- a/libs/node/src/plain_exchange.cpp
+++ b/libs/node/src/plain_exchange.cpp
@@ -96,6 +96,9 @@
         const bool repeatable = (notTaken && m_request.ticket.empty()) || !m_request.nonIdempotent;
         if (repeatable && m_attempts < maxDispatchAttempts && std::chrono::steady_clock::now() < m_request.deadline
             && !m_responder->closed() && (leaving || m_context->gateway.tryRetry(m_request.service))) {
+            // The scheduler takes a request that may have run only once, so its repetition is a request of its own.
+            if (!notTaken)
+                m_request.id.sequence = m_context->nextRequest++;
             acquire();
             return;
         }
--- a/libs/node/tests/node_tests.cpp
+++ b/libs/node/tests/node_tests.cpp
@@ -43,6 +43,30 @@
     EXPECT_EQ(historyCount("\"received\"", ""), historyCount("\"finished\"", ""));
 }
 
+// Guards against a repeated request that the scheduler ignores, so that it waits in no queue until its deadline.
+TEST_F(node_test, requests_that_an_endpoint_did_not_answer_are_repeated_at_once)
+{
+    const auto address = startNode("d1").httpAddress();
+    auto second = std::make_unique<engine_server>(engine_server_options {}, std::make_shared<history_writer>(""));
+    const auto secondAddress = second->listen("127.0.0.1:0");
+    call(vmsAddress,
+        { "POST", "/vms", {},
+            R"({"vms":[{"address":")" + secondAddress + R"(","role":"endpoint","service":"llm","state":"live","failure_domain":"d1"}]})" });
+    awaitServing();
+    waitUntil([&] {
+        const auto page = call(address, { "GET", "/admin/status", { { "Authorization", "Bearer operator-key" } }, {} });
+        return page.body.find(secondAddress) != std::string::npos;
+    });
+    second.reset();
+    for (int i = 0; i < 8; ++i)
+        EXPECT_EQ(call(address, completion("c" + std::to_string(i), 3, false)).status, 200U);
+    call(serviceAddress, { "POST", "/faults", {}, R"({"lose_answer_share":1})" });
+    auto headers = key();
+    headers.push_back({ "X-Carawaylink-Idempotent", "true" });
+    const auto lost = call(address, { "POST", "/services/desk/x", headers, "{}" });
+    EXPECT_EQ(lost.status, 502U) << lost.body;
+}
+
 // Guards against a call that runs twice when its caller tries again with the same ticket at another node.
 TEST_F(node_test, retry_with_ticket_at_another_node_runs_once)
 {
