Return to the former weight of cached prefixes

Change: crowdedPrefixWeight 3 again. Conclusion: the weight is not what wastes prefill; hot prefixes spread over all endpoints because a freed slot decides the endpoint.

--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -11,7 +11,7 @@
 
 /// While other work waits, prefill that a cached prefix saves is also engine time for that work, so it counts this many times
 /// its own duration; without other work it only shortens the request itself.
-constexpr double crowdedPrefixWeight = 12;
+constexpr double crowdedPrefixWeight = 3;
 /// While this share of the slots is taken, a request that an endpoint can finish safely in time goes where slots are free rather
 /// than where it ends soonest, which leaves fast endpoints to requests that need them. Below, there is no contention; above, there
 /// is hardly a choice.
