--- a/tools/carawaylink-load/main.cpp
+++ b/tools/carawaylink-load/main.cpp
@@ -12,6 +12,7 @@
     using namespace carawaylink::load;
     startLog("carawaylink-load");
     CLI::App app("Open-loop load generator and history checker for Carawaylink");
+    app.set_version_flag("--version", "carawaylink-load 0.1.0");
     app.require_subcommand(1);
     int status = 0;
     addGenerateCommand(app, status);
