--- a/libs/node/src/node_wiring.cpp
+++ b/libs/node/src/node_wiring.cpp
@@ -218,8 +218,7 @@
         host->submit(now, { service_id(request->service), request->pool }, decodeSlotRequest(*request, peer, now));
     } else if (const auto* grant = body.Asslot_grant()) {
         dispatch->deliver(now, peer,
-            slot_grant { decodeKey(grant->request), self.node, endpoint_id(grant->endpoint), tokens(grant->expected_cached_tokens),
-                grant->explanation });
+            slot_grant { decodeKey(grant->request), self.node, endpoint_id(grant->endpoint), tokens(grant->expected_cached_tokens), {} });
     } else if (const auto* refused = body.Asslot_refusal()) {
         const auto id = decodeKey(refused->request);
         if (refused->reason == notOwnerReason)
