Treat an engine's answer as complete once its end arrived

Cause: between the end marker and the end of the engine's response, a cancel (preemption by a higher tier, a caller that leaves) still counted as a cancelled stream, so the caller got an error event behind [DONE]; and events that a faulty engine sends behind the marker were passed on. Change: the first end marker ends the answer; a later cancel reports it as complete.

--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -112,7 +112,7 @@
 
 void engine_stream::received(std::string_view bytes)
 {
-    if (m_finished || m_gapSeen)
+    if (m_finished || m_gapSeen || m_doneSeen)
         return;
     if (m_status != 200) {
         if (m_errorBody.size() + bytes.size() <= maxEventBytes)
@@ -121,7 +121,8 @@
     }
     m_buffer += bytes;
     std::size_t start = 0;
-    while (!m_finished && !m_gapSeen) {
+    // What follows the end of an answer belongs to no request.
+    while (!m_finished && !m_gapSeen && !m_doneSeen) {
         const auto end = m_buffer.find("\n\n", start);
         if (end == std::string::npos)
             break;
@@ -245,6 +246,11 @@
 {
     if (m_finished)
         return;
+    // The caller has the whole answer; only the end of the engine's response is outstanding.
+    if (m_doneSeen) {
+        finish(stream_outcome::complete, {});
+        return;
+    }
     m_client.send(m_endpoint.value, { "DELETE", "/v1/streams/" + toString(m_request), {}, {} }, {}, [](const http_result&) {});
     finish(stream_outcome::cancelled, "cancelled");
 }
--- a/libs/node/tests/engine_stream_tests.cpp
+++ b/libs/node/tests/engine_stream_tests.cpp
@@ -246,5 +246,28 @@
     runUntil(context, [this] { return seen().back().starts_with("DELETE /v1/streams/"); });
 }
 
+// Guards against an error event behind the end of a whole answer: the engine's connection is still open when the end arrives, and a
+// higher tier takes the slot in that moment.
+TEST_F(engine_stream_test, cancel_after_the_end_of_the_answer_is_complete)
+{
+    answers = { { tokenEvents(0, 3) + streamEnd(), answer::ending::hold } };
+    const auto stream = open(address);
+    stream->dispatch("/v1/completions", "{}");
+    runUntil(context, [this] { return doneEvents == 1; });
+    stream->cancel();
+    EXPECT_EQ(result.value_or(stream_result {}).outcome, stream_outcome::complete);
+    EXPECT_EQ(result.value_or(stream_result {}).outputTokens, tokens(3));
+    expectTokens(3);
+}
+
+// Guards against bytes of a faulty engine that follow the end of its answer and reach the caller as a part of it.
+TEST_F(engine_stream_test, events_after_the_end_of_the_answer_are_dropped)
+{
+    const auto ended = run({ { tokenEvents(0, 3) + streamEnd() + tokenEvents(3, 5) + streamEnd(), answer::ending::finish } });
+    EXPECT_EQ(ended.outcome, stream_outcome::complete);
+    EXPECT_EQ(doneEvents, 1);
+    expectTokens(3);
+}
+
 } // namespace
 } // namespace carawaylink
