Keep the response of a silent endpoint until another one takes over

Change: the request waits for another endpoint while the present response stays open; bytes end the search, a refusal leaves things as they are. A response that has begun is refused by the pool only when its time is over.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t maxPendingBytes = 256 * 1024;
 // A resumable stream without bytes for this long continues elsewhere.
 constexpr auto silentStream = std::chrono::milliseconds(1200);
+// Pause before another search for a replacement of a silent endpoint.
+constexpr auto seekPause = std::chrono::milliseconds(400);
 // A repeat needs at least this much time to be of use.
 constexpr auto shortestRepeat = std::chrono::milliseconds(60);
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
@@ -73,6 +75,11 @@
 void exchange::wait(monotonic_time now, bool returning)
 {
     m_state = state::waiting;
+    submit(now, returning);
+}
+
+void exchange::submit(monotonic_time now, bool returning)
+{
     placement::waiting_request request;
     request.id = m_admitted.id;
     request.teamTier = m_admitted.teamTier;
@@ -90,12 +97,17 @@
     request.longestPause = m_admitted.route.longestPause;
     request.excluded = m_tried;
     request.returning = returning;
+    request.hasBegun = m_headForwarded;
     m_front.submit(shared_from_this(), std::move(request));
 }
 
 void exchange::granted(const placement::grant& grant)
 {
     const auto now = std::chrono::steady_clock::now();
+    // The pool has ended the load of the silent endpoint with the grant.
+    if (std::exchange(m_isSeeking, false))
+        leaveEndpoint(placement::outcome::silent, "no bytes within the expected time", true);
+    m_holdsRepeat = false;
     m_grant = grant;
     m_state = state::sent;
     m_tried.push_back(grant.replica);
@@ -148,7 +160,13 @@
         .field("cause", placement::refusalCauseNames.name(refusal.cause))
         .field("ahead", refusal.ahead)
         .field("waited_ms", inMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
-        .field("retry_after_ms", inMilliseconds(refusal.retryAfter));
+        .field("retry_after_ms", inMilliseconds(refusal.retryAfter))
+        .field("replaces", m_isSeeking);
+    // The response of the silent endpoint may still go on.
+    if (std::exchange(m_isSeeking, false)) {
+        m_nextSeek = std::chrono::steady_clock::now() + seekPause;
+        return;
+    }
     if (m_headForwarded) {
         m_responder->abort();
         finish("broken_off");
@@ -180,6 +198,7 @@
 void exchange::bytesArrived(std::string_view bytes)
 {
     m_lastByte = std::chrono::steady_clock::now();
+    stopSeeking();
     if (m_state == state::collecting) {
         m_body += bytes;
         if (m_body.size() > maxCollectedBytes)
@@ -220,6 +239,7 @@
     m_call.reset();
     if (m_state == state::done)
         return;
+    stopSeeking();
     if (!result.ok()) {
         attemptFailed(outcomeOf(result), result.detail);
         return;
@@ -270,10 +290,20 @@
 
 void exchange::attemptFailed(placement::outcome result, const std::string& detail)
 {
-    ++m_callNumber;
-    if (const auto call = std::exchange(m_call, nullptr))
-        call->cancel();
+    stopSeeking();
     endEndpoint(result);
+    const auto now = std::chrono::steady_clock::now();
+    countFailure(result);
+    const bool again = canTryAgain(result, now) && (result == placement::outcome::unreachable || takeRepeat());
+    leaveEndpoint(result, detail, again);
+    if (again)
+        wait(now, true);
+    else
+        failFinally(result);
+}
+
+void exchange::countFailure(placement::outcome result)
+{
     if (!wasNotSent(result))
         m_hasRun = true;
     // The endpoint that was meant never had the request.
@@ -282,40 +312,57 @@
         --m_sends;
         ++m_misses;
     }
-    const auto now = std::chrono::steady_clock::now();
-    const bool again = mayTryAgain(result, now);
+}
+
+void exchange::leaveEndpoint(placement::outcome result, const std::string& detail, bool again)
+{
+    ++m_callNumber;
+    if (const auto call = std::exchange(m_call, nullptr))
+        call->cancel();
     m_front.log()
         .event("attempt_failed")
         .field("request", m_admitted.facts.attempt)
         .field("replica", m_grant.replica)
         .field("outcome", placement::outcomeNames.name(result))
-        .field("after_ms", inMilliseconds(now - m_sentAt))
+        .field("after_ms", inMilliseconds(std::chrono::steady_clock::now() - m_sentAt))
         .field("events", m_events.events())
         .field("again", again)
         .field("detail", '"' + detail + '"');
     m_front.metrics().attemptFailed(result);
-    if (again)
-        wait(now, true);
-    else
-        failFinally(result);
 }
 
-bool exchange::mayTryAgain(placement::outcome result, monotonic_time now)
+bool exchange::canTryAgain(placement::outcome result, monotonic_time now) const
 {
-    if (m_responder->closed() || m_admitted.finalBy - now < shortestRepeat)
-        return false;
-    if (result == placement::outcome::unreachable)
-        return (!m_hasRun || m_admitted.route.mayRepeat()) && m_misses < maxMisses;
-    if (m_misses >= maxMisses)
-        return false;
-    if (m_sends >= m_admitted.route.maxAttempts)
+    if (m_responder->closed() || m_admitted.finalBy - now < shortestRepeat || m_misses >= maxMisses)
         return false;
     if (m_hasRun && !m_admitted.route.mayRepeat())
         return false;
+    if (result == placement::outcome::unreachable)
+        return true;
     // A stream without ids cannot be continued.
-    if (m_headForwarded && !m_events.lastId())
-        return false;
-    return m_front.takeRepeat(m_admitted.service);
+    return m_sends < m_admitted.route.maxAttempts && (!m_headForwarded || m_events.lastId());
+}
+
+bool exchange::takeRepeat()
+{
+    if (!m_holdsRepeat)
+        m_holdsRepeat = m_front.takeRepeat(m_admitted.service);
+    return m_holdsRepeat;
+}
+
+void exchange::seekReplacement(monotonic_time now)
+{
+    if (now < m_nextSeek || !canTryAgain(placement::outcome::silent, now) || !takeRepeat())
+        return;
+    m_hasRun = true;
+    m_isSeeking = true;
+    submit(now, true);
+}
+
+void exchange::stopSeeking()
+{
+    if (std::exchange(m_isSeeking, false))
+        m_front.withdraw(*this);
 }
 
 void exchange::failFinally(placement::outcome result)
@@ -348,17 +395,12 @@
         attemptFailed(isSilent ? placement::outcome::silent : placement::outcome::cancelled, "time is over");
         return;
     }
-    if (m_state == state::waiting)
-        return;
-    if (!m_admitted.route.mayRepeat())
-        return;
-    // Another endpoint is asked only where there may be one; otherwise the answer may still come.
-    if (m_sends >= m_admitted.route.maxAttempts)
+    if (m_state == state::waiting || m_isSeeking || !m_admitted.route.mayRepeat())
         return;
     const bool hasEvents = m_events.events() > m_eventsBefore;
     const auto limit = hasEvents ? duration(silentStream) : m_front.patience(*this);
     if (now - m_lastByte > limit)
-        attemptFailed(placement::outcome::silent, "no bytes within the expected time");
+        seekReplacement(now);
 }
 
 void exchange::abandon()
@@ -366,6 +408,7 @@
     if (m_state == state::done)
         return;
     ++m_callNumber;
+    stopSeeking();
     if (const auto call = std::exchange(m_call, nullptr))
         call->cancel();
     m_responder->abort();
@@ -378,6 +421,7 @@
         return;
     ++m_callNumber;
     const bool wasWaiting = m_state == state::waiting;
+    stopSeeking();
     if (const auto call = std::exchange(m_call, nullptr))
         call->cancel();
     if (wasWaiting)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -57,6 +57,11 @@
     };
 
     void wait(monotonic_time now, bool returning);
+    void submit(monotonic_time now, bool returning);
+    /// Asks for another endpoint and keeps the response of the silent one until there is one.
+    void seekReplacement(monotonic_time now);
+    void stopSeeking();
+    void leaveEndpoint(placement::outcome result, const std::string& detail, bool again);
     void headArrived(const http_response& head);
     void bytesArrived(std::string_view bytes);
     void callEnded(const http_result& result);
@@ -64,7 +69,9 @@
     void streamEnded();
     void forward(std::string events);
     void attemptFailed(placement::outcome result, const std::string& detail);
-    bool mayTryAgain(placement::outcome result, monotonic_time now);
+    void countFailure(placement::outcome result);
+    bool canTryAgain(placement::outcome result, monotonic_time now) const;
+    bool takeRepeat();
     void failFinally(placement::outcome result);
     void answer(http_response response, std::string_view reason);
     void endEndpoint(placement::outcome result);
@@ -83,6 +90,11 @@
     unsigned m_misses = 0;
     bool m_hasRun = false;
     bool m_headForwarded = false;
+    /// A replacement of the endpoint in use waits in the pool.
+    bool m_isSeeking = false;
+    /// One repeat is taken from the budget and not used yet.
+    bool m_holdsRepeat = false;
+    monotonic_time m_nextSeek {};
     http_response m_head;
     response_facts m_headFacts;
     std::string m_body;
--- a/libs/gateway/tests/front_tests.cpp
+++ b/libs/gateway/tests/front_tests.cpp
@@ -327,5 +327,52 @@
     EXPECT_EQ(requestsAt(0) + requestsAt(1), 1);
 }
 
+// Sends one event, pauses for longer than a silent stream is left alone, then sends the rest.
+http_handler pauses(boost::asio::io_context& context, duration pause)
+{
+    return [&context, pause](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        responder->write("id: 1\ndata: d1\n\n");
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, pause);
+        timer->async_wait([responder, timer](boost::system::error_code) {
+            responder->write("id: 2\ndata: d2\n\n");
+            responder->finish();
+        });
+    };
+}
+
+TEST_F(front_test, resumableStream_thatPausesWithNoOtherEndpoint_isNotBrokenOff)
+{
+    // Guards against a caller that loses an answer because its endpoint paused and no other one could take over.
+    endpoint("one", pauses(m_threads.context(0), 1500ms));
+    start(true, true, 2);
+    EXPECT_EQ(send("POST").body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+}
+
+TEST_F(front_test, resumableStream_thatPausesWithoutRepeatsLeft_isNotBrokenOff)
+{
+    m_settings.repeatRatio = 0;
+    m_settings.repeatSlack = 0;
+    endpoint("one", pauses(m_threads.context(0), 1500ms));
+    endpoint("two", pauses(m_threads.context(0), 1500ms));
+    start(true, true, 2);
+    EXPECT_EQ(send("POST").body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+    EXPECT_EQ(requestsAt(0) + requestsAt(1), 1);
+}
+
+TEST_F(front_test, resumableStream_thatStaysSilent_continuesElsewhere)
+{
+    endpoint("one", pauses(m_threads.context(0), 8s));
+    start(true, true, 2);
+    std::thread late([this] {
+        std::this_thread::sleep_for(300ms);
+        endpoint("two", streams(3, true));
+        start(true, true, 2);
+    });
+    const auto response = send("POST");
+    late.join();
+    EXPECT_EQ(response.body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n");
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -38,6 +38,8 @@
     std::vector<replica_id> excluded;
     /// A request that was already admitted once, here or after a refusal; goes before new ones of its tier.
     bool returning = false;
+    /// A part of its response has reached the caller; it is refused only when its time is over.
+    bool hasBegun = false;
     /// Cannot be in time any more; set by the pool.
     bool isLate = false;
     /// Its wait was reported; set by the pool.
@@ -140,7 +142,8 @@
     void submit(waiting_request request);
     /// Removes a request that still waits; false where it does not.
     bool withdraw(std::uint64_t id);
-    /// Grants and refuses what can be decided now.
+    /// Grants and refuses what can be decided now. A grant for a request that runs already ends its load at the endpoint before, as
+    /// silent.
     pool_decisions decide(monotonic_time now);
     bool hasWaiting() const { return !m_waiting.empty(); }
     std::size_t waiting() const { return m_waiting.size(); }
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -314,6 +314,7 @@
 
 grant service_pool::start(const waiting_request& request, const candidate& chosen, monotonic_time now)
 {
+    finished(request.id, outcome::silent, 0, now);
     auto& endpoint = *chosen.endpoint;
     const auto unread = endpoint.unread();
     const tokens memory { request.prompt.value + request.output.value };
@@ -329,6 +330,8 @@
 
 std::optional<refusal> service_pool::refuse(const waiting_request& request, std::size_t ahead, monotonic_time now)
 {
+    if (request.hasBegun)
+        return std::nullopt;
     const auto wait = expectedWait(request, ahead, now);
     const auto retryAfter = std::clamp<duration>(wait, shortestRetry, longestRetry);
     const auto fastest = fastestFirst(request, now);
