--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -30,6 +30,8 @@
     double repeatRatio = 0.2;
     double repeatSlack = 50;
     duration repeatWindow = std::chrono::seconds(10);
+    /// Quotas of the teams bound what they use in any window of this length.
+    duration quotaWindow = std::chrono::seconds(8);
     /// Time from SIGTERM until the process is killed.
     duration stopGrace = std::chrono::seconds(8);
     /// Connections of callers at once; more are closed unread.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -108,6 +108,8 @@
     if (std::exchange(m_isSeeking, false))
         leaveEndpoint(placement::outcome::silent, "no bytes within the expected time", true);
     m_holdsRepeat = false;
+    if (m_admitted.team && !std::exchange(m_isCounted, true))
+        m_front.commitQuota(*m_admitted.team, m_admitted.quotaUnits);
     m_grant = grant;
     m_state = state::sent;
     m_tried.push_back(grant.replica);
@@ -445,8 +447,8 @@
 void exchange::finish(std::string_view result)
 {
     m_state = state::done;
-    if (!m_hasRun && result == "refused" && m_admitted.team)
-        m_front.giveBackQuota(*m_admitted.team, m_admitted.quotaUnits);
+    if (m_admitted.team && !m_isCounted)
+        m_front.releaseQuota(*m_admitted.team, m_admitted.quotaUnits);
     m_front.log()
         .event("request_ended")
         .field("request", m_admitted.facts.attempt)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -89,6 +89,8 @@
     unsigned m_sends = 0;
     unsigned m_misses = 0;
     bool m_hasRun = false;
+    /// Its quota units count as used.
+    bool m_isCounted = false;
     bool m_headForwarded = false;
     /// A replacement of the endpoint in use waits in the pool.
     bool m_isSeeking = false;
--- a/libs/gateway/src/fleet_view.cpp
+++ b/libs/gateway/src/fleet_view.cpp
@@ -29,6 +29,7 @@
     auto& state = m_peers[report.node];
     if (state.incarnation != report.incarnation) {
         state.usage.clear();
+        dropReserved(state);
         state.incarnation = report.incarnation;
     }
     state.heard = now;
@@ -59,10 +60,19 @@
         if (entry->taken > known->second && !isBefore)
             m_front.subtractPeerUsage(entry->team, entry->taken - known->second);
         known->second = std::max(known->second, entry->taken);
+        auto& reserved = state.reserved[entry->team];
+        m_front.addPeerReserved(entry->team, entry->reserved - std::exchange(reserved, entry->reserved));
         m_front.adoptQuota(entry->team, entry->level);
     }
 }
 
+void fleet_view::dropReserved(peer_state& state)
+{
+    for (const auto& [team, units] : state.reserved)
+        m_front.addPeerReserved(team, -units);
+    state.reserved.clear();
+}
+
 void fleet_view::refresh(duration silence, monotonic_time now)
 {
     std::set<std::string> possible { m_ownAddress };
@@ -73,6 +83,7 @@
         if (state.isLive && now - state.heard > silence) {
             state.isLive = false;
             m_front.removePeer(node_id { address });
+            dropReserved(state);
             m_log.event("peer_silent")
                 .field("peer", address)
                 .field("silence_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - state.heard).count());
--- a/libs/gateway/src/fleet_view.h
+++ b/libs/gateway/src/fleet_view.h
@@ -41,9 +41,11 @@
         bool reachesStore = true;
         config_version version;
         std::map<std::string, double> usage;
+        std::map<std::string, double> reserved;
         monotonic_time heard {};
     };
     void applyUsage(peer_state& state, const peer::node_reportT& report, monotonic_time now);
+    void dropReserved(peer_state& state);
 
     std::string m_ownAddress;
     front& m_front;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -132,19 +132,18 @@
         admitted.team = team->name;
         admitted.quotaUnits = quotaUnits(*team, facts);
         const auto quota = m_quotas.find(team->name.value);
-        const double share = static_cast<double>(m_fleet.reporting) / static_cast<double>(std::max(m_fleet.possible, m_fleet.reporting));
-        if (quota != m_quotas.end() && !quota->second.take(admitted.quotaUnits, admitted.route.tier, share, now)) {
+        if (quota != m_quotas.end() && !quota->second.reserve(admitted.quotaUnits, admitted.route.tier, quotaNodes(), now)) {
             m_log.event("quota_exceeded")
                 .field("request", facts.attempt)
                 .field("team", team->name)
                 .field("units", admitted.quotaUnits)
-                .field("level", quota->second.level())
+                .field("left", quota->second.left(now))
                 .field("rate_per_s", team->ratePerSecond)
                 .field("burst", team->burst)
                 .field("reporting_nodes", m_fleet.reporting)
                 .field("possible_nodes", m_fleet.possible);
             const auto wait = std::clamp<duration>(
-                quota->second.untilAvailable(admitted.quotaUnits, admitted.route.tier, share), movedAwayRetry, longestQuotaRetry);
+                quota->second.untilAvailable(admitted.quotaUnits, admitted.route.tier, quotaNodes(), now), movedAwayRetry, longestQuotaRetry);
             reject(statusTooManyRequests, "quota", wait);
             return;
         }
@@ -168,9 +167,9 @@
     for (const auto& team : definition.teams) {
         const auto found = m_quotas.find(team.name.value);
         if (found != m_quotas.end())
-            found->second.configure(team.ratePerSecond, team.burst, now);
+            found->second.configure(quotaLimit(team), now);
         else
-            m_quotas.emplace(team.name.value, limits::shared_quota(team.ratePerSecond, team.burst, now, m_settings.isFirstStart));
+            m_quotas.emplace(team.name.value, limits::shared_quota(quotaLimit(team), now, m_settings.isFirstStart));
     }
     for (const auto& defined : definition.services) {
         placement::pool_limits limits;
@@ -252,7 +251,19 @@
 {
     const auto found = m_quotas.find(team);
     if (found != m_quotas.end())
-        found->second.subtract(units, std::chrono::steady_clock::now());
+        found->second.usedByPeer(units, std::chrono::steady_clock::now());
+}
+
+void front::addPeerReserved(const std::string& team, double units)
+{
+    const auto found = m_quotas.find(team);
+    if (found != m_quotas.end())
+        found->second.addPeerReserved(units);
+}
+
+limits::quota_limit front::quotaLimit(const routing::team_definition& team) const
+{
+    return { team.ratePerSecond, team.burst, m_settings.quotaWindow };
 }
 
 void front::adoptQuota(const std::string& team, double level)
@@ -261,7 +272,7 @@
         return;
     const auto found = m_quotas.find(team);
     if (found != m_quotas.end() && m_adoptedQuotas.insert(team).second)
-        found->second.adopt(level);
+        found->second.adopt(level, std::chrono::steady_clock::now());
 }
 
 void front::startStopping(monotonic_time until)
@@ -315,10 +326,11 @@
 
 std::map<std::string, quota_use> front::ownUsage() const
 {
+    const auto now = std::chrono::steady_clock::now();
     std::map<std::string, quota_use> usage;
     for (const auto& [team, quota] : m_quotas) {
         if (quota.isLimited())
-            usage.emplace(team, quota_use { quota.takenHere(), quota.level() });
+            usage.emplace(team, quota_use { quota.usedHere(), quota.left(now), quota.reservedHere() });
     }
     return usage;
 }
@@ -415,11 +427,18 @@
     return service(name).repeats.takeRepeat(m_fleet.possible, std::chrono::steady_clock::now());
 }
 
-void front::giveBackQuota(const team_id& team, double units)
+void front::commitQuota(const team_id& team, double units)
+{
+    const auto found = m_quotas.find(team.value);
+    if (found != m_quotas.end())
+        found->second.commit(units, std::chrono::steady_clock::now());
+}
+
+void front::releaseQuota(const team_id& team, double units)
 {
     const auto found = m_quotas.find(team.value);
     if (found != m_quotas.end())
-        found->second.giveBack(units);
+        found->second.release(units);
 }
 
 void front::ended(const exchange& owner)
--- a/libs/gateway/src/front.h
+++ b/libs/gateway/src/front.h
@@ -50,6 +50,7 @@
 struct quota_use {
     double taken = 0;
     double level = 0;
+    double reserved = 0;
 };
 
 /// Names an endpoint in messages between nodes.
@@ -73,6 +74,8 @@
     void setPeerSpeeds(const node_id& node, const std::vector<learned_speed>& speeds);
     void removePeer(const node_id& node);
     void subtractPeerUsage(const std::string& team, double units);
+    /// Changes what the peers hold reserved of a team's quota.
+    void addPeerReserved(const std::string& team, double units);
     /// What a peer knows to be left of a team's quota; used once, and only by a process that has just started.
     void adoptQuota(const std::string& team, double level);
     void startStopping(monotonic_time until);
@@ -95,7 +98,10 @@
     void endpointFinished(const exchange& owner, placement::outcome result, std::size_t events);
     duration patience(const exchange& owner) const;
     bool takeRepeat(const service_id& service);
-    void giveBackQuota(const team_id& team, double units);
+    /// Counts the reserved units of a request as used: it was sent.
+    void commitQuota(const team_id& team, double units);
+    /// Returns the reserved units of a request that was not sent.
+    void releaseQuota(const team_id& team, double units);
     void ended(const exchange& owner);
     const dialect& names() const { return m_names; }
     http_client& client() { return m_client; }
@@ -115,6 +121,8 @@
     };
 
     service_state& service(const service_id& name);
+    limits::quota_limit quotaLimit(const routing::team_definition& team) const;
+    limits::quota_nodes quotaNodes() const { return { m_fleet.reporting, m_fleet.possible }; }
     void decide(service_state& state);
     void scheduleDecision(const service_id& name);
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -363,6 +363,7 @@
                 entry->team = team;
                 entry->taken = use.taken;
                 entry->level = use.level;
+                entry->reserved = use.reserved;
                 report.usage.push_back(std::move(entry));
             }
         }
