Read the endpoints by two nodes for the others; never let older records undo a copy

(2) A copy from a peer that came while a read was under way was overwritten by the older records of that read; a leaving endpoint became usable again until its next entry. Change: reports carry the age and offset of what the sender read of the endpoints; a node with news younger than 1 s does not read itself, and reads at once when they get older. Records and pages before a copy's offset are dropped. Tests: two that failed before, one of the news.

--- a/libs/gateway/src/fleet_view.cpp
+++ b/libs/gateway/src/fleet_view.cpp
@@ -38,6 +38,8 @@
     state.isLeaving = report.leaving;
     state.reachesStore = report.store_reachable;
     state.version = config_version { report.configuration_version };
+    state.endpoints = { now - std::chrono::milliseconds(report.endpoints_age_ms), report.endpoints_offset };
+    state.endpointsChangedOffset = report.endpoints_changed_offset;
     if (!std::exchange(state.isLive, true))
         m_log.event("peer_live").field("peer", report.node).field("incarnation", report.incarnation);
     applyUsage(state, report, now);
@@ -148,6 +150,16 @@
     }));
 }
 
+endpoint_news fleet_view::newestEndpoints(std::uint64_t knownOffset) const
+{
+    endpoint_news newest;
+    for (const auto& [address, state] : m_peers) {
+        if (state.isLive && state.endpointsChangedOffset <= knownOffset && state.endpoints.asOf > newest.asOf)
+            newest = state.endpoints;
+    }
+    return newest;
+}
+
 config_version fleet_view::peerVersion(const std::string& address) const
 {
     const auto found = m_peers.find(address);
--- a/libs/gateway/src/fleet_view.h
+++ b/libs/gateway/src/fleet_view.h
@@ -9,6 +9,13 @@
 
 namespace carawaylink::gateway {
 
+/// How far a node has read the log of the endpoints.
+struct endpoint_news {
+    /// The node knows all that the store had then; on the clock of this process.
+    monotonic_time asOf {};
+    std::uint64_t offset = 0;
+};
+
 /// What the other nodes report: which live, what load they put on endpoints, what they took from the quotas.
 class fleet_view {
 public:
@@ -27,6 +34,8 @@
     std::vector<std::string> withoutStore() const;
     /// Live peers before this node in the order of addresses that reach the store.
     std::size_t readersBefore() const;
+    /// News of the peer that read the endpoints last, among the live ones whose changes up to the given offset are known here.
+    endpoint_news newestEndpoints(std::uint64_t knownOffset) const;
     config_version peerVersion(const std::string& address) const;
     std::size_t liveNodes() const { return m_size.live; }
     const fleet_size& size() const { return m_size; }
@@ -40,6 +49,8 @@
         bool isLive = false;
         bool reachesStore = true;
         config_version version;
+        endpoint_news endpoints;
+        std::uint64_t endpointsChangedOffset = 0;
         std::map<std::string, double> usage;
         std::map<std::string, double> reserved;
         monotonic_time heard {};
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio.hpp>
 #include <condition_variable>
 #include <future>
+#include <limits>
 #include <mutex>
 
 namespace carawaylink::gateway {
@@ -28,9 +29,12 @@
 constexpr std::uint64_t membersEvery = 20;
 // So many nodes read the store at the full pace and tell the others what changes.
 constexpr std::size_t fullPaceReaders = 2;
-constexpr auto slowEndpointInterval = std::chrono::milliseconds(1500);
-constexpr auto slowConfigurationWait = std::chrono::seconds(8);
-constexpr auto slowNodesInterval = std::chrono::seconds(15);
+constexpr auto slowEndpointInterval = std::chrono::seconds(15);
+constexpr auto slowConfigurationWait = std::chrono::seconds(15);
+constexpr auto slowNodesInterval = std::chrono::seconds(30);
+// A node whose peers tell it nothing newer of the endpoints reads them itself; well inside the time in which a leaving endpoint
+// must get no more requests.
+constexpr auto oldestPeerNews = std::chrono::milliseconds(1000);
 // A peer is taken as gone after this many report intervals, and not before the shortest silence.
 constexpr int missedReports = 6;
 constexpr auto shortestSilence = std::chrono::milliseconds(700);
@@ -127,7 +131,7 @@
         configurationFollower
             = follower({ store_topic::configuration, configurationWait, {} }, { takeConfiguration, takeConfiguration, [](duration) {} });
         endpointFollower = follower({ store_topic::endpoints, {}, endpointInterval },
-            { [this](const auto& records) { allEndpointsArrived(records); }, [this](const auto& records) { endpointsArrived(records); },
+            { [this](const auto& records) { newestEndpointsArrived(records); }, [this](const auto& records) { endpointsArrived(records); },
                 [this](duration away) { holdRemovals(away); } });
         nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
             { [this](const auto& records) { nodesArrived(records); }, [this](const auto& records) { nodesArrived(records); },
@@ -191,7 +195,7 @@
         }
     }
 
-    void allEndpointsArrived(const std::vector<store_record>& records)
+    bool allEndpointsArrived(const std::vector<store_record>& records)
     {
         std::vector<discovery::registry_change> changes;
         for (const auto& record : records)
@@ -199,6 +203,21 @@
         const bool changed = endpoints.replaceAll(changes, std::chrono::steady_clock::now());
         if (!std::exchange(endpointsLoaded, true) || changed)
             endpointsChanged();
+        return changed;
+    }
+
+    void newestEndpointsArrived(const std::vector<store_record>& records)
+    {
+        if (allEndpointsArrived(records))
+            tellPeersOfEndpoints();
+    }
+
+    // Peers rely on the offset of the last change, so each change is told, also by a node that does not read for the others.
+    void tellPeersOfEndpoints()
+    {
+        endpointsChangedOffset = endpointFollower->offset();
+        if (readsAtFullPace())
+            links.broadcast(storeCopy(false, true));
     }
 
     void endpointsArrived(const std::vector<store_record>& records)
@@ -211,8 +230,8 @@
             endpointsChanged();
         // A removal that this node holds back after an outage may take effect at once where there was none.
         const bool hasRemoval = std::ranges::any_of(records, [](const store_record& record) { return !record.value; });
-        if (readsAtFullPace() && (changed || hasRemoval))
-            links.broadcast(storeCopy(false, true));
+        if (changed || hasRemoval)
+            tellPeersOfEndpoints();
     }
 
     void endpointsChanged()
@@ -306,8 +325,10 @@
         callers.tick();
         adjustPace();
         fleet.refresh(std::max<duration>(shortestSilence, missedReports * currentReportInterval()), now);
-        if (endpoints.expire(now))
+        if (endpoints.expire(now)) {
             endpointsChanged();
+            tellPeersOfEndpoints();
+        }
         if (now - lastFlush > std::chrono::seconds(1)) {
             lastFlush = now;
             metrics.setLiveNodes(fleet.liveNodes());
@@ -351,6 +372,9 @@
         report.leaving = isStopping;
         report.store_reachable = reachesStore();
         report.configuration_version = callers.version().value;
+        report.endpoints_age_ms = endpointsAgeMs();
+        report.endpoints_offset = endpointFollower->offset();
+        report.endpoints_changed_offset = endpointsChangedOffset;
         for (const auto& own : callers.ownLoads()) {
             report.loads.emplace_back(own.replica, own.load.running,
                 static_cast<std::uint32_t>(std::max<std::int64_t>(own.load.unread.value, 0)),
@@ -416,12 +440,29 @@
 
     bool readsAtFullPace() const { return fleet.readersBefore() < fullPaceReaders; }
 
+    std::uint32_t endpointsAgeMs() const
+    {
+        const auto asOf = endpointFollower->asOf();
+        if (asOf == monotonic_time {})
+            return std::numeric_limits<std::uint32_t>::max();
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - asOf).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+    }
+
     // The others rely on two nodes that they hear from; where these are silent or lose the store, the next ones take over.
     void adjustPace()
     {
+        const auto now = std::chrono::steady_clock::now();
         const bool isFull = readsAtFullPace() || !reachesStore();
         configurationFollower->setPace(isFull ? duration(configurationWait) : duration(slowConfigurationWait), {});
-        endpointFollower->setPace({}, isFull ? duration(endpointInterval) : duration(slowEndpointInterval));
+        const auto news = fleet.newestEndpoints(endpointFollower->offset());
+        const bool hasNews = now - news.asOf < oldestPeerNews;
+        if (hasNews)
+            endpointFollower->skipTo(news.offset);
+        const bool reads = isFull || !hasNews;
+        endpointFollower->setPace({}, reads ? duration(endpointInterval) : duration(slowEndpointInterval));
+        if (reads && now - endpointFollower->asOf() > oldestPeerNews)
+            endpointFollower->readSoon();
         nodeFollower->setPace({}, isFull ? duration(nodesInterval) : duration(slowNodesInterval));
     }
 
@@ -471,6 +512,7 @@
     std::map<std::string, store_record> endpointRecords;
     std::set<std::string> listedNodes;
     store_record configurationRecord;
+    std::uint64_t endpointsChangedOffset = 0;
     bool endpointsLoaded = false;
     bool isStopping = false;
     monotonic_time stopBegan {};
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -42,6 +42,12 @@
         schedule(interval, &store_follower::readLog);
 }
 
+void store_follower::readSoon()
+{
+    if (m_isReachable && m_isScheduled)
+        schedule({}, &store_follower::readLog);
+}
+
 void store_follower::call(http_request request, std::function<void(const http_response&)> onAnswer)
 {
     http_call_options options;
@@ -66,6 +72,7 @@
 void store_follower::readNewest(const std::string& afterKey)
 {
     if (afterKey.empty()) {
+        m_readBegan = std::chrono::steady_clock::now();
         m_pages.clear();
         m_smallestEnd.reset();
     }
@@ -86,9 +93,12 @@
         return;
     }
     succeeded();
-    m_next = *m_smallestEnd;
     m_isLoaded = true;
-    m_handlers.onNewest(m_pages);
+    // A copy from a peer may be newer than the pages.
+    if (*m_smallestEnd >= m_next) {
+        m_next = *m_smallestEnd;
+        m_handlers.onNewest(m_pages);
+    }
     m_pages.clear();
     schedule(m_options.interval, &store_follower::readLog);
 }
@@ -96,6 +106,7 @@
 void store_follower::readLog()
 {
     m_readFrom = m_next;
+    m_readBegan = std::chrono::steady_clock::now();
     call(m_names.readLog(m_options.topic, m_next, m_options.wait), [this](const http_response& response) { logArrived(response); });
 }
 
@@ -110,10 +121,12 @@
         failed("status " + std::to_string(response.status));
         return;
     }
-    const auto page = m_names.decodeLog(response);
+    auto page = m_names.decodeLog(response);
     succeeded();
-    // A copy from a peer may have moved the offset while the read was under way.
-    m_next = std::max(m_next, m_readFrom + page.records.size());
+    // A copy from a peer may have moved the offset while the read was under way; older records would undo it.
+    const auto known = std::min<std::uint64_t>(m_next - m_readFrom, page.records.size());
+    page.records.erase(page.records.begin(), page.records.begin() + static_cast<std::ptrdiff_t>(known));
+    m_next += page.records.size();
     if (!page.records.empty())
         m_handlers.onRecords(page.records);
     const bool isBehind = m_next < page.end;
@@ -145,6 +158,7 @@
     }
     m_isReachable = true;
     m_lastSuccess = now;
+    m_asOf = m_readBegan;
 }
 
 void store_follower::failed(const std::string& reason)
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -39,6 +39,10 @@
     void setPace(duration wait, duration interval);
     /// Offset of the log up to which the records are known.
     std::uint64_t offset() const { return m_next; }
+    /// When the last read that was answered began.
+    monotonic_time asOf() const { return m_asOf; }
+    /// Reads now instead of after the pause.
+    void readSoon();
     /// Leaves out records that are known otherwise.
     void skipTo(std::uint64_t offset) { m_next = std::max(m_next, offset); }
 
@@ -68,6 +72,8 @@
     bool m_isReachable = false;
     bool m_isScheduled = false;
     monotonic_time m_lastSuccess {};
+    monotonic_time m_readBegan {};
+    monotonic_time m_asOf {};
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/tests/fleet_tests.cpp
+++ b/libs/gateway/tests/fleet_tests.cpp
@@ -68,6 +68,26 @@
     EXPECT_EQ(m_fleet.withoutStore(), std::vector<std::string> { "a" });
 }
 
+TEST_F(fleet_view_test, newsOfEndpoints_comeFromTheLivePeerThatReadLast)
+{
+    // A node that relies on news which it does not have would send requests to endpoints that left.
+    auto reader = report("a");
+    reader.endpoints_age_ms = 100;
+    reader.endpoints_offset = 60;
+    reader.endpoints_changed_offset = 50;
+    m_fleet.reportArrived(reader, m_now);
+    auto older = report("c");
+    older.endpoints_age_ms = 700;
+    older.endpoints_offset = 55;
+    m_fleet.reportArrived(older, m_now);
+    EXPECT_EQ(m_fleet.newestEndpoints(50).asOf, m_now - 100ms);
+    EXPECT_EQ(m_fleet.newestEndpoints(50).offset, 60U);
+    // The change at offset 50 is not known here.
+    EXPECT_EQ(m_fleet.newestEndpoints(49).asOf, m_now - 700ms);
+    m_fleet.refresh(700ms, m_now + 800ms);
+    EXPECT_EQ(m_fleet.newestEndpoints(50).asOf, monotonic_time {});
+}
+
 // A team with a quota of 100 units a second and a burst of 1,000.
 routing::fleet_routes limitedTeam()
 {
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -76,6 +76,8 @@
     void answer(const http_request& request, http_responder& responder)
     {
         const std::lock_guard guard(m_mutex);
+        if (m_beforeAnswer)
+            m_beforeAnswer(request);
         if (m_isDown) {
             responder.abort();
         } else if (request.path() == "/newest") {
@@ -117,6 +119,8 @@
     std::uint64_t m_first = 0;
     std::uint64_t m_lastFrom = 0;
     bool m_isDown = false;
+    // Runs while a read of the follower is under way.
+    std::function<void(const http_request&)> m_beforeAnswer;
     text_dialect m_names;
     io_threads m_threads;
     decision_log m_log;
@@ -135,6 +139,34 @@
     EXPECT_TRUE(waitFor("log:a"));
 }
 
+TEST_F(store_follower_test, recordsBeforeACopyThatCameMeanwhile_areNotDelivered)
+{
+    // A copy from a peer says that an endpoint leaves, and the older record of a read under way would make it usable again.
+    m_logFrom[2] = "5 a=ready b=2";
+    m_logFrom[4] = "5 a=leaving";
+    m_beforeAnswer = [this](const http_request& request) {
+        if (request.query("from").value_or("") == "2")
+            m_follower->skipTo(4);
+    };
+    start();
+    EXPECT_TRUE(waitFor("log:a=leaving"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(m_notes, (std::vector<std::string> { "newest:a=1", "log:a=leaving" }));
+}
+
+TEST_F(store_follower_test, newestRecordsBeforeACopyThatCameMeanwhile_areNotDelivered)
+{
+    m_logFrom[7] = "8 c=3";
+    m_beforeAnswer = [this](const http_request& request) {
+        if (request.path() == "/newest")
+            m_follower->skipTo(7);
+    };
+    start();
+    EXPECT_TRUE(waitFor("log:c=3"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(m_notes, std::vector<std::string> { "log:c=3" });
+}
+
 TEST_F(store_follower_test, historyThatIsGone_isReplacedByTheNewestRecords)
 {
     // The store may drop its history while a node reads slowly.
