Draw the last free slots between nodes; learn an endpoint's speed from its first events

Causes: (1) 34 nodes see the same free slots for 100 ms. (2) The pace of an endpoint was learned at the end of a response only, from a guess that was one arbitrary other endpoint's. Change: a free slot may be taken by two nodes per report, which a draw over rank, endpoint and report number names; a slot that the peers still count as ours is used again at once. The first four responses scale the whole guess, the pace is taken after five events, and changes of 15% go out with the next report instead of everything once a second.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -218,7 +218,7 @@
 
 void exchange::forward(std::string events)
 {
-    m_front.endpointProgress(*this);
+    m_front.endpointProgress(*this, m_events.events() - m_eventsBefore);
     if (!m_firstAt)
         m_firstAt = m_lastByte;
     if (!m_headForwarded) {
@@ -280,7 +280,7 @@
         attemptFailed(placement::outcome::failed, "status " + std::to_string(m_head.status));
         return;
     }
-    m_front.endpointProgress(*this);
+    m_front.endpointProgress(*this, m_events.events() - m_eventsBefore);
     if (m_headForwarded) {
         attemptFailed(placement::outcome::invalid, "a continued stream got another kind of response");
         return;
--- a/libs/gateway/src/fleet_view.cpp
+++ b/libs/gateway/src/fleet_view.cpp
@@ -30,6 +30,7 @@
     if (state.incarnation != report.incarnation) {
         state.usage.clear();
         dropReserved(state);
+        m_hasNewPeers = true;
         state.incarnation = report.incarnation;
     }
     state.heard = now;
--- a/libs/gateway/src/fleet_view.h
+++ b/libs/gateway/src/fleet_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace carawaylink::gateway {
 
@@ -30,6 +31,8 @@
     /// Frontend addresses of the peers that take callers.
     std::vector<std::string> readyFrontends() const;
     std::vector<std::string> liveAddresses() const;
+    /// Whether a peer has come to life since the last call.
+    bool takeNewPeers() { return std::exchange(m_hasNewPeers, false); }
     /// Peers that cannot reach the store.
     std::vector<std::string> withoutStore() const;
     /// Live peers before this node in the order of addresses that reach the store.
@@ -63,6 +66,7 @@
     decision_log& m_log;
     std::map<std::string, peer_state> m_peers;
     std::set<std::string> m_listed;
+    bool m_hasNewPeers = false;
     fleet_size m_size;
     monotonic_time m_started;
 };
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -304,21 +304,21 @@
     m_metrics.setActive(m_exchanges.size());
 }
 
-std::vector<peer_load> front::ownLoads() const
+std::vector<peer_load> front::reportLoads()
 {
     std::vector<peer_load> loads;
     for (const auto& [name, state] : m_services) {
-        for (const auto& [id, load] : state->pool.ownLoad())
+        for (const auto& [id, load] : state->pool.reportLoad())
             loads.push_back({ replicaHash(id), load });
     }
     return loads;
 }
 
-std::vector<learned_speed> front::ownSpeeds() const
+std::vector<learned_speed> front::reportSpeeds(bool all)
 {
     std::vector<learned_speed> speeds;
     for (const auto& [name, state] : m_services) {
-        for (const auto& [id, speed] : state->pool.ownSpeeds())
+        for (const auto& [id, speed] : state->pool.reportSpeeds(all))
             speeds.push_back({ replicaHash(id), speed });
     }
     return speeds;
@@ -403,9 +403,9 @@
     service(owner.service()).pool.withdraw(owner.id());
 }
 
-void front::endpointProgress(const exchange& owner)
+void front::endpointProgress(const exchange& owner, std::size_t events)
 {
-    service(owner.service()).pool.progressed(owner.id(), std::chrono::steady_clock::now());
+    service(owner.service()).pool.progressed(owner.id(), events, std::chrono::steady_clock::now());
 }
 
 void front::endpointFinished(const exchange& owner, placement::outcome result, std::size_t events)
--- a/libs/gateway/src/front.h
+++ b/libs/gateway/src/front.h
@@ -86,15 +86,17 @@
     config_version version() const;
     std::size_t active() const { return m_exchanges.size(); }
     const routing::route_table* routes() const { return m_routes.get(); }
-    std::vector<peer_load> ownLoads() const;
-    std::vector<learned_speed> ownSpeeds() const;
+    /// Load of this node for a report to the peers.
+    std::vector<peer_load> reportLoads();
+    /// Speeds that this node has learned: those that have changed notably since their last report, or all.
+    std::vector<learned_speed> reportSpeeds(bool all);
     /// Units taken here and left in the fleet, by team.
     std::map<std::string, quota_use> ownUsage() const;
 
     // For the exchanges.
     void submit(const std::shared_ptr<exchange>& owner, placement::waiting_request request);
     void withdraw(const exchange& owner);
-    void endpointProgress(const exchange& owner);
+    void endpointProgress(const exchange& owner, std::size_t events);
     void endpointFinished(const exchange& owner, placement::outcome result, std::size_t events);
     duration patience(const exchange& owner) const;
     bool takeRepeat(const service_id& service);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -25,7 +25,8 @@
 constexpr double nodesAtFullRate = 15;
 // Parts of the state that change slowly go with some reports only.
 constexpr std::uint64_t usageEvery = 3;
-constexpr std::uint64_t speedsEvery = 10;
+// A report that was replaced before it was written may have held a change of speed.
+constexpr std::uint64_t allSpeedsEvery = 40;
 constexpr std::uint64_t membersEvery = 20;
 // So many nodes read the store at the full pace and tell the others what changes.
 constexpr std::size_t fullPaceReaders = 2;
@@ -375,7 +376,7 @@
         report.endpoints_age_ms = endpointsAgeMs();
         report.endpoints_offset = endpointFollower->offset();
         report.endpoints_changed_offset = endpointsChangedOffset;
-        for (const auto& own : callers.ownLoads()) {
+        for (const auto& own : callers.reportLoads()) {
             report.loads.emplace_back(own.replica, own.load.running,
                 static_cast<std::uint32_t>(std::max<std::int64_t>(own.load.unread.value, 0)),
                 static_cast<std::uint32_t>(std::max<std::int64_t>(own.load.memory.value, 0)));
@@ -391,11 +392,10 @@
                 report.usage.push_back(std::move(entry));
             }
         }
-        if (reports % speedsEvery == 2) {
-            for (const auto& own : callers.ownSpeeds()) {
-                report.speeds.emplace_back(own.replica, static_cast<float>(own.speed.baseMs), static_cast<float>(own.speed.msPerToken),
-                    static_cast<float>(own.speed.msPerEvent), own.speed.samples);
-            }
+        const bool withAllSpeeds = reports % allSpeedsEvery == 0 || fleet.takeNewPeers();
+        for (const auto& own : callers.reportSpeeds(withAllSpeeds)) {
+            report.speeds.emplace_back(own.replica, static_cast<float>(own.speed.baseMs), static_cast<float>(own.speed.msPerToken),
+                static_cast<float>(own.speed.msPerEvent), own.speed.samples);
         }
         if (reports % membersEvery == 1)
             report.members = fleet.liveAddresses();
--- a/libs/placement/include/placement/endpoint_model.h
+++ b/libs/placement/include/placement/endpoint_model.h
@@ -17,6 +17,12 @@
     std::uint32_t samples = 0;
 };
 
+/// A part of the speed has changed so much that decisions may differ.
+bool differsNotably(const endpoint_speed& one, const endpoint_speed& other);
+
+/// Mean of several endpoints, as a guess for another one of the same service.
+endpoint_speed typicalSpeed(const std::vector<endpoint_speed>& speeds);
+
 /// Mean of what several nodes have learned, by the responses that each has seen; the first one is used where none has seen any.
 endpoint_speed combine(const endpoint_speed& first, const std::vector<endpoint_speed>& others);
 
@@ -32,11 +38,14 @@
     duration timeToRead(tokens prompt) const;
 
     void firstEventSeen(tokens tokensBefore, tokens prompt, duration elapsed);
-    void streamEnded(std::size_t events, duration elapsed);
+    /// events: after the first one; elapsed: since the first one. The response may still go on.
+    void eventsSeen(std::size_t events, duration elapsed);
     bool isKnown() const { return m_own.samples > 0; }
 
-    /// Takes over what another endpoint of the same service has shown, as a first guess.
-    void adopt(const endpoint_model& other);
+    /// Starts from a guess, which the first response replaces.
+    void adopt(const endpoint_speed& guess);
+    /// What predictions use.
+    const endpoint_speed& combined() const { return m_combined; }
     /// What this node itself has seen.
     const endpoint_speed& own() const { return m_own; }
     /// Replaces what a peer has seen.
@@ -44,9 +53,11 @@
     void removePeer(const node_id& node);
 
 private:
+    void scaleTo(double ratio);
     void refresh();
 
     endpoint_speed m_own;
+    std::uint32_t m_paceSamples = 0;
     std::map<node_id, endpoint_speed> m_peers;
     // What predictions use: the mean over the nodes.
     endpoint_speed m_combined;
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -136,8 +136,8 @@
     void removePeer(const node_id& node);
     /// What a peer has learned of an endpoint's speed.
     void setPeerSpeed(const node_id& node, const replica_id& replica, const endpoint_speed& speed);
-    /// What this node has learned itself, of endpoints that it has used.
-    std::map<replica_id, endpoint_speed> ownSpeeds() const;
+    /// What this node has learned itself, of endpoints that it has used: what has changed notably since it was last reported, or all.
+    std::map<replica_id, endpoint_speed> reportSpeeds(bool all);
 
     void submit(waiting_request request);
     /// Removes a request that still waits; false where it does not.
@@ -148,13 +148,15 @@
     bool hasWaiting() const { return !m_waiting.empty(); }
     std::size_t waiting() const { return m_waiting.size(); }
 
-    /// An event of a running request arrived.
-    void progressed(std::uint64_t id, monotonic_time now);
+    /// A part of the response to a running request arrived; events: whole events of it so far.
+    void progressed(std::uint64_t id, std::size_t events, monotonic_time now);
     void finished(std::uint64_t id, outcome result, std::size_t events, monotonic_time now);
     /// Time within which the first event should have arrived by now at the latest.
     duration patience(std::uint64_t id) const;
 
     std::map<replica_id, endpoint_load> ownLoad() const;
+    /// The load for a report to the peers; they count it as this node's until the next one.
+    std::map<replica_id, endpoint_load> reportLoad();
 
 private:
     struct endpoint_state {
@@ -163,6 +165,9 @@
         endpoint_health health;
         endpoint_load own;
         endpoint_load peers;
+        /// What the peers count as this node's.
+        unsigned reported = 0;
+        endpoint_speed reportedSpeed;
         monotonic_time lastProgress {};
         bool listed = true;
 
@@ -179,6 +184,7 @@
         monotonic_time sent;
         std::optional<monotonic_time> first;
         duration expectedFirst;
+        bool isPaceKnown = false;
     };
     struct past_grant {
         monotonic_time time;
@@ -196,7 +202,7 @@
     bool isUsable(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool fitsPause(const endpoint_state& endpoint, const waiting_request& request) const;
-    unsigned borrowReserve(const endpoint_state& endpoint) const;
+    bool mayBorrow(const endpoint_state& endpoint) const;
     unsigned ownPart(const endpoint_state& endpoint) const;
     std::optional<duration> fastestFirst(const waiting_request& request, monotonic_time now) const;
     double expectedEvents(const waiting_request& request) const;
@@ -207,6 +213,7 @@
     duration expectedWait(const waiting_request& request, std::size_t ahead, monotonic_time now);
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
     void refreshPeers();
+    endpoint_speed typicalEndpoint() const;
     double failureBound() const;
 
     random_source m_random;
@@ -218,6 +225,7 @@
     std::deque<past_grant> m_grants;
     std::size_t m_rank = 0;
     std::size_t m_nodes = 1;
+    std::size_t m_reports = 0;
     double m_failureBound = 1;
 };
 
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -22,8 +22,10 @@
 constexpr double streamWeight = 0.3;
 // Scores up to this part above the best, for each node, count as equal.
 constexpr double equalScorePerNode = 0.03;
-// One slot of an endpoint is not lent for every so many nodes.
-constexpr std::size_t nodesPerReservedSlot = 10;
+// Nodes that may take one of the free slots of an endpoint between two reports, for each free slot.
+constexpr std::size_t nodesPerFreeSlot = 2;
+// Moves the draw of free slots on by this many nodes from one report to the next.
+constexpr std::size_t drawStep = 7;
 // Window of the drain rate.
 constexpr auto drainWindow = std::chrono::seconds(1);
 // Requests per window that are expected to start where none did lately.
@@ -37,6 +39,8 @@
 constexpr auto shortestRetry = std::chrono::milliseconds(200);
 constexpr auto longestRetry = std::chrono::seconds(4);
 // A request without a first event is given up after this many times the prediction.
+// Events after which a response that goes on tells the pace of its endpoint.
+constexpr std::size_t eventsForPace = 4;
 constexpr int patienceFactor = 4;
 constexpr auto shortestPatience = std::chrono::milliseconds(500);
 
@@ -51,7 +55,7 @@
 {
     for (auto& [id, endpoint] : m_endpoints)
         endpoint.listed = false;
-    const auto known = std::ranges::find_if(m_endpoints, [](const auto& entry) { return entry.second.model.isKnown(); });
+    const auto typical = typicalEndpoint();
     for (const auto& record : records) {
         const auto [position, inserted] = m_endpoints.try_emplace(record.id);
         auto& endpoint = position->second;
@@ -63,14 +67,23 @@
         endpoint.listed = true;
         if (inserted) {
             endpoint.lastProgress = now;
-            if (known != m_endpoints.end() && known->second.model.isKnown())
-                endpoint.model.adopt(known->second.model);
+            endpoint.model.adopt(typical);
         }
     }
     std::erase_if(m_endpoints, [](const auto& entry) { return !entry.second.listed && entry.second.own.running == 0; });
     refreshPeers();
 }
 
+endpoint_speed service_pool::typicalEndpoint() const
+{
+    std::vector<endpoint_speed> speeds;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.model.combined().samples > 0)
+            speeds.push_back(endpoint.model.combined());
+    }
+    return typicalSpeed(speeds);
+}
+
 void service_pool::setNodes(std::size_t rank, std::size_t count)
 {
     m_rank = rank;
@@ -98,12 +111,15 @@
         found->second.model.setPeer(node, speed);
 }
 
-std::map<replica_id, endpoint_speed> service_pool::ownSpeeds() const
+std::map<replica_id, endpoint_speed> service_pool::reportSpeeds(bool all)
 {
     std::map<replica_id, endpoint_speed> speeds;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.model.isKnown())
-            speeds.emplace(id, endpoint.model.own());
+    for (auto& [id, endpoint] : m_endpoints) {
+        const auto& own = endpoint.model.own();
+        if (!endpoint.model.isKnown() || (!all && !differsNotably(own, endpoint.reportedSpeed)))
+            continue;
+        endpoint.reportedSpeed = own;
+        speeds.emplace(id, own);
     }
     return speeds;
 }
@@ -259,10 +275,20 @@
     return now - endpoint.lastProgress > stallTime + 2 * expected;
 }
 
-// The more nodes there are, the more of them take a place between two reports; their own parts stay free for that.
-unsigned service_pool::borrowReserve(const endpoint_state& endpoint) const
+// All nodes see the same free slots for the time of a report. A draw lets as many of them take one as there are slots, about, and
+// others after the next report. A slot that the peers still count as this node's is its own to use again.
+bool service_pool::mayBorrow(const endpoint_state& endpoint) const
 {
-    return static_cast<unsigned>(std::min<std::size_t>(endpoint.record.slots / 3, m_nodes / nodesPerReservedSlot));
+    const auto taken = endpoint.peers.running + std::max(endpoint.own.running, endpoint.reported);
+    if (endpoint.running() >= endpoint.record.slots)
+        return false;
+    if (endpoint.own.running < endpoint.reported)
+        return true;
+    if (taken >= endpoint.record.slots)
+        return false;
+    const auto position
+        = (m_rank + std::hash<std::string> {}(endpoint.record.id.value) + m_reports * drawStep) % m_nodes;
+    return position < (endpoint.record.slots - taken) * nodesPerFreeSlot;
 }
 
 unsigned service_pool::ownPart(const endpoint_state& endpoint) const
@@ -276,10 +302,9 @@
 
 bool service_pool::hasRoom(const endpoint_state& endpoint, const waiting_request& request) const
 {
-    const auto running = endpoint.running();
-    if (running + borrowReserve(endpoint) >= endpoint.record.slots && endpoint.own.running >= ownPart(endpoint))
+    if (endpoint.own.running >= ownPart(endpoint) && !mayBorrow(endpoint))
         return false;
-    if (!m_limits.memory || running == 0)
+    if (!m_limits.memory || endpoint.running() == 0)
         return true;
     const auto needed = endpoint.memory().value + request.prompt.value + request.output.value;
     return static_cast<double>(needed) <= usableMemory * static_cast<double>(m_limits.memory->value);
@@ -361,7 +386,7 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
 }
 
-void service_pool::progressed(std::uint64_t id, monotonic_time now)
+void service_pool::progressed(std::uint64_t id, std::size_t events, monotonic_time now)
 {
     const auto found = m_running.find(id);
     if (found == m_running.end())
@@ -371,8 +396,11 @@
     if (endpoint == m_endpoints.end())
         return;
     endpoint->second.lastProgress = now;
-    if (running.first)
+    if (running.first) {
+        if (events > eventsForPace && !std::exchange(running.isPaceKnown, true))
+            endpoint->second.model.eventsSeen(events - 1, now - *running.first);
         return;
+    }
     running.first = now;
     endpoint->second.own.unread.value -= running.prompt.value;
     endpoint->second.model.firstEventSeen(running.unreadBefore, running.prompt, now - running.sent);
@@ -396,7 +424,7 @@
     if (result == outcome::completed || result == outcome::failed || result == outcome::rejected)
         endpoint.lastProgress = now;
     if (result == outcome::completed && running.first && events > 1)
-        endpoint.model.streamEnded(events - 1, now - *running.first);
+        endpoint.model.eventsSeen(events - 1, now - *running.first);
     endpoint.health.record(result, now);
     if (!endpoint.listed && endpoint.own.running == 0)
         m_endpoints.erase(position);
@@ -410,6 +438,14 @@
     return std::max<duration>(shortestPatience, patienceFactor * found->second.expectedFirst);
 }
 
+std::map<replica_id, endpoint_load> service_pool::reportLoad()
+{
+    ++m_reports;
+    for (auto& [id, endpoint] : m_endpoints)
+        endpoint.reported = endpoint.own.running;
+    return ownLoad();
+}
+
 std::map<replica_id, endpoint_load> service_pool::ownLoad() const
 {
     std::map<replica_id, endpoint_load> loads;
