Order the expected wait like the queue; count long prompts for what their reading takes

(2) Short requests behind a prompt of 10,000 tokens or more had their first event 4 to 10 times later than expected: reading grows with the square of the length. Change: places of all later requests in the queue's order count; the reading of a prompt is length x (1 + length / 24,000), the growth learned per service. Tests of both patterns.

--- a/libs/placement/include/placement/endpoint_model.h
+++ b/libs/placement/include/placement/endpoint_model.h
@@ -34,6 +34,8 @@
     duration timeToFirst(tokens tokensBefore, tokens prompt) const;
     /// Time from the first event to the end of a response.
     duration timeToStream(double events) const;
+    /// Tokens that are read until the first event in that time.
+    double workRead(duration elapsed) const;
     /// Time to read prompt tokens.
     duration timeToRead(tokens prompt) const;
 
--- /dev/null
+++ b/libs/placement/include/placement/reading_growth.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace carawaylink::placement {
+
+/// How the time to read a prompt grows with its length. An engine reads each token against all tokens before it, so a long prompt
+/// takes longer than its length tells. Learned over all endpoints of a service.
+class reading_growth {
+public:
+    /// Tokens of a short prompt that take as long to read.
+    tokens work(tokens prompt) const;
+    /// work: what reading the prompt took, in tokens of a short prompt.
+    void seen(tokens prompt, double work);
+
+private:
+    // Tokens at which the time for each token has doubled, for common dense models.
+    static constexpr double typicalDoublingTokens = 24000;
+    double m_perToken = 1 / typicalDoublingTokens;
+};
+
+} // namespace carawaylink::placement
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -6,6 +6,7 @@
 #include "discovery/endpoint_table.h"
 #include "placement/endpoint_health.h"
 #include "placement/endpoint_model.h"
+#include "placement/reading_growth.h"
 
 #include <deque>
 #include <map>
@@ -96,7 +97,7 @@
 /// Load that one node puts on an endpoint.
 struct endpoint_load {
     unsigned running = 0;
-    /// Prompt tokens of requests without a first event.
+    /// Reading that is left for requests without a first event, in tokens of short prompts.
     tokens unread { 0 };
     /// Memory that the running requests are expected to need.
     tokens memory { 0 };
@@ -179,6 +180,8 @@
     struct running_request {
         replica_id replica;
         tokens prompt;
+        /// Reading of the prompt, in tokens of short prompts.
+        tokens work;
         tokens memory;
         tokens unreadBefore;
         monotonic_time sent;
@@ -189,6 +192,7 @@
     struct past_grant {
         monotonic_time time;
         carawaylink::tier teamTier;
+        bool wasLate;
         carawaylink::tier tier;
     };
     struct candidate {
@@ -213,11 +217,13 @@
     duration expectedWait(const waiting_request& request, std::size_t ahead, monotonic_time now);
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
     void refreshPeers();
+    void learnFirst(endpoint_model& model, const running_request& running, duration elapsed);
     endpoint_speed typicalEndpoint() const;
     double failureBound() const;
 
     random_source m_random;
     pool_limits m_limits;
+    reading_growth m_growth;
     std::map<replica_id, endpoint_state> m_endpoints;
     std::map<node_id, std::map<replica_id, endpoint_load>> m_peers;
     std::unordered_map<std::uint64_t, running_request> m_running;
--- a/libs/placement/src/endpoint_model.cpp
+++ b/libs/placement/src/endpoint_model.cpp
@@ -87,6 +87,11 @@
     return fromMilliseconds(m_combined.msPerToken * static_cast<double>(prompt.value));
 }
 
+double endpoint_model::workRead(duration elapsed) const
+{
+    return std::max(milliseconds(elapsed) - m_combined.baseMs, 0.0) / m_combined.msPerToken;
+}
+
 void endpoint_model::firstEventSeen(tokens tokensBefore, tokens prompt, duration elapsed)
 {
     const double read = static_cast<double>(tokensBefore.value + prompt.value);
--- /dev/null
+++ b/libs/placement/src/reading_growth.cpp
@@ -0,0 +1,33 @@
+#include "placement/reading_growth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawaylink::placement {
+
+namespace {
+
+// Shorter prompts tell little of the growth.
+constexpr std::int64_t shortestSample = 12000;
+constexpr double learningRate = 0.05;
+// The time for each token doubles at 4,000 tokens at the earliest.
+constexpr double largestPerToken = 1.0 / 4000;
+
+} // namespace
+
+tokens reading_growth::work(tokens prompt) const
+{
+    const auto length = static_cast<double>(prompt.value);
+    return tokens { std::llround(length * (1 + m_perToken * length)) };
+}
+
+void reading_growth::seen(tokens prompt, double work)
+{
+    if (prompt.value < shortestSample)
+        return;
+    const auto length = static_cast<double>(prompt.value);
+    const double sample = std::clamp((work / length - 1) / length, 0.0, largestPerToken);
+    m_perToken += learningRate * (sample - m_perToken);
+}
+
+} // namespace carawaylink::placement
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -41,6 +41,8 @@
 // A request without a first event is given up after this many times the prediction.
 // Events after which a response that goes on tells the pace of its endpoint.
 constexpr std::size_t eventsForPace = 4;
+// A response tells of its own prompt where at most this part of the reading before it was for others.
+constexpr double unrelatedShare = 0.1;
 constexpr int patienceFactor = 4;
 constexpr auto shortestPatience = std::chrono::milliseconds(500);
 
@@ -196,7 +198,7 @@
     return std::ranges::any_of(m_endpoints, [&](const auto& entry) {
         const auto& model = entry.second.model;
         return isUsable(entry.second, request, now)
-            && now + model.timeToFirst(tokens { 0 }, request.prompt) + model.timeToStream(expectedEvents(request)) <= request.deadline;
+            && now + model.timeToFirst(tokens { 0 }, m_growth.work(request.prompt)) + model.timeToStream(expectedEvents(request)) <= request.deadline;
     });
 }
 
@@ -224,7 +226,7 @@
         if (!isUsable(endpoint, request, now) || !hasRoom(endpoint, request) || !fitsPause(endpoint, request))
             continue;
         const auto unread = endpoint.unread();
-        const auto first = endpoint.model.timeToFirst(unread, request.prompt);
+        const auto first = endpoint.model.timeToFirst(unread, m_growth.work(request.prompt));
         if (now + first > (inTime ? request.target : request.deadline))
             continue;
         if (mustFinish && now + first + endpoint.model.timeToStream(expectedEvents(request)) > request.deadline)
@@ -315,7 +317,7 @@
     const auto unread = endpoint.unread().value;
     if (unread == 0 || request.longestPause == duration {})
         return true;
-    return milliseconds(endpoint.model.timeToRead(tokens { unread + request.prompt.value }))
+    return milliseconds(endpoint.model.timeToRead(tokens { unread + m_growth.work(request.prompt).value }))
         <= pauseForReading * milliseconds(request.longestPause);
 }
 
@@ -325,7 +327,7 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!isUsable(endpoint, request, now))
             continue;
-        const auto first = endpoint.model.timeToFirst(tokens { 0 }, request.prompt);
+        const auto first = endpoint.model.timeToFirst(tokens { 0 }, m_growth.work(request.prompt));
         if (!fastest || first < *fastest)
             fastest = first;
     }
@@ -345,11 +347,12 @@
     const tokens memory { request.prompt.value + request.output.value };
     if (endpoint.own.running == 0)
         endpoint.lastProgress = now;
-    m_running[request.id] = { endpoint.record.id, request.prompt, memory, unread, now, std::nullopt, chosen.first };
+    const auto work = m_growth.work(request.prompt);
+    m_running[request.id] = { endpoint.record.id, request.prompt, work, memory, unread, now, std::nullopt, chosen.first };
     ++endpoint.own.running;
-    endpoint.own.unread.value += request.prompt.value;
+    endpoint.own.unread.value += work.value;
     endpoint.own.memory.value += memory.value;
-    m_grants.push_back({ now, request.teamTier, request.tier });
+    m_grants.push_back({ now, request.teamTier, request.isLate, request.tier });
     return { request.id, endpoint.record.id, endpoint.record.address, chosen.first, endpoint.running() };
 }
 
@@ -375,13 +378,14 @@
     return std::nullopt;
 }
 
-// More urgent requests go first, so only the places that they left lately count.
+// Places go in the order of the queue, so only those count that requests from here on in that order got lately.
 duration service_pool::expectedWait(const waiting_request& request, std::size_t ahead, monotonic_time now)
 {
     while (!m_grants.empty() && now - m_grants.front().time > drainWindow)
         m_grants.pop_front();
-    const auto places = std::ranges::count_if(m_grants,
-        [&](const past_grant& past) { return std::tuple(past.teamTier, past.tier) >= std::tuple(request.teamTier, request.tier); });
+    const auto places = std::ranges::count_if(m_grants, [&](const past_grant& past) {
+        return std::tuple(past.teamTier, past.wasLate, past.tier) >= std::tuple(request.teamTier, request.isLate, request.tier);
+    });
     const double rate = std::max<double>(static_cast<double>(places), slowestDrain) / std::chrono::duration<double>(drainWindow).count();
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
 }
@@ -402,8 +406,16 @@
         return;
     }
     running.first = now;
-    endpoint->second.own.unread.value -= running.prompt.value;
-    endpoint->second.model.firstEventSeen(running.unreadBefore, running.prompt, now - running.sent);
+    endpoint->second.own.unread.value -= running.work.value;
+    learnFirst(endpoint->second.model, running, now - running.sent);
+}
+
+void service_pool::learnFirst(endpoint_model& model, const running_request& running, duration elapsed)
+{
+    const bool wasAlone = unrelatedShare * static_cast<double>(running.work.value) > static_cast<double>(running.unreadBefore.value);
+    if (wasAlone && model.combined().samples > 0)
+        m_growth.seen(running.prompt, model.workRead(elapsed));
+    model.firstEventSeen(running.unreadBefore, running.work, elapsed);
 }
 
 void service_pool::finished(std::uint64_t id, outcome result, std::size_t events, monotonic_time now)
@@ -420,7 +432,7 @@
     --endpoint.own.running;
     endpoint.own.memory.value -= running.memory.value;
     if (!running.first)
-        endpoint.own.unread.value -= running.prompt.value;
+        endpoint.own.unread.value -= running.work.value;
     if (result == outcome::completed || result == outcome::failed || result == outcome::rejected)
         endpoint.lastProgress = now;
     if (result == outcome::completed && running.first && events > 1)
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -318,6 +318,39 @@
     EXPECT_TRUE(m_pool.reportSpeeds(false).empty());
 }
 
+TEST_F(service_pool_test, placesThatLateRequestsGot_countForThoseInTime)
+{
+    // Overload: short requests of a lower tier can still be in time, and go before the late ones of a higher tier; refusing them
+    // would leave the places to responses that are late anyway.
+    list({ "fast" }, 1);
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        auto late = request(id, 1);
+        late.target = m_now - 1ms;
+        ASSERT_TRUE(place(late));
+        m_pool.progressed(id, 1, m_now + 20ms);
+        m_now += 50ms;
+        m_pool.finished(id, outcome::completed, 1, m_now);
+    }
+    ASSERT_TRUE(place(request(20, 1)));
+    for (std::uint64_t id = 21; id <= 26; ++id)
+        m_pool.submit(request(id, 2));
+    EXPECT_TRUE(m_pool.decide(m_now).refusals.empty());
+}
+
+TEST_F(service_pool_test, longPrompt_countsForMoreThanItsLength)
+{
+    // Start of a heavy day: short requests behind a prompt of 30,000 tokens had their first event 500 ms later than expected.
+    reading_growth growth;
+    EXPECT_GT(growth.work(tokens { 30000 }).value, 2 * 30000);
+    EXPECT_LT(growth.work(tokens { 600 }).value, 630);
+    for (int i = 0; i < 100; ++i)
+        growth.seen(tokens { 30000 }, 30000 * 1.5);
+    EXPECT_NEAR(static_cast<double>(growth.work(tokens { 30000 }).value), 30000 * 1.5, 500);
+    for (int i = 0; i < 100; ++i)
+        growth.seen(tokens { 2000 }, 2000 * 9);
+    EXPECT_NEAR(static_cast<double>(growth.work(tokens { 30000 }).value), 30000 * 1.5, 500);
+}
+
 TEST_F(service_pool_test, peerThatIsGone_freesItsLoad)
 {
     // Guards against capacity that is lost with a killed node.
