Place long prompts by the pause that their chunks cause

Change: a pause is the pace of the endpoint and the smaller of the whole reading and one chunk for each token of an event. A prompt that is too long for every endpoint goes where no other one is read.

--- a/libs/placement/include/placement/reading_growth.h
+++ b/libs/placement/include/placement/reading_growth.h
@@ -10,6 +10,8 @@
 public:
     /// Tokens of a short prompt that take as long to read.
     tokens work(tokens prompt) const;
+    /// The same for the last part of a prompt that is read at once.
+    tokens lastChunk(tokens prompt) const;
     /// work: what reading the prompt took, in tokens of a short prompt.
     void seen(tokens prompt, double work);
 
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -43,6 +43,8 @@
     bool hasBegun = false;
     /// Cannot be in time any more; set by the pool.
     bool isLate = false;
+    /// Reading its prompt delays running responses too much on every endpoint; set by the pool.
+    bool fitsNowhere = false;
     /// Its wait was reported; set by the pool.
     bool isReported = false;
 };
@@ -206,6 +208,9 @@
     bool isUsable(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool fitsPause(const endpoint_state& endpoint, const waiting_request& request) const;
+    /// Longest pause in milliseconds that running responses are expected to have while the prompt is read.
+    double expectedPause(const endpoint_state& endpoint, const waiting_request& request, tokens unread) const;
+    bool delaysEverywhere(const waiting_request& request, monotonic_time now) const;
     bool mayBorrow(const endpoint_state& endpoint) const;
     unsigned ownPart(const endpoint_state& endpoint) const;
     std::optional<duration> fastestFirst(const waiting_request& request, monotonic_time now) const;
--- a/libs/placement/src/reading_growth.cpp
+++ b/libs/placement/src/reading_growth.cpp
@@ -9,6 +9,8 @@
 
 // Shorter prompts tell little of the growth.
 constexpr std::int64_t shortestSample = 12000;
+// Tokens that engines commonly read at once.
+constexpr double chunkTokens = 2048;
 constexpr double learningRate = 0.05;
 // The time for each token doubles at 4,000 tokens at the earliest.
 constexpr double largestPerToken = 1.0 / 4000;
@@ -21,6 +23,12 @@
     return tokens { std::llround(length * (1 + m_perToken * length)) };
 }
 
+tokens reading_growth::lastChunk(tokens prompt) const
+{
+    const auto length = static_cast<double>(prompt.value);
+    return tokens { std::llround(std::min(length, chunkTokens) * (1 + 2 * m_perToken * length)) };
+}
+
 void reading_growth::seen(tokens prompt, double work)
 {
     if (prompt.value < shortestSample)
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -12,8 +12,8 @@
 
 // Memory is planned by expected output; the rest covers responses that get longer.
 constexpr double usableMemory = 0.9;
-// Reading prompts for longer than this part of the allowed pause would delay the events of running responses.
-constexpr double pauseForReading = 0.6;
+// Part of the allowed pause that reading prompts may bring running responses to.
+constexpr double usablePause = 0.9;
 // An endpoint without any sign of life for this long, while requests run there, gets no more.
 constexpr auto stallTime = std::chrono::milliseconds(500);
 // Adds to the score of a full endpoint, so that equal ones fill evenly.
@@ -159,8 +159,10 @@
     if (m_waiting.empty())
         return decisions;
     m_failureBound = failureBound();
-    for (auto& request : m_waiting)
+    for (auto& request : m_waiting) {
         request.isLate = !canBeInTime(request, now);
+        request.fitsNowhere = delaysEverywhere(request, now);
+    }
     std::ranges::sort(m_waiting, std::ranges::less {}, [](const waiting_request& request) {
         return std::tuple(request.teamTier, request.isLate, request.tier, !request.returning, request.target, request.id);
     });
@@ -314,11 +316,29 @@
 
 bool service_pool::fitsPause(const endpoint_state& endpoint, const waiting_request& request) const
 {
-    const auto unread = endpoint.unread().value;
-    if (unread == 0 || request.longestPause == duration {})
+    if (request.longestPause == duration {} || endpoint.running() == 0)
         return true;
-    return milliseconds(endpoint.model.timeToRead(tokens { unread + m_growth.work(request.prompt).value }))
-        <= pauseForReading * milliseconds(request.longestPause);
+    return expectedPause(endpoint, request, endpoint.unread()) <= usablePause * milliseconds(request.longestPause)
+        || (request.fitsNowhere && endpoint.unread().value == 0);
+}
+
+// Prompts are read in chunks, one with each token of the running responses; an event holds several tokens.
+double service_pool::expectedPause(const endpoint_state& endpoint, const waiting_request& request, tokens unread) const
+{
+    const auto work = m_growth.work(request.prompt);
+    const auto chunk = m_growth.lastChunk(request.prompt);
+    const double reading = milliseconds(endpoint.model.timeToRead(tokens { unread.value + work.value }));
+    const double slowedEvent = m_limits.tokensPerEvent * milliseconds(endpoint.model.timeToRead(chunk));
+    return milliseconds(endpoint.model.timeToStream(1)) + std::min(reading, slowedEvent);
+}
+
+// A prompt that delays running responses on every endpoint goes where no other one is being read.
+bool service_pool::delaysEverywhere(const waiting_request& request, monotonic_time now) const
+{
+    return std::ranges::none_of(m_endpoints, [&](const auto& entry) {
+        return isUsable(entry.second, request, now)
+            && expectedPause(entry.second, request, tokens { 0 }) <= usablePause * milliseconds(request.longestPause);
+    });
 }
 
 std::optional<duration> service_pool::fastestFirst(const waiting_request& request, monotonic_time now) const
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -351,6 +351,23 @@
     EXPECT_NEAR(static_cast<double>(growth.work(tokens { 30000 }).value), 30000 * 1.5, 500);
 }
 
+TEST_F(service_pool_test, longPrompt_goesWhereRunningResponsesKeepTheirPace)
+{
+    // Chunks of a long prompt come between the tokens of the running responses: a slow endpoint would pause them for too long,
+    // a fast one bears it, also while another prompt is being read.
+    list({ "fast", "slow" }, 9);
+    teach("fast", 20ms, 10ms);
+    teach("slow", 200ms, 90ms);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        ASSERT_TRUE(place(request(id)));
+    auto longPrompt = request(20);
+    longPrompt.prompt = tokens { 12000 };
+    longPrompt.target = m_now + 5s;
+    const auto chosen = place(longPrompt);
+    ASSERT_TRUE(chosen);
+    EXPECT_EQ(chosen->replica.value, "fast");
+}
+
 TEST_F(service_pool_test, peerThatIsGone_freesItsLoad)
 {
     // Guards against capacity that is lost with a killed node.
