--- a/libs/cli/include/cli/command_line.h
+++ b/libs/cli/include/cli/command_line.h
@@ -47,6 +47,7 @@
     bool isReset = false; ///< config apply: publish whatever the version in force
     bool printDocument = false; ///< config status: print the YAML in force
     std::string requestId;
+    std::vector<std::string> logFiles; ///< explain: logs of nodes to read in place of asking one
     std::string author;
     duration limit = std::chrono::seconds(14); ///< for a change to be in force everywhere
     schema::exception_definitionT exception; ///< exception add; exception remove uses the id only
--- a/libs/cli/include/cli/commands.h
+++ b/libs/cli/include/cli/commands.h
@@ -5,12 +5,14 @@
 #include "cli/documents.h"
 #include "cli/exit_code.h"
 #include "cli/report.h"
+#include "cli/request_story.h"
 #include "config/difference.h"
 #include "config/record.h"
 
 #include <memory>
 #include <optional>
 #include <ostream>
+#include <sstream>
 
 namespace carawaylink {
 
@@ -64,7 +66,7 @@
         case cli_verb::status:
             return print(reportStatus(m_client.get("/admin/status"), m_request.output));
         case cli_verb::explain:
-            return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId), m_request.output));
+            return explain();
         case cli_verb::drain:
             m_client.expectSuccess(m_client.sendToFirst("POST", "/admin/drain", ""));
             return print(reportDrain(m_request.nodes.front(), m_request.output));
@@ -76,6 +78,20 @@
         throw error(error_kind::internal, "the verb has no command", "report this with the command line");
     }
 
+    exit_code explain()
+    {
+        if (m_request.logFiles.empty())
+            return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId), m_request.output));
+        story_reader reader(m_request.requestId);
+        for (const auto& file : m_request.logFiles) {
+            std::istringstream log(readFile(file));
+            reader.read(log);
+        }
+        const auto story = reader.finish();
+        print(reportStory(story, m_request.output));
+        return story.decisions.empty() ? exit_code::failed : exit_code::done;
+    }
+
     exit_code print(const std::string& text)
     {
         m_out << text;
--- a/libs/cli/src/command_line.cpp
+++ b/libs/cli/src/command_line.cpp
@@ -146,11 +146,14 @@
     void addOtherVerbs()
     {
         add(m_app, "status", cli_verb::status, "Shows members, pools and endpoints as one node sees them.", "--node 127.0.0.1:8701 status");
-        add(m_app, "explain", cli_verb::explain, "Tells what happened to a request.",
-            "--node 127.0.0.1:8701 explain 000000000000feed-0000000000000001")
-            ->add_option("REQUEST", m_request.requestId, "request id as in X-Request-Id")
+        auto* explain = add(m_app, "explain", cli_verb::explain, "Tells what happened to a request, from a node or from logs.",
+            "explain 9c41d07be2a35f68 --log node-1.log --log node-2.log");
+        explain->add_option("REQUEST", m_request.requestId, "id of the request, as in the logs")
             ->required()
             ->check(CLI::Validator(checkRequestId, "ID"));
+        explain->add_option("--log", m_request.logFiles, "log of a node; repeat it for more nodes; needs no --node")
+            ->expected(1)
+            ->multi_option_policy(CLI::MultiOptionPolicy::TakeAll);
         add(m_app, "drain", cli_verb::drain, "Makes the node after --node finish its requests and exit.", "--node 127.0.0.1:8701 drain");
         add(m_app, "usage", cli_verb::usage, "Shows the usage of every team by tier.", "--node 127.0.0.1:8701 --output json usage");
         add(m_app, "orders", cli_verb::orders, "Shows the orders to engines and their state.", "--node 127.0.0.1:8701 orders");
@@ -164,7 +167,8 @@
         auto& request = m_request;
         const bool changes = request.verb == cli_verb::config_apply || request.verb == cli_verb::exception_add
             || request.verb == cli_verb::exception_remove;
-        if (request.verb != cli_verb::config_check) {
+        const bool needsNode = request.verb != cli_verb::config_check && request.logFiles.empty();
+        if (needsNode) {
             if (request.nodes.empty())
                 return refuse("--node is required: the HTTP address of a node");
             if (request.key.empty())
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -1,4 +1,5 @@
 #include "cli/commands.h"
+#include "cli/request_story.h"
 #include "fake_fleet.h"
 
 #include <fstream>
@@ -256,5 +257,66 @@
     EXPECT_THAT(out.str(), HasSubstr("node n1 incarnation - version 0"));
 }
 
+// Lines of two nodes as they write them, in the order of the files and not of time.
+constexpr auto recordedLogs
+    = "event=request_ended time_ms=1400 node=edge-b request=late1 route=r result=served sends=2 events=9 replica=i-2 sent_ms=504 "
+      "expected_first_ms=93 first_ms=677 longest_pause_ms=40 total_ms=805\n"
+      "event=attempt_failed time_ms=700 node=edge-b request=late1 replica=i-1 outcome=broken after_ms=90 events=0 again=1 detail=\"partial "
+      "message\"\n"
+      "event=request_sent time_ms=610 node=edge-b request=late1 replica=i-1 attempt=1 waited_ms=0 expected_first_ms=60 running=3\n"
+      "event=quota_exceeded time_ms=900 node=edge-a request=refused1 team=choir units=16185 left=6893 rate_per_s=1 burst=2 "
+      "reporting_nodes=3 possible_nodes=4\n"
+      "event=request_rejected time_ms=900 node=edge-a request=refused1 status=429 reason=quota configuration=5\n"
+      "event=attempt_failed time_ms=950 node=edge-a request=lost1 replica=i-3 outcome=broken after_ms=518 events=10 again=0 "
+      "detail=\"partial message\"\n"
+      "event=request_ended time_ms=950 node=edge-a request=lost1 route=r result=unknown_outcome sends=1 events=10 replica=i-3 sent_ms=0 "
+      "expected_first_ms=60 first_ms=-1 longest_pause_ms=0 total_ms=520\n"
+      "event=lines_left_out time_ms=1000 node=edge-a of=request_sent count=12\n"
+      "event=request_sent time_ms=800 node=edge-a request=late10 replica=i-9 attempt=1\n";
+
+request_story storyOf(const std::string& request)
+{
+    story_reader reader(request);
+    std::istringstream log(recordedLogs);
+    reader.read(log);
+    return reader.finish();
+}
+
+// Guards against a story that mixes requests, or tells them in the order of the files.
+TEST(request_story, lines_of_all_nodes_are_in_order_of_time)
+{
+    const auto story = storyOf("late1");
+    ASSERT_EQ(story.decisions.size(), 3U);
+    EXPECT_EQ(story.decisions.front().event, "request_sent");
+    EXPECT_EQ(story.decisions[1].field("detail"), "\"partial message\"");
+    EXPECT_EQ(story.linesLeftOut, 0U);
+}
+
+// Guards against a wrong line being named as the reason: the three kinds of failed request.
+TEST(request_story, deciding_line_tells_why_the_request_ended)
+{
+    EXPECT_THAT(storyOf("late1").conclusion(), AllOf(HasSubstr("504 ms until it was sent, 173 ms at i-2, where 93"), HasSubstr("pause 40 ms")));
+    EXPECT_THAT(storyOf("refused1").conclusion(), AllOf(HasSubstr("6893 of its quota left, 16185 were needed"), HasSubstr("3 of 4 nodes")));
+    const auto lost = storyOf("lost1");
+    EXPECT_THAT(lost.conclusion(), HasSubstr("failed at i-3 after 518 ms: broken"));
+    EXPECT_EQ(lost.linesLeftOut, 12U);
+    EXPECT_THAT(reportStory(lost, output_format::text), AllOf(HasSubstr("* +0 ms edge-a attempt_failed"), HasSubstr("12 lines")));
+    EXPECT_THAT(storyOf("absent").conclusion(), HasSubstr("no line"));
+}
+
+// Guards against a command that asks a node although the logs are at hand, and against a missing file that reads as an empty log.
+TEST_F(command_line, explain_reads_logs_without_a_node)
+{
+    const auto file = testing::TempDir() + "node.log";
+    std::ofstream(file) << recordedLogs;
+    EXPECT_EQ(run({ "explain", "refused1", "--log", file }), 0);
+    EXPECT_THAT(out.str(), HasSubstr("request refused1: refused: team choir"));
+    EXPECT_EQ(run({ "explain", "refused1", "--log", file, "--output", "json" }), 0);
+    EXPECT_THAT(out.str(), HasSubstr(R"("conclusion":"refused: team choir)"));
+    EXPECT_EQ(run({ "explain", "absent", "--log", file }), 1);
+    EXPECT_NE(run({ "explain", "refused1", "--log", file + ".missing" }), 0);
+    EXPECT_THAT(fleet.requests, IsEmpty());
+}
+
 } // namespace
 } // namespace carawaylink
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-decision_log::line::line(decision_log& log, std::string_view event)
+decision_log::line::line(decision_log& log, std::string_view event, std::string_view kind)
     : m_log(log)
-    , m_isWritten(log.admit(event))
+    , m_isWritten(log.admit(event, kind))
 {
     if (m_isWritten)
         m_text << "event=" << event << " time_ms=" << unixMilliseconds() << " node=" << log.m_node;
@@ -43,11 +43,12 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool decision_log::admit(std::string_view event)
+bool decision_log::admit(std::string_view event, std::string_view kind)
 {
-    auto found = m_budgets.find(event);
-    if (found == m_budgets.end())
-        found = m_budgets.emplace(std::string(event), event_budget {}).first;
+    std::string name(event);
+    if (!kind.empty())
+        name.append("/").append(kind);
+    const auto found = m_budgets.try_emplace(std::move(name)).first;
     auto& budget = found->second;
     if (budget.written >= linesPerSecond) {
         ++budget.dropped;
--- a/libs/gateway/src/decision_log.h
+++ b/libs/gateway/src/decision_log.h
@@ -15,7 +15,7 @@
 public:
     class line {
     public:
-        line(decision_log& log, std::string_view event);
+        line(decision_log& log, std::string_view event, std::string_view kind);
         ~line();
         line(const line&) = delete;
         line& operator=(const line&) = delete;
@@ -34,7 +34,8 @@
     };
 
     explicit decision_log(std::string node);
-    line event(std::string_view name) { return { *this, name }; }
+    /// Lines of one event and kind share a budget, so that a frequent kind does not use up that of a rare one.
+    line event(std::string_view name, std::string_view kind = {}) { return { *this, name, kind }; }
     /// Writes what waits and the counts of dropped lines; call about once a second.
     void flush();
 
@@ -43,7 +44,7 @@
         unsigned written = 0;
         unsigned dropped = 0;
     };
-    bool admit(std::string_view event);
+    bool admit(std::string_view event, std::string_view kind);
     void append(const std::string& text);
     void writePending();
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -221,6 +221,9 @@
     m_front.endpointProgress(*this, m_events.events() - m_eventsBefore);
     if (!m_firstAt)
         m_firstAt = m_lastByte;
+    else
+        m_longestPause = std::max(m_longestPause, m_lastByte - m_forwardedAt);
+    m_forwardedAt = m_lastByte;
     if (!m_headForwarded) {
         m_headForwarded = true;
         m_front.metrics().firstEvent(m_lastByte - m_admitted.arrived);
@@ -450,7 +453,7 @@
     if (m_admitted.team && !m_isCounted)
         m_front.releaseQuota(*m_admitted.team, m_admitted.quotaUnits);
     m_front.log()
-        .event("request_ended")
+        .event("request_ended", result)
         .field("request", m_admitted.facts.attempt)
         .field("route", m_admitted.route.name)
         .field("result", result)
@@ -461,6 +464,7 @@
         .field("sent_ms", inMilliseconds(m_sends > 0 ? m_sentAt - m_admitted.arrived : duration { -1 }))
         .field("expected_first_ms", inMilliseconds(m_grant.expectedFirst))
         .field("first_ms", m_firstAt ? inMilliseconds(*m_firstAt - m_admitted.arrived) : -1)
+        .field("longest_pause_ms", inMilliseconds(m_longestPause))
         .field("total_ms", inMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived));
     m_front.metrics().requestEnded(m_admitted.route.tier, result);
     m_front.ended(*this);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -105,6 +105,9 @@
     std::size_t m_eventsBefore = 0;
     monotonic_time m_sentAt;
     std::optional<monotonic_time> m_firstAt;
+    monotonic_time m_forwardedAt {};
+    /// Between events that were passed on.
+    duration m_longestPause {};
     monotonic_time m_lastByte;
 };
 
--- a/libs/gateway/tests/decision_log_tests.cpp
+++ b/libs/gateway/tests/decision_log_tests.cpp
@@ -46,6 +46,20 @@
     int m_pipe[2] = { -1, -1 };
 };
 
+TEST_F(decision_log_test, floodOfServedRequests_leavesTheLinesOfFailedOnes)
+{
+    // Under load the requests that users complain of are the rare ones.
+    decision_log log("n1");
+    for (int i = 0; i < 1000; ++i)
+        log.event("request_ended", "served").field("request", i);
+    log.event("request_ended", "unknown_outcome").field("request", "lost");
+    log.flush();
+    const auto text = readAll();
+    EXPECT_EQ(count(text, "event=request_ended"), 41U);
+    EXPECT_EQ(count(text, "request=lost"), 1U);
+    EXPECT_EQ(count(text, "of=request_ended/served count=960"), 1U);
+}
+
 TEST_F(decision_log_test, flood_ofOneEvent_isBoundedAndCounted)
 {
     // A burst must not spend the processor on lines, and what is missing must be known.
