--- a/libs/gateway/src/fleet_view.cpp
+++ b/libs/gateway/src/fleet_view.cpp
@@ -31,6 +31,7 @@
         state.usage.clear();
         dropReserved(state);
         m_hasNewPeers = true;
+        state.firstHeard = now;
         state.incarnation = report.incarnation;
     }
     state.heard = now;
@@ -43,10 +44,10 @@
     state.endpointsChangedOffset = report.endpoints_changed_offset;
     if (!std::exchange(state.isLive, true))
         m_log.event("peer_live").field("peer", report.node).field("incarnation", report.incarnation);
-    applyUsage(state, report, now);
+    applyUsage(state, report);
     std::vector<peer_load> loads;
     for (const auto& load : report.loads)
-        loads.push_back({ load.replica(), { load.running(), tokens { load.unread_tokens() }, tokens { load.memory_tokens() } } });
+        loads.push_back({ load.replica(), { load.running(), tokens { load.unread_tokens() }, tokens { load.memory_units() * tokensPerMemoryUnit } } });
     m_front.setPeerLoads(node_id { report.node }, loads);
     std::vector<learned_speed> speeds;
     for (const auto& speed : report.speeds)
@@ -54,18 +55,18 @@
     m_front.setPeerSpeeds(node_id { report.node }, speeds);
 }
 
-void fleet_view::applyUsage(peer_state& state, const peer::node_reportT& report, monotonic_time now)
+void fleet_view::applyUsage(peer_state& state, const peer::node_reportT& report)
 {
     for (const auto& entry : report.usage) {
-        const auto [known, isFirst] = state.usage.try_emplace(entry->team, 0.0);
+        const auto [known, isFirst] = state.usage.try_emplace(entry.team(), 0.0);
         // What was taken before this process started is part of the level that it takes over.
-        const bool isBefore = isFirst && now - m_started < takesOverFor;
-        if (entry->taken > known->second && !isBefore)
-            m_front.subtractPeerUsage(entry->team, entry->taken - known->second);
-        known->second = std::max(known->second, entry->taken);
-        auto& reserved = state.reserved[entry->team];
-        m_front.addPeerReserved(entry->team, entry->reserved - std::exchange(reserved, entry->reserved));
-        m_front.adoptQuota(entry->team, entry->level);
+        const bool isBefore = isFirst && !m_front.isFirstStart() && state.firstHeard - m_started < takesOverFor;
+        if (entry.taken() > known->second && !isBefore)
+            m_front.subtractPeerUsage(entry.team(), entry.taken() - known->second);
+        known->second = std::max(known->second, entry.taken());
+        auto& reserved = state.reserved[entry.team()];
+        m_front.addPeerReserved(entry.team(), entry.reserved() - std::exchange(reserved, entry.reserved()));
+        m_front.adoptQuota(entry.team(), entry.level());
     }
 }
 
--- a/libs/gateway/src/fleet_view.h
+++ b/libs/gateway/src/fleet_view.h
@@ -17,6 +17,9 @@
     std::uint64_t offset = 0;
 };
 
+/// Unit of memory in reports between nodes.
+inline constexpr std::int64_t tokensPerMemoryUnit = 64;
+
 /// What the other nodes report: which live, what load they put on endpoints, what they took from the quotas.
 class fleet_view {
 public:
@@ -54,11 +57,13 @@
         config_version version;
         endpoint_news endpoints;
         std::uint64_t endpointsChangedOffset = 0;
-        std::map<std::string, double> usage;
-        std::map<std::string, double> reserved;
+        std::map<team_hash, double> usage;
+        std::map<team_hash, double> reserved;
         monotonic_time heard {};
+        /// When this run of the peer was first heard of.
+        monotonic_time firstHeard {};
     };
-    void applyUsage(peer_state& state, const peer::node_reportT& report, monotonic_time now);
+    void applyUsage(peer_state& state, const peer::node_reportT& report);
     void dropReserved(peer_state& state);
 
     std::string m_ownAddress;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -67,6 +67,11 @@
     return XXH64(id.value.data(), id.value.size(), 0);
 }
 
+team_hash teamHash(const team_id& team)
+{
+    return XXH64(team.value.data(), team.value.size(), 0);
+}
+
 front::front(boost::asio::io_context& context, const gateway_settings& settings, const dialect& names, http_client& client,
     decision_log& log, gateway_metrics& metrics)
     : m_context(context)
@@ -169,7 +174,10 @@
         if (found != m_quotas.end())
             found->second.configure(quotaLimit(team), now);
         else
-            m_quotas.emplace(team.name.value, limits::shared_quota(quotaLimit(team), now, m_settings.isFirstStart));
+            m_quotaByHash[teamHash(team.name)] = &m_quotas
+                                                      .emplace(team.name.value,
+                                                          limits::shared_quota(quotaLimit(team), now, m_settings.isFirstStart))
+                                                      .first->second;
     }
     for (const auto& defined : definition.services) {
         placement::pool_limits limits;
@@ -247,18 +255,22 @@
         state->pool.removePeer(node);
 }
 
-void front::subtractPeerUsage(const std::string& team, double units)
+limits::shared_quota* front::quotaOf(team_hash team) const
 {
-    const auto found = m_quotas.find(team);
-    if (found != m_quotas.end())
-        found->second.usedByPeer(units, std::chrono::steady_clock::now());
+    const auto found = m_quotaByHash.find(team);
+    return found == m_quotaByHash.end() ? nullptr : found->second;
 }
 
-void front::addPeerReserved(const std::string& team, double units)
+void front::subtractPeerUsage(team_hash team, double units)
 {
-    const auto found = m_quotas.find(team);
-    if (found != m_quotas.end())
-        found->second.addPeerReserved(units);
+    if (auto* quota = quotaOf(team))
+        quota->usedByPeer(units, std::chrono::steady_clock::now());
+}
+
+void front::addPeerReserved(team_hash team, double units)
+{
+    if (auto* quota = quotaOf(team))
+        quota->addPeerReserved(units);
 }
 
 limits::quota_limit front::quotaLimit(const routing::team_definition& team) const
@@ -266,13 +278,14 @@
     return { team.ratePerSecond, team.burst, m_settings.quotaWindow };
 }
 
-void front::adoptQuota(const std::string& team, double level)
+void front::adoptQuota(team_hash team, double level)
 {
-    if (m_settings.isFirstStart || std::chrono::steady_clock::now() - m_started > adoptionTime)
+    const auto now = std::chrono::steady_clock::now();
+    if (m_settings.isFirstStart || now - m_started > adoptionTime)
         return;
-    const auto found = m_quotas.find(team);
-    if (found != m_quotas.end() && m_adoptedQuotas.insert(team).second)
-        found->second.adopt(level, std::chrono::steady_clock::now());
+    auto* quota = quotaOf(team);
+    if (quota && m_adoptedQuotas.insert(team).second)
+        quota->adopt(level, now);
 }
 
 void front::startStopping(monotonic_time until)
@@ -324,13 +337,19 @@
     return speeds;
 }
 
-std::map<std::string, quota_use> front::ownUsage() const
+std::map<team_hash, quota_use> front::reportUsage(bool all)
 {
     const auto now = std::chrono::steady_clock::now();
-    std::map<std::string, quota_use> usage;
-    for (const auto& [team, quota] : m_quotas) {
-        if (quota.isLimited())
-            usage.emplace(team, quota_use { quota.usedHere(), quota.left(now), quota.reservedHere() });
+    std::map<team_hash, quota_use> usage;
+    for (const auto& [team, quota] : m_quotaByHash) {
+        if (!quota->isLimited())
+            continue;
+        const quota_use use { quota->usedHere(), quota->left(now), quota->reservedHere() };
+        auto& reported = m_reportedUsage[team];
+        if (!all && use.taken == reported.taken && use.reserved == reported.reserved)
+            continue;
+        reported = use;
+        usage.emplace(team, use);
     }
     return usage;
 }
--- a/libs/gateway/src/front.h
+++ b/libs/gateway/src/front.h
@@ -46,6 +46,10 @@
     placement::endpoint_speed speed;
 };
 
+/// Names a team in messages between nodes.
+using team_hash = std::uint64_t;
+team_hash teamHash(const team_id& team);
+
 /// Use of one team's quota.
 struct quota_use {
     double taken = 0;
@@ -73,15 +77,17 @@
     void setPeerLoads(const node_id& node, const std::vector<peer_load>& loads);
     void setPeerSpeeds(const node_id& node, const std::vector<learned_speed>& speeds);
     void removePeer(const node_id& node);
-    void subtractPeerUsage(const std::string& team, double units);
+    void subtractPeerUsage(team_hash team, double units);
     /// Changes what the peers hold reserved of a team's quota.
-    void addPeerReserved(const std::string& team, double units);
+    void addPeerReserved(team_hash team, double units);
     /// What a peer knows to be left of a team's quota; used once, and only by a process that has just started.
-    void adoptQuota(const std::string& team, double level);
+    void adoptQuota(team_hash team, double level);
     void startStopping(monotonic_time until);
 
     /// Deadlines, silent endpoints and waiting requests; call every few hundredths of a second while there are requests.
     void tick();
+    /// The whole fleet started for the first time with this process.
+    bool isFirstStart() const { return m_settings.isFirstStart; }
     bool isConfigured() const { return m_routes != nullptr; }
     config_version version() const;
     std::size_t active() const { return m_exchanges.size(); }
@@ -90,8 +96,8 @@
     std::vector<peer_load> reportLoads();
     /// Speeds that this node has learned: those that have changed notably since their last report, or all.
     std::vector<learned_speed> reportSpeeds(bool all);
-    /// Units taken here and left in the fleet, by team.
-    std::map<std::string, quota_use> ownUsage() const;
+    /// Units taken here and left in the fleet, by team: those whose use has changed since the last call, or all.
+    std::map<team_hash, quota_use> reportUsage(bool all);
 
     // For the exchanges.
     void submit(const std::shared_ptr<exchange>& owner, placement::waiting_request request);
@@ -123,6 +129,7 @@
     };
 
     service_state& service(const service_id& name);
+    limits::shared_quota* quotaOf(team_hash team) const;
     limits::quota_limit quotaLimit(const routing::team_definition& team) const;
     limits::quota_nodes quotaNodes() const { return { m_fleet.reporting, m_fleet.possible }; }
     void decide(service_state& state);
@@ -137,7 +144,10 @@
     std::shared_ptr<const routing::route_table> m_routes;
     std::map<std::string, std::unique_ptr<service_state>> m_services;
     std::map<std::string, limits::shared_quota> m_quotas;
-    std::set<std::string> m_adoptedQuotas;
+    // The quotas again, by the names that messages use.
+    std::map<team_hash, limits::shared_quota*> m_quotaByHash;
+    std::map<team_hash, quota_use> m_reportedUsage;
+    std::set<team_hash> m_adoptedQuotas;
     std::map<discovery::replica_id, discovery::endpoint_record> m_endpoints;
     std::unordered_map<std::uint64_t, discovery::replica_id> m_replicaByHash;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -25,6 +25,7 @@
 constexpr double nodesAtFullRate = 15;
 // Parts of the state that change slowly go with some reports only.
 constexpr std::uint64_t usageEvery = 3;
+constexpr std::uint64_t allUsageEvery = 8 * usageEvery;
 // A report that was replaced before it was written may have held a change of speed.
 constexpr std::uint64_t allSpeedsEvery = 40;
 constexpr std::uint64_t membersEvery = 20;
@@ -54,6 +55,12 @@
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t maxDirectoryAddresses = 64;
 
+// Largest value of the field where the number does not fit.
+template <typename Field> Field limited(std::int64_t value)
+{
+    return static_cast<Field>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Field>::max()));
+}
+
 } // namespace
 
 struct gateway_node::implementation {
@@ -377,23 +384,16 @@
         report.endpoints_offset = endpointFollower->offset();
         report.endpoints_changed_offset = endpointsChangedOffset;
         for (const auto& own : callers.reportLoads()) {
-            report.loads.emplace_back(own.replica, own.load.running,
-                static_cast<std::uint32_t>(std::max<std::int64_t>(own.load.unread.value, 0)),
-                static_cast<std::uint32_t>(std::max<std::int64_t>(own.load.memory.value, 0)));
+            report.loads.emplace_back(own.replica, limited<std::uint32_t>(own.load.unread.value),
+                limited<std::uint16_t>(own.load.running), limited<std::uint16_t>(own.load.memory.value / tokensPerMemoryUnit));
         }
         ++reports;
-        if (reports % usageEvery == 0) {
-            for (const auto& [team, use] : callers.ownUsage()) {
-                auto entry = std::make_unique<peer::team_usageT>();
-                entry->team = team;
-                entry->taken = use.taken;
-                entry->level = use.level;
-                entry->reserved = use.reserved;
-                report.usage.push_back(std::move(entry));
-            }
+        const bool hasNewPeers = fleet.takeNewPeers();
+        if (hasNewPeers || reports % usageEvery == 0) {
+            for (const auto& [team, use] : callers.reportUsage(hasNewPeers || reports % allUsageEvery == 0))
+                report.usage.emplace_back(team, use.taken, static_cast<float>(use.level), static_cast<float>(use.reserved));
         }
-        const bool withAllSpeeds = reports % allSpeedsEvery == 0 || fleet.takeNewPeers();
-        for (const auto& own : callers.reportSpeeds(withAllSpeeds)) {
+        for (const auto& own : callers.reportSpeeds(hasNewPeers || reports % allSpeedsEvery == 0)) {
             report.speeds.emplace_back(own.replica, static_cast<float>(own.speed.baseMs), static_cast<float>(own.speed.msPerToken),
                 static_cast<float>(own.speed.msPerEvent), own.speed.samples);
         }
@@ -445,8 +445,8 @@
         const auto asOf = endpointFollower->asOf();
         if (asOf == monotonic_time {})
             return std::numeric_limits<std::uint32_t>::max();
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - asOf).count();
-        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+        return limited<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - asOf).count());
     }
 
     // The others rely on two nodes that they hear from; where these are silent or lose the store, the next ones take over.
