Give every node its turn in the draw of free slots

Cause: the draw moved on by seven nodes a report, so in a fleet of 7, 14 or 28 nodes most never drew the last free slot of an endpoint. Change: a prime above any number of nodes.

--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -26,8 +26,8 @@
 constexpr double equalScorePerNode = 0.03;
 // Nodes that may take one of the free slots of an endpoint between two reports, for each free slot.
 constexpr std::size_t nodesPerFreeSlot = 2;
-// Moves the draw of free slots on by this many nodes from one report to the next.
-constexpr std::size_t drawStep = 7;
+// Moves the draw of free slots on from one report to the next. A prime above the number of nodes, so that each node gets its turn.
+constexpr std::size_t drawStep = 7919;
 // Window of the drain rate.
 constexpr auto drainWindow = std::chrono::seconds(1);
 // Requests per window that are expected to start where none did lately.
@@ -40,11 +40,11 @@
 constexpr auto shortHold = std::chrono::milliseconds(500);
 constexpr auto shortestRetry = std::chrono::milliseconds(200);
 constexpr auto longestRetry = std::chrono::seconds(4);
-// A request without a first event is given up after this many times the prediction.
 // Events after which a response that goes on tells the pace of its endpoint.
 constexpr std::size_t eventsForPace = 4;
 // A response tells of its own prompt where at most this part of the reading before it was for others.
 constexpr double unrelatedShare = 0.1;
+// A request without a first event is given up after this many times the prediction.
 constexpr int patienceFactor = 4;
 constexpr auto shortestPatience = std::chrono::milliseconds(500);
 
@@ -287,8 +287,8 @@
     return now - endpoint.lastProgress > stallTime + 2 * expected;
 }
 
-// All nodes see the same free slots for the time of a report. A draw lets as many of them take one as there are slots, about, and
-// others after the next report. A slot that the peers still count as this node's is its own to use again.
+// All nodes see the same free slots for the time of a report. A draw lets a few of them take one, and others after the next report.
+// A slot that the peers still count as this node's is its own to use again.
 bool service_pool::mayBorrow(const endpoint_state& endpoint) const
 {
     const auto taken = endpoint.peers.running + std::max(endpoint.own.running, endpoint.reported);
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -255,15 +255,17 @@
 {
     // Guards against nodes that never draw the free slot of an endpoint and refuse while it idles.
     list({ "fast" }, 9);
-    for (std::size_t rank = 0; rank < 34; ++rank) {
-        service_pool node(rank);
-        node.setEndpoints(m_records, m_now);
-        node.setNodes(rank, 34);
-        node.setPeerLoad(node_id { "busy" }, { { replica_id { "fast" }, { 8, tokens { 0 }, tokens { 0 } } } });
-        std::size_t reports = 0;
-        for (node.submit(request(1)); node.decide(m_now).grants.empty() && reports < 34; ++reports)
-            node.reportLoad();
-        EXPECT_LT(reports, 34U) << rank;
+    for (const std::size_t nodes : { 2U, 5U, 7U, 14U, 28U, 34U }) {
+        for (std::size_t rank = 0; rank < nodes; ++rank) {
+            service_pool node(rank);
+            node.setEndpoints(m_records, m_now);
+            node.setNodes(rank, nodes);
+            node.setPeerLoad(node_id { "busy" }, { { replica_id { "fast" }, { 8, tokens { 0 }, tokens { 0 } } } });
+            std::size_t reports = 0;
+            for (node.submit(request(1)); node.decide(m_now).grants.empty() && reports < nodes; ++reports)
+                node.reportLoad();
+            EXPECT_LT(reports, nodes) << rank << " of " << nodes;
+        }
     }
 }
 
