Hold removals no longer than the peer that told of them

Store away until 24.7 s, entry gone at 25.2 s; the node that read it held the removal until 26.9 s, the others, which got its copy at 25.5 s, for 2.2 s from then. This came with the copies that say whether their sender lost the store. Change: a copy says for how long its removals are held; a node that reads the store itself goes by its own outages.

--- a/libs/discovery/include/discovery/endpoint_table.h
+++ b/libs/discovery/include/discovery/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,7 +46,8 @@
     void holdRemovals(monotonic_time until) { m_holdUntil = until; }
     /// Ends the hold; removals that are held back are carried out by the next expire().
     void releaseRemovals();
-    bool holdsRemovals(monotonic_time now) const { return now < m_holdUntil; }
+    /// Time until the hold ends; zero without one.
+    duration holdLeft(monotonic_time now) const { return std::max(m_holdUntil - now, duration {}); }
     /// Carries out removals whose time has come.
     bool expire(monotonic_time now);
 
--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -35,12 +35,12 @@
 
 // A peer whose reads were not interrupted knows which removals are real, so nothing is held back even where this node cannot reach
 // the store: an endpoint that leaves without notice would get requests for the time of the hold besides that of the read.
-bool endpoint_registry::applyCopy(const peer::store_copyT& copy, monotonic_time now)
+bool endpoint_registry::applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now)
 {
-    if (copy.after_outage)
-        m_table.holdRemovals(now + reregistrationTime);
-    else
+    if (copy.removals_held_ms == 0)
         m_table.releaseRemovals();
+    else if (!reachesStore)
+        m_table.holdRemovals(now + std::chrono::milliseconds(copy.removals_held_ms));
     std::vector<store_record> records;
     for (const auto& entry : copy.endpoints)
         records.push_back({ entry->key, std::string(entry->value.begin(), entry->value.end()) });
@@ -65,7 +65,7 @@
 void endpoint_registry::fillCopy(peer::store_copyT& copy, std::uint64_t offset, monotonic_time now) const
 {
     copy.endpoints_offset = offset;
-    copy.after_outage = m_table.holdsRemovals(now);
+    copy.removals_held_ms = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(m_table.holdLeft(now)).count());
     for (const auto& [key, record] : m_records) {
         if (!m_table.isListed(discovery::replica_id { key }))
             continue;
--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -25,8 +25,8 @@
     bool replaceAll(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
     /// Records of the log, read from the store; true where peers have to be told.
     bool apply(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
-    /// What a peer read from the store.
-    bool applyCopy(const peer::store_copyT& copy, monotonic_time now);
+    /// What a peer read from the store; reachesStore: this node reads it as well, and knows by itself of outages.
+    bool applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now);
     /// The store answers again; entries that lapsed meanwhile get time to come back.
     void storeReturned(duration away, monotonic_time now);
     /// Carries out removals whose time has come; true where the usable endpoints changed.
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -249,7 +249,7 @@
         if (copy.endpoints.empty() || copy.endpoints_offset <= endpointFollower->offset())
             return;
         endpointFollower->skipTo(copy.endpoints_offset);
-        if (endpoints.applyCopy(copy, std::chrono::steady_clock::now()))
+        if (endpoints.applyCopy(copy, endpointFollower->isReachable(), std::chrono::steady_clock::now()))
             useEndpoints();
     }
 
