Cancel the call of an engine's answer that is complete

Change: the call is cancelled as well. Result: engine_stream tests pass under the address sanitizer without a report.

--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -248,6 +248,8 @@
         return;
     // The caller has the whole answer; only the end of the engine's response is outstanding.
     if (m_doneSeen) {
+        // The call holds this stream until it ends.
+        m_call->cancel();
         finish(stream_outcome::complete, {});
         return;
     }
