Replace all endpoints in one function

endpoint_registry::replaceAll only called a private twin; copies call it directly now. Behaviour is the same: 53 gateway tests pass, format clean.

--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -16,7 +16,16 @@
 
 bool endpoint_registry::replaceAll(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now)
 {
-    return replace(records, offset, now);
+    std::vector<discovery::registry_change> changes;
+    for (const auto& record : records)
+        changes.push_back(decode(record));
+    const bool changed = m_table.replaceAll(changes, now) || !m_isLoaded;
+    m_isLoaded = true;
+    if (changed) {
+        m_changedOffset = offset;
+        dropUnknownRecords();
+    }
+    return changed;
 }
 
 bool endpoint_registry::apply(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now)
@@ -44,7 +53,7 @@
     std::vector<store_record> records;
     for (const auto& entry : copy.endpoints)
         records.push_back({ entry->key, std::string(entry->value.begin(), entry->value.end()) });
-    return replace(records, copy.endpoints_offset, now);
+    return replaceAll(records, copy.endpoints_offset, now);
 }
 
 void endpoint_registry::storeReturned(duration away, monotonic_time now)
@@ -76,20 +85,6 @@
     }
 }
 
-bool endpoint_registry::replace(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now)
-{
-    std::vector<discovery::registry_change> changes;
-    for (const auto& record : records)
-        changes.push_back(decode(record));
-    const bool changed = m_table.replaceAll(changes, now) || !m_isLoaded;
-    m_isLoaded = true;
-    if (changed) {
-        m_changedOffset = offset;
-        dropUnknownRecords();
-    }
-    return changed;
-}
-
 discovery::registry_change endpoint_registry::decode(const store_record& record)
 {
     try {
--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -40,7 +40,6 @@
     bool isLoaded() const { return m_isLoaded; }
 
 private:
-    bool replace(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
     discovery::registry_change decode(const store_record& record);
     void dropUnknownRecords();
 
