--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -36,6 +36,8 @@
     duration stopGracePeriod = std::chrono::seconds(8);
     /// Limit of concurrent caller connections; further ones are closed without being read.
     std::size_t maxCallerConnections = 4000;
+    /// Processor capacity of this vm in thousandths of a core; 0 if unknown.
+    unsigned processorCapacity = 0;
     /// TTL of directory responses, at most the longest that callers honor.
     duration directoryTtl = std::chrono::seconds(2);
 };
--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 
 #include <algorithm>
+#include <set>
 
 namespace carawaylink::gateway {
 
@@ -17,8 +18,16 @@
 bool endpoint_registry::replaceAll(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now)
 {
     std::vector<discovery::registry_change> changes;
-    for (const auto& record : records)
+    std::set<discovery::replica_id> listed;
+    for (const auto& record : records) {
         changes.push_back(decode(record));
+        noteChange(changes.back(), offset);
+        listed.insert(changes.back().id);
+    }
+    for (const auto& [id, record] : m_table.records()) {
+        if (!listed.contains(id))
+            m_changedAt[id.value] = offset;
+    }
     const bool changed = m_table.replaceAll(changes, now) || !m_isLoaded;
     m_isLoaded = true;
     if (changed) {
@@ -31,8 +40,11 @@
 bool endpoint_registry::apply(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now)
 {
     bool changed = false;
-    for (const auto& record : records)
-        changed |= m_table.apply(decode(record), now);
+    for (const auto& record : records) {
+        const auto change = decode(record);
+        noteChange(change, offset);
+        changed |= m_table.apply(change, now);
+    }
     if (changed)
         dropUnknownRecords();
     // A removal that this node defers after an outage may take effect immediately on peers that saw no outage.
@@ -44,12 +56,40 @@
 
 // A peer whose reads were not interrupted knows which removals are genuine, so none are deferred, even if this node cannot reach the
 // store: otherwise an endpoint that leaves without notice would receive requests for the hold time on top of the read interval.
-bool endpoint_registry::applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now)
+void endpoint_registry::applyHold(std::uint32_t removalsHeldMs, bool reachesStore, monotonic_time now)
 {
-    if (copy.removals_held_ms == 0)
+    if (removalsHeldMs == 0)
         m_table.releaseRemovals();
     else if (!reachesStore)
-        m_table.holdRemovals(now + std::chrono::milliseconds(copy.removals_held_ms));
+        m_table.holdRemovals(now + std::chrono::milliseconds(removalsHeldMs));
+}
+
+// An endpoint that this node lists unchanged needs no mention. A removal does, since it may be deferred here and not at the receivers.
+void endpoint_registry::noteChange(const discovery::registry_change& change, std::uint64_t offset)
+{
+    const auto known = m_table.records().find(change.id);
+    const bool isUnchanged
+        = known != m_table.records().end() && change.record && known->second == *change.record && m_table.isListed(change.id);
+    if (!isUnchanged)
+        m_changedAt[change.id.value] = offset;
+}
+
+bool endpoint_registry::applyUpdate(const peer::store_updateT& update, bool reachesStore, monotonic_time now)
+{
+    applyHold(update.removals_held_ms, reachesStore, now);
+    std::vector<store_record> records;
+    for (const auto& entry : update.changes) {
+        store_record record { entry->key, std::nullopt };
+        if (!entry->removed)
+            record.value = std::string(entry->value.begin(), entry->value.end());
+        records.push_back(std::move(record));
+    }
+    return apply(records, update.offset, now);
+}
+
+bool endpoint_registry::applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now)
+{
+    applyHold(copy.removals_held_ms, reachesStore, now);
     std::vector<store_record> records;
     for (const auto& entry : copy.endpoints)
         records.push_back({ entry->key, std::string(entry->value.begin(), entry->value.end()) });
@@ -74,7 +114,7 @@
 void endpoint_registry::fillCopy(peer::store_copyT& copy, std::uint64_t offset, monotonic_time now) const
 {
     copy.endpoints_offset = offset;
-    copy.removals_held_ms = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(m_table.remainingHold(now)).count());
+    copy.removals_held_ms = removalsHeldMs(now);
     for (const auto& [key, record] : m_records) {
         if (!m_table.isListed(discovery::replica_id { key }))
             continue;
@@ -85,6 +125,32 @@
     }
 }
 
+std::uint32_t endpoint_registry::removalsHeldMs(monotonic_time now) const
+{
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(m_table.remainingHold(now)).count());
+}
+
+void endpoint_registry::fillUpdate(peer::store_updateT& update, monotonic_time now) const
+{
+    update.removals_held_ms = removalsHeldMs(now);
+    for (const auto& [key, offset] : m_changedAt) {
+        if (offset <= update.base_offset)
+            continue;
+        auto entry = std::make_unique<peer::registry_entryT>();
+        entry->key = key;
+        const auto record = m_records.find(key);
+        entry->removed = record == m_records.end() || !m_table.isListed(discovery::replica_id { key });
+        if (!entry->removed)
+            entry->value.assign(record->second.value->begin(), record->second.value->end());
+        update.changes.push_back(std::move(entry));
+    }
+}
+
+void endpoint_registry::forgetChangesUpTo(std::uint64_t offset)
+{
+    std::erase_if(m_changedAt, [offset](const auto& entry) { return entry.second <= offset; });
+}
+
 discovery::registry_change endpoint_registry::decode(const store_record& record)
 {
     try {
--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -25,12 +25,18 @@
     bool replaceAll(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
     /// Applies log records read from the store; returns whether peers need the change.
     bool apply(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
+    /// Applies the changes that a peer read from the store after update.base_offset; the caller knows everything up to there.
+    bool applyUpdate(const peer::store_updateT& update, bool reachesStore, monotonic_time now);
     /// Applies a copy that a peer read from the store. reachesStore: this node reads the store too and detects outages itself.
     bool applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now);
     /// Call when the store responds again; defers removals so that entries expired during the outage can be registered again.
     void onStoreReconnected(duration outage, monotonic_time now);
     /// Applies deferred removals that are due; returns whether the usable endpoints changed.
     bool expire(std::uint64_t offset, monotonic_time now);
+    /// Fills an update for peers with the changes after update.base_offset.
+    void fillUpdate(peer::store_updateT& update, monotonic_time now) const;
+    /// Forgets which endpoints changed at or before the offset.
+    void forgetChangesUpTo(std::uint64_t offset);
     /// Fills a copy for peers with the records read from the store.
     void fillCopy(peer::store_copyT& copy, std::uint64_t offset, monotonic_time now) const;
 
@@ -42,12 +48,17 @@
 private:
     discovery::registry_change decode(const store_record& record);
     void dropUnknownRecords();
+    void applyHold(std::uint32_t removalsHeldMs, bool reachesStore, monotonic_time now);
+    void noteChange(const discovery::registry_change& change, std::uint64_t offset);
+    std::uint32_t removalsHeldMs(monotonic_time now) const;
 
     const protocol_codec& m_codec;
     decision_log& m_log;
     discovery::endpoint_table m_table;
     // Raw records from the store, for copies to peers.
     std::map<std::string, store_record> m_records;
+    // Offset up to which the log was read when the endpoint last changed.
+    std::map<std::string, std::uint64_t> m_changedAt;
     std::uint64_t m_changedOffset = 0;
     bool m_isLoaded = false;
 };
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,19 +1,17 @@
 #include "gateway/gateway_node.h"
 
-#include "base/error.h"
 #include "base/random.h"
-#include "endpoint_registry.h"
 #include "exchange.h"
+#include "fleet_members.h"
+#include "mesh/membership_transport.h"
 #include "peer_links.h"
-#include "peer_state_table.h"
 #include "request_dispatcher.h"
-#include "store_follower.h"
+#include "store_sync.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <condition_variable>
 #include <future>
-#include <limits>
 #include <mutex>
 
 namespace carawaylink::gateway {
@@ -21,30 +19,6 @@
 namespace {
 
 constexpr auto tickInterval = std::chrono::milliseconds(25);
-// Interval between peer reports; it grows with the fleet beyond nodesAtFullRate nodes, so that the cost per node stays bounded.
-constexpr auto reportInterval = std::chrono::milliseconds(50);
-constexpr double nodesAtFullRate = 15;
-// Slowly changing state is included only in every n-th report.
-constexpr std::uint64_t usageReportPeriod = 3;
-constexpr std::uint64_t allUsageReportPeriod = 8 * usageReportPeriod;
-// Changed speeds may be lost with a report that a newer one replaced before it was written, so all are sent periodically.
-constexpr std::uint64_t allSpeedsReportPeriod = 40;
-constexpr std::uint64_t membersReportPeriod = 20;
-// Number of nodes that read the store at the full rate and forward changes to the others.
-constexpr std::size_t primaryReaders = 2;
-constexpr auto passiveEndpointInterval = std::chrono::seconds(15);
-constexpr auto passiveConfigurationWait = std::chrono::seconds(15);
-constexpr auto passiveNodesInterval = std::chrono::seconds(30);
-// A node whose peers report no log position newer than this reads the endpoints itself. Well below the time within which a leaving
-// endpoint must stop receiving requests.
-constexpr auto maxPeerPositionAge = std::chrono::milliseconds(1000);
-// A peer counts as lost after this many report intervals without a report, but not before minPeerTimeout.
-constexpr int maxMissedReports = 6;
-constexpr auto minPeerTimeout = std::chrono::milliseconds(700);
-constexpr auto endpointInterval = std::chrono::milliseconds(800);
-constexpr auto configurationWait = std::chrono::milliseconds(1500);
-constexpr auto nodesInterval = std::chrono::seconds(4);
-constexpr auto storeCopyInterval = std::chrono::milliseconds(400);
 // Callers that a draining node turns away keep using its address for a while.
 constexpr auto minDrainTime = std::chrono::milliseconds(3500);
 // Active requests are aborted after this fraction of the grace period, before the process is killed.
@@ -53,11 +27,25 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t maxDirectoryAddresses = 64;
+// The fleet is the only one on its addresses and has no secret of its own; the key only tells its datagrams from others.
+const std::string membershipCluster = "platform";
+const key_ring::key membershipKey { "platform", "carawaylink-platform" };
 
-// Clamps the value to the range of the field.
-template <typename Field> Field saturated(std::int64_t value)
+failure_detector_settings membershipSettings()
 {
-    return static_cast<Field>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Field>::max()));
+    failure_detector_settings settings;
+    settings.probeInterval = std::chrono::milliseconds(250);
+    settings.probeTimeout = std::chrono::milliseconds(100);
+    settings.suspicionTimeout = std::chrono::milliseconds(600);
+    settings.deadProbeInterval = std::chrono::seconds(1);
+    settings.renewsIncarnation = true;
+    return settings;
+}
+
+incarnation currentIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
 }
 
 } // namespace
@@ -70,10 +58,11 @@
         , threads(1)
         , context(threads.context(0))
         , client(context)
-        , storeClient(context)
         , dispatcher(context, settings, *codec, client, log, metrics)
-        , peerStates(settings.peerAddress, dispatcher, log)
-        , links(context, settings.peerAddress, log, [this](const peer::envelopeT& message) { onPeerMessage(message); })
+        , members(node_id { settings.peerAddress }, settings.processorCapacity, std::chrono::steady_clock::now())
+        , membership(context, membershipCluster, { membershipKey }, [this](const member_changed& change) { onMemberChanged(change); })
+        , store(context, settings, *codec, log, members, storeHandlers())
+        , links(context, node_id { settings.peerAddress }, log, linkHandlers())
         , frontend(threads, frontendLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) {
                   dispatcher.handle(std::move(request), std::move(responder));
@@ -87,12 +76,37 @@
                   responder->send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
               })
         , ticker(context)
-        , reporter(context)
-        , incarnation(randomSeed())
-        , endpoints(*codec, log)
+        , random(randomSeed())
     {
     }
 
+    store_sync::handlers storeHandlers()
+    {
+        store_sync::handlers result;
+        result.onConfiguration
+            = [this](routing::fleet_configuration configuration) { return applyConfiguration(std::move(configuration)); };
+        result.onEndpoints = [this](const auto& records) { dispatcher.setEndpoints(records); };
+        result.onNodes = [this](const std::set<node_id>& nodes) {
+            members.setListed(nodes);
+            membership.addSeeds({ nodes.begin(), nodes.end() });
+        };
+        result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
+        result.version = [this] { return dispatcher.version(); };
+        return result;
+    }
+
+    peer_link_handlers linkHandlers()
+    {
+        peer_link_handlers result;
+        result.onMessage = [this](const node_id& sender, const peer::envelopeT& message) { onPeerMessage(sender, message); };
+        result.onLost = [this](const node_id& peer) { dispatcher.loseConnection(peer); };
+        result.onRefused = [this](const node_id& peer) {
+            dispatcher.loseConnection(peer);
+            membership.confirmDead({ peer, members.runOf(peer) });
+        };
+        return result;
+    }
+
     http_server_limits frontendLimits() const
     {
         const routing::caller_limits limits;
@@ -117,65 +131,47 @@
         directory.listen(settings.directoryAddress);
         if (!settings.metricsAddress.empty())
             metricsServer.listen(settings.metricsAddress);
-        for (const auto& seed : settings.seeds)
-            links.add(seed);
-        followStore();
-        publishSelf();
+        dispatcher.setPeerHandlers([this](const node_id& node, peer::envelopeT message) { links.send(node, std::move(message)); },
+            [this](const node_id& owner) { links.drop(owner); });
+        startMembership();
+        store.start();
         tick();
-        report();
     }
 
-    void followStore()
+    void startMembership()
     {
-        const auto follower = [this](follow_options options, store_follower::handlers handlers) {
-            auto created
-                = std::make_shared<store_follower>(context, storeClient, settings.storeAddress, *codec, log, options, std::move(handlers));
-            created->start();
-            return created;
-        };
-        const auto applyRecords = [this](const std::vector<store_record>& records) {
-            std::ranges::for_each(records, [this](const store_record& record) { applyConfiguration(record); });
-        };
-        configurationFollower
-            = follower({ store_topic::configuration, configurationWait, {} }, { applyRecords, applyRecords, [](duration) {} });
-        endpointFollower = follower({ store_topic::endpoints, {}, endpointInterval },
-            { [this](const auto& records) { onEndpointSnapshot(records); }, [this](const auto& records) { onEndpointRecords(records); },
-                [this](duration outage) { endpoints.onStoreReconnected(outage, std::chrono::steady_clock::now()); } });
-        nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
-            { [this](const auto& records) { onNodeRecords(records); }, [this](const auto& records) { onNodeRecords(records); },
-                [](duration) {} });
+        member_update self;
+        self.node = node_id { settings.peerAddress };
+        self.run = currentIncarnation();
+        self.domain = settings.domain;
+        self.capacity = static_cast<std::uint16_t>(settings.processorCapacity);
+        membership.start(settings.peerAddress, self, membershipSettings());
+        std::vector<node_id> seeds;
+        std::ranges::transform(settings.seeds, std::back_inserter(seeds), [](const std::string& seed) { return node_id { seed }; });
+        membership.addSeeds(seeds);
     }
 
-    void publishSelf()
+    void onMemberChanged(const member_changed& change)
     {
-        http_call_options options;
-        options.idleTimeout = std::chrono::seconds(2);
-        storeClient.send(settings.storeAddress, codec->publish(store_topic::nodes, settings.nodeName, settings.peerAddress), options,
-            [this](const http_result& result) {
-                if (result.ok() && result.response.status == statusOk)
-                    return;
-                log.event("publish_failed").field("status", result.response.status).field("detail", '"' + result.detail + '"');
-                auto timer = std::make_shared<boost::asio::steady_timer>(context, std::chrono::milliseconds(500));
-                timer->async_wait([this, timer](boost::system::error_code status) {
-                    if (!status)
-                        publishSelf();
-                });
-            });
+        members.apply(change.member, std::chrono::steady_clock::now());
+        if (change.member.state == change.before)
+            return;
+        log.event("member_changed", memberStateNames.name(change.member.state))
+            .field("peer", change.member.node)
+            .field("state", memberStateNames.name(change.member.state))
+            .field("before", memberStateNames.name(change.before))
+            .field("incarnation", change.member.run);
+        const bool hasEnded = change.member.state == member_state::dead || change.member.state == member_state::left;
+        if (hasEnded)
+            dispatcher.removeNode(change.member.node);
     }
 
-    void applyConfiguration(const store_record& record)
+    bool applyConfiguration(routing::fleet_configuration configuration)
     {
-        try {
-            auto routes = codec->decodeConfiguration(record);
-            if (!routes || !dispatcher.setConfiguration(std::move(*routes)))
-                return;
-            configurationRecord = record;
-            applyCallerLimits();
-            if (isPrimaryReader())
-                links.broadcast(storeCopy(true, false));
-        } catch (const error& failure) {
-            log.event("configuration_invalid").field("key", record.key).field("error", '"' + std::string(failure.what()) + '"');
-        }
+        if (!dispatcher.setConfiguration(std::move(configuration)))
+            return false;
+        applyCallerLimits();
+        return true;
     }
 
     void applyCallerLimits()
@@ -189,73 +185,19 @@
         frontend.setLimits(result);
     }
 
-    void onEndpointSnapshot(const std::vector<store_record>& records)
-    {
-        if (endpoints.replaceAll(records, endpointFollower->offset(), std::chrono::steady_clock::now()))
-            publishEndpoints();
-    }
-
-    void onEndpointRecords(const std::vector<store_record>& records)
-    {
-        if (endpoints.apply(records, endpointFollower->offset(), std::chrono::steady_clock::now()))
-            publishEndpoints();
-    }
-
-    void publishEndpoints()
-    {
-        applyEndpoints();
-        if (isPrimaryReader())
-            links.broadcast(storeCopy(false, true));
-    }
-
-    void applyEndpoints()
-    {
-        const auto draining = std::ranges::count_if(endpoints.records(), [](const auto& entry) { return entry.second.draining; });
-        log.event("endpoints_changed")
-            .field("endpoints", endpoints.records().size())
-            .field("draining", draining)
-            .field("offset", endpoints.changedOffset());
-        dispatcher.setEndpoints(endpoints.records());
-    }
-
-    void onNodeRecords(const std::vector<store_record>& records)
-    {
-        for (const auto& record : records) {
-            if (record.value) {
-                listedAddresses.insert(*record.value);
-                links.add(*record.value);
-            }
-        }
-        peerStates.setListedAddresses(listedAddresses);
-    }
-
-    void onPeerMessage(const peer::envelopeT& message)
+    void onPeerMessage(const node_id& sender, const peer::envelopeT& message)
     {
-        const auto now = std::chrono::steady_clock::now();
-        if (const auto* report = message.body.Asnode_report()) {
-            peerStates.applyReport(*report, now);
-            links.add(report->node);
-            for (const auto& member : report->members)
-                links.add(member);
-        } else if (const auto* copy = message.body.Asstore_copy()) {
-            applyStoreCopy(*copy);
-        }
-    }
-
-    // Store records forwarded by a peer, for nodes that read the store at a reduced rate or cannot reach it.
-    void applyStoreCopy(const peer::store_copyT& copy)
-    {
-        if (!copy.configuration_key.empty())
-            applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) });
-        if (copy.endpoints.empty() || copy.endpoints_offset <= endpointFollower->offset())
+        if (dispatcher.receive(sender, message))
             return;
-        endpointFollower->skipTo(copy.endpoints_offset);
-        if (endpoints.applyCopy(copy, endpointFollower->isReachable(), std::chrono::steady_clock::now()))
-            applyEndpoints();
+        if (const auto* update = message.body.Asstore_update())
+            store.receive(sender, *update);
+        else if (const auto* request = message.body.Ascopy_request())
+            store.receive(sender, *request);
+        else if (const auto* copy = message.body.Asstore_copy())
+            store.receive(sender, *copy);
     }
 
-    bool isReady() const { return dispatcher.isConfigured() && endpoints.isLoaded() && !isDraining; }
-    bool reachesStore() const { return configurationFollower->isReachable() && endpointFollower->isReachable(); }
+    bool isReady() const { return dispatcher.isConfigured() && store.isLoaded() && !isDraining; }
 
     void answerReadiness(const http_request& request, http_responder& responder)
     {
@@ -272,29 +214,32 @@
             responder.send({ statusNotFound, {}, {} });
             return;
         }
-        auto addresses = peerStates.readyFrontends();
+        auto addresses = members.frontends();
         if (isReady())
-            addresses.insert(addresses.begin(), settings.frontendAddress);
+            addresses.push_back(settings.frontendAddress);
         if (addresses.empty()) {
             responder.send(refusalResponse(statusUnavailable, "not_ready", std::nullopt));
             return;
         }
-        if (addresses.size() > maxDirectoryAddresses)
+        // In a large fleet each answer names a part of the nodes; all parts must be used alike.
+        if (addresses.size() > maxDirectoryAddresses) {
+            std::ranges::shuffle(addresses, random);
             addresses.resize(maxDirectoryAddresses);
+        }
         responder.send(codec->directoryResponse(addresses, settings.directoryTtl));
     }
 
     void tick()
     {
         const auto now = std::chrono::steady_clock::now();
+        announceReadiness();
+        if (std::exchange(appliedMembers, members.version()) != members.version())
+            dispatcher.setMembers(members);
         dispatcher.tick();
-        adjustReadTiming();
-        peerStates.refresh(std::max<duration>(minPeerTimeout, maxMissedReports * currentReportInterval()), now);
-        if (endpoints.expire(endpointFollower->offset(), now))
-            publishEndpoints();
+        store.tick(now);
         if (now - lastFlushAt > std::chrono::seconds(1)) {
             lastFlushAt = now;
-            metrics.setLiveNodes(peerStates.liveNodes());
+            metrics.setLiveNodes(members.serving().size());
             log.flush();
         }
         if (isDraining && (now >= drainDeadline || (dispatcher.active() == 0 && now - drainStartedAt > minDrainTime))) {
@@ -308,109 +253,12 @@
         });
     }
 
-    duration currentReportInterval() const
-    {
-        const auto factor = std::max(1.0, static_cast<double>(peerStates.liveNodes()) / nodesAtFullRate);
-        return std::chrono::duration_cast<duration>(reportInterval * factor);
-    }
-
-    void report()
-    {
-        sendReport();
-        sendStoreCopies();
-        reporter.expires_after(currentReportInterval());
-        reporter.async_wait([this](boost::system::error_code status) {
-            if (!status)
-                report();
-        });
-    }
-
-    void sendReport()
-    {
-        peer::node_reportT report;
-        report.node = settings.peerAddress;
-        report.incarnation = incarnation;
-        report.frontend = settings.frontendAddress;
-        report.ready = isReady();
-        report.leaving = isDraining;
-        report.store_reachable = reachesStore();
-        report.configuration_version = dispatcher.version().value;
-        report.endpoints_age_ms = endpointsAgeMs();
-        report.endpoints_offset = endpointFollower->offset();
-        report.endpoints_changed_offset = endpoints.changedOffset();
-        for (const auto& own : dispatcher.reportLoads()) {
-            report.loads.emplace_back(own.replica, saturated<std::uint32_t>(own.load.pendingPrefill.value),
-                saturated<std::uint16_t>(own.load.running), saturated<std::uint16_t>(own.load.memory.value / tokensPerMemoryUnit));
-        }
-        ++reportCount;
-        const bool hasNewPeers = peerStates.takeNewPeers();
-        if (hasNewPeers || reportCount % usageReportPeriod == 0) {
-            for (const auto& [team, use] : dispatcher.reportUsage(hasNewPeers || reportCount % allUsageReportPeriod == 0))
-                report.usage.emplace_back(team, use.used, static_cast<float>(use.remaining), static_cast<float>(use.reserved));
-        }
-        for (const auto& own : dispatcher.reportSpeeds(hasNewPeers || reportCount % allSpeedsReportPeriod == 0)) {
-            report.speeds.emplace_back(own.replica, static_cast<float>(own.speed.baseMs), static_cast<float>(own.speed.msPerToken),
-                static_cast<float>(own.speed.msPerEvent), own.speed.samples);
-        }
-        if (reportCount % membersReportPeriod == 1)
-            report.members = peerStates.liveAddresses();
-        peer::envelopeT message;
-        message.body.Set(std::move(report));
-        links.broadcast(message);
-    }
-
-    void sendStoreCopies()
+    // A node that accepts callers says so by its address.
+    void announceReadiness()
     {
-        const auto now = std::chrono::steady_clock::now();
-        const auto receivers = peerStates.peersWithoutStore();
-        if (receivers.empty() || !reachesStore() || now - lastStoreCopyAt < storeCopyInterval)
-            return;
-        lastStoreCopyAt = now;
-        for (const auto& address : receivers)
-            links.send(address, storeCopy(peerStates.peerVersion(address) < dispatcher.version(), true));
-    }
-
-    peer::envelopeT storeCopy(bool withConfiguration, bool withEndpoints) const
-    {
-        peer::store_copyT copy;
-        if (withConfiguration && configurationRecord.value) {
-            copy.configuration_key = configurationRecord.key;
-            copy.configuration.assign(configurationRecord.value->begin(), configurationRecord.value->end());
-        }
-        if (withEndpoints)
-            endpoints.fillCopy(copy, endpointFollower->offset(), std::chrono::steady_clock::now());
-        peer::envelopeT message;
-        message.body.Set(std::move(copy));
-        return message;
-    }
-
-    bool isPrimaryReader() const { return peerStates.storeReadersBefore() < primaryReaders; }
-
-    std::uint32_t endpointsAgeMs() const
-    {
-        const auto asOf = endpointFollower->asOf();
-        if (asOf == monotonic_time {})
-            return std::numeric_limits<std::uint32_t>::max();
-        return saturated<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - asOf).count());
-    }
-
-    // Two primary readers read the store at the full rate for the fleet. If they stop reporting or lose the store, the next nodes take
-    // over.
-    void adjustReadTiming()
-    {
-        const auto now = std::chrono::steady_clock::now();
-        const bool readsAtFullRate = isPrimaryReader() || !reachesStore();
-        configurationFollower->setReadTiming(readsAtFullRate ? duration(configurationWait) : duration(passiveConfigurationWait), {});
-        const auto peerPosition = peerStates.latestEndpointPosition(endpointFollower->offset());
-        const bool isPeerPositionRecent = now - peerPosition.asOf < maxPeerPositionAge;
-        if (isPeerPositionRecent)
-            endpointFollower->skipTo(peerPosition.offset);
-        const bool needsEndpointRead = readsAtFullRate || !isPeerPositionRecent;
-        endpointFollower->setReadTiming({}, needsEndpointRead ? duration(endpointInterval) : duration(passiveEndpointInterval));
-        if (needsEndpointRead && now - endpointFollower->asOf() > maxPeerPositionAge)
-            endpointFollower->readNow();
-        nodeFollower->setReadTiming({}, readsAtFullRate ? duration(nodesInterval) : duration(passiveNodesInterval));
+        members.setSelfServing(isReady());
+        if (isReady() && membership.self().httpAddress.empty())
+            membership.setHttpAddress(settings.frontendAddress);
     }
 
     void drain()
@@ -422,13 +270,14 @@
         log.event("stop_begins").field("active", dispatcher.active());
         dispatcher.beginDrain(drainDeadline);
         frontend.closeAfterResponses();
-        sendReport();
+        membership.setDraining();
     }
 
     void stop()
     {
         log.event("stop").field("active", dispatcher.active());
         log.flush();
+        membership.leave();
         const std::lock_guard guard(stopMutex);
         isStopped = true;
         stopSignal.notify_all();
@@ -441,29 +290,23 @@
     io_threads threads;
     boost::asio::io_context& context;
     http_client client;
-    http_client storeClient;
     request_dispatcher dispatcher;
-    peer_state_table peerStates;
+    fleet_members members;
+    membership_transport membership;
+    store_sync store;
     peer_links links;
     http_server frontend;
     http_server readiness;
     http_server directory;
     http_server metricsServer;
     boost::asio::steady_timer ticker;
-    boost::asio::steady_timer reporter;
-    std::uint64_t incarnation;
-    std::shared_ptr<store_follower> configurationFollower;
-    std::shared_ptr<store_follower> endpointFollower;
-    std::shared_ptr<store_follower> nodeFollower;
-    endpoint_registry endpoints;
-    std::set<std::string> listedAddresses;
-    store_record configurationRecord;
+    random_source random;
+    /// Version of the members that the dispatcher knows.
+    std::uint64_t appliedMembers = 0;
     bool isDraining = false;
     monotonic_time drainStartedAt {};
     monotonic_time drainDeadline {};
     monotonic_time lastFlushAt {};
-    monotonic_time lastStoreCopyAt {};
-    std::uint64_t reportCount = 0;
     std::mutex stopMutex;
     std::condition_variable stopSignal;
     bool isStopped = false;
--- /dev/null
+++ b/libs/gateway/src/peer_codec.cpp
@@ -0,0 +1,207 @@
+#include "peer_codec.h"
+
+#include <algorithm>
+#include <limits>
+#include <xxhash.h>
+
+namespace carawaylink::gateway {
+
+namespace {
+
+// Clamps the value to the range of the field.
+template <typename Field> Field saturated(std::int64_t value)
+{
+    return static_cast<Field>(
+        std::clamp<std::int64_t>(value, std::numeric_limits<Field>::min(), std::int64_t { std::numeric_limits<Field>::max() }));
+}
+
+std::int64_t microseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+std::uint32_t encodeSpan(duration span)
+{
+    return saturated<std::uint32_t>(microseconds(span));
+}
+
+duration decodeSpan(std::int64_t value)
+{
+    return std::chrono::microseconds(value);
+}
+
+// Numbers on the wire are the positions in the enumeration; a number from a newer peer becomes the last value known here.
+template <typename Enum> Enum decodeEnum(std::uint8_t value, Enum last)
+{
+    return static_cast<Enum>(std::min(value, static_cast<std::uint8_t>(last)));
+}
+
+discovery::replica_id replicaOf(std::uint64_t hash, const replica_lookup& lookup)
+{
+    const auto record = lookup(hash);
+    return record ? record->id : discovery::replica_id {};
+}
+
+std::unique_ptr<peer::slot_requestT> encodeRequest(const placement::waiting_request& request, monotonic_time now)
+{
+    auto result = std::make_unique<peer::slot_requestT>();
+    result->id = request.id;
+    result->team_tier = request.teamTier.value;
+    result->tier = request.tier.value;
+    result->prompt = saturated<std::uint32_t>(request.prompt.value);
+    result->output = saturated<std::uint32_t>(request.output.value);
+    result->arrived_us = saturated<std::int32_t>(microseconds(request.arrived - now));
+    result->target_us = saturated<std::int32_t>(microseconds(request.target - now));
+    result->deadline_us = saturated<std::int32_t>(microseconds(request.deadline - now));
+    result->max_event_gap_us = encodeSpan(request.maxEventGap);
+    std::ranges::transform(request.excluded, std::back_inserter(result->excluded), replicaHash);
+    result->was_admitted = request.wasAdmitted;
+    result->response_started = request.responseStarted;
+    return result;
+}
+
+placement::waiting_request decodeRequest(const peer::slot_requestT& message, const replica_lookup& lookup, monotonic_time now)
+{
+    placement::waiting_request request;
+    request.id = message.id;
+    request.teamTier = tier { message.team_tier };
+    request.tier = tier { message.tier };
+    request.prompt = tokens { message.prompt };
+    request.output = tokens { message.output };
+    request.arrived = now + decodeSpan(message.arrived_us);
+    request.target = now + decodeSpan(message.target_us);
+    request.deadline = now + decodeSpan(message.deadline_us);
+    request.maxEventGap = decodeSpan(message.max_event_gap_us);
+    for (const auto hash : message.excluded) {
+        if (auto record = lookup(hash))
+            request.excluded.push_back(std::move(record->id));
+    }
+    request.wasAdmitted = message.was_admitted;
+    request.responseStarted = message.response_started;
+    return request;
+}
+
+placement::slot_grant decodeGrant(const peer::slot_grant& message, const replica_lookup& lookup)
+{
+    placement::slot_grant result;
+    result.granted.id = message.id();
+    if (const auto record = lookup(message.replica())) {
+        result.granted.replica = record->id;
+        result.granted.address = record->address;
+    }
+    result.granted.expectedFirstEvent = decodeSpan(message.expected_first_us());
+    result.granted.running = message.running();
+    result.speed = { message.base_ms(), message.ms_per_token(), message.ms_per_event(), message.samples() };
+    return result;
+}
+
+} // namespace
+
+std::uint64_t replicaHash(const discovery::replica_id& id)
+{
+    return XXH64(id.value.data(), id.value.size(), 0);
+}
+
+limits::team_hash teamHash(const team_id& team)
+{
+    return XXH64(team.value.data(), team.value.size(), 0);
+}
+
+peer::slot_callT encodeCall(const placement::slot_call& call, monotonic_time now)
+{
+    peer::slot_callT message;
+    message.service = call.pool.service.value;
+    message.pool = call.pool.number;
+    message.session = call.session;
+    message.sequence = call.sequence;
+    message.wants_reply = call.wantsReply;
+    message.withdrawn = call.withdrawn;
+    for (const auto& report : call.progress)
+        message.progress.emplace_back(report.id, saturated<std::uint32_t>(static_cast<std::int64_t>(report.events)));
+    for (const auto& report : call.outcomes) {
+        message.outcomes.emplace_back(
+            report.id, saturated<std::uint32_t>(static_cast<std::int64_t>(report.events)), static_cast<std::uint8_t>(report.result));
+    }
+    for (const auto& held : call.adopted) {
+        message.adopted.emplace_back(held.id, replicaHash(held.replica), saturated<std::uint32_t>(held.prompt.value),
+            saturated<std::uint32_t>(held.output.value), encodeSpan(held.expectedFirstEvent), held.hasFirstEvent);
+    }
+    for (const auto& request : call.requests)
+        message.requests.push_back(encodeRequest(request, now));
+    return message;
+}
+
+placement::slot_call decodeCall(const peer::slot_callT& message, const replica_lookup& lookup, monotonic_time now)
+{
+    placement::slot_call call;
+    call.pool = { service_id { message.service }, message.pool };
+    call.session = message.session;
+    call.sequence = message.sequence;
+    call.wantsReply = message.wants_reply;
+    call.withdrawn = message.withdrawn;
+    for (const auto& report : message.progress)
+        call.progress.push_back({ report.id(), report.events() });
+    for (const auto& report : message.outcomes)
+        call.outcomes.push_back({ report.id(), decodeEnum(report.result(), placement::outcome::cancelled), report.events() });
+    for (const auto& held : message.adopted) {
+        call.adopted.push_back({ held.id(), replicaOf(held.replica(), lookup), tokens { held.prompt() }, tokens { held.output() },
+            decodeSpan(held.expected_first_us()), held.has_first_event() });
+    }
+    for (const auto& request : message.requests) {
+        if (request)
+            call.requests.push_back(decodeRequest(*request, lookup, now));
+    }
+    return call;
+}
+
+peer::slot_replyT encodeReply(const placement::slot_reply& reply)
+{
+    peer::slot_replyT message;
+    message.service = reply.pool.service.value;
+    message.pool = reply.pool.number;
+    message.session = reply.session;
+    message.sequence = reply.sequence;
+    message.processed = reply.processed;
+    message.status = static_cast<std::uint8_t>(reply.status);
+    message.slots = reply.load.slots;
+    message.running = reply.load.running;
+    message.waiting = reply.load.waiting;
+    for (const auto& entry : reply.grants) {
+        message.grants.emplace_back(entry.granted.id, replicaHash(entry.granted.replica), encodeSpan(entry.granted.expectedFirstEvent),
+            entry.granted.running, static_cast<float>(entry.speed.baseMs), static_cast<float>(entry.speed.msPerToken),
+            static_cast<float>(entry.speed.msPerEvent), entry.speed.samples);
+    }
+    for (const auto& refused : reply.refusals) {
+        message.refusals.emplace_back(refused.id, encodeSpan(refused.retryAfter),
+            saturated<std::uint32_t>(static_cast<std::int64_t>(refused.ahead)), static_cast<std::uint8_t>(refused.cause));
+    }
+    for (const auto& wait : reply.waitReports) {
+        message.waits.emplace_back(wait.id, encodeSpan(wait.waited), saturated<std::uint32_t>(static_cast<std::int64_t>(wait.ahead)),
+            wait.unusable, wait.full, wait.prefillBusy, wait.tooSlow);
+    }
+    return message;
+}
+
+placement::slot_reply decodeReply(const peer::slot_replyT& message, const replica_lookup& lookup)
+{
+    placement::slot_reply reply;
+    reply.pool = { service_id { message.service }, message.pool };
+    reply.session = message.session;
+    reply.sequence = message.sequence;
+    reply.processed = message.processed;
+    reply.status = decodeEnum(message.status, placement::call_status::unknown_session);
+    reply.load = { message.slots, message.running, message.waiting };
+    for (const auto& entry : message.grants)
+        reply.grants.push_back(decodeGrant(entry, lookup));
+    for (const auto& refused : message.refusals) {
+        reply.refusals.push_back({ refused.id(), decodeEnum(refused.cause(), placement::refusal_cause::no_endpoint),
+            decodeSpan(refused.retry_after_us()), refused.ahead() });
+    }
+    for (const auto& wait : message.waits) {
+        reply.waitReports.push_back(
+            { wait.id(), decodeSpan(wait.waited_us()), wait.ahead(), wait.unusable(), wait.full(), wait.prefill_busy(), wait.too_slow() });
+    }
+    return reply;
+}
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "limits/usage_collector.h"
+#include "placement/slot_messages.h"
+#include "wire/generated/peer_state_generated.h"
+
+#include <functional>
+#include <optional>
+
+namespace carawaylink::gateway {
+
+/// Identifies an endpoint in messages between nodes.
+std::uint64_t replicaHash(const discovery::replica_id& id);
+/// Identifies a team in messages between nodes.
+limits::team_hash teamHash(const team_id& team);
+
+/// Returns the endpoint of a hash; nullopt if this node does not know it.
+using replica_lookup = std::function<std::optional<discovery::endpoint_record>(std::uint64_t hash)>;
+
+/// Messages carry times relative to now, since the clocks of two nodes cannot be compared.
+peer::slot_callT encodeCall(const placement::slot_call& call, monotonic_time now);
+placement::slot_call decodeCall(const peer::slot_callT& message, const replica_lookup& lookup, monotonic_time now);
+peer::slot_replyT encodeReply(const placement::slot_reply& reply);
+placement::slot_reply decodeReply(const peer::slot_replyT& message, const replica_lookup& lookup);
+
+} // namespace carawaylink::gateway
--- a/libs/gateway/src/peer_links.cpp
+++ b/libs/gateway/src/peer_links.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <deque>
 #include <netinet/tcp.h>
 
 namespace carawaylink::gateway {
@@ -18,19 +19,21 @@
 // Each message is preceded by its length in little-endian order.
 constexpr std::size_t lengthBytes = 4;
 constexpr std::size_t maxMessageBytes = 8U << 20;
+constexpr std::size_t maxQueuedBytes = 16U << 20;
 constexpr std::size_t readBufferBytes = 16384;
-constexpr auto reconnectDelay = std::chrono::milliseconds(400);
-constexpr auto peerConnectTimeout = std::chrono::milliseconds(800);
-// A connection whose data is not acknowledged for this long is closed and reopened.
+// Messages to a peer that could not be reached are dropped for this long.
+constexpr auto redialDelay = std::chrono::milliseconds(100);
+constexpr auto connectTimeout = std::chrono::milliseconds(800);
+// A connection whose data is not acknowledged for this long is closed.
 constexpr unsigned unacknowledgedTimeoutMs = 1200;
 
-std::string encode(const peer::envelopeT& message)
+std::shared_ptr<const std::string> encode(const peer::envelopeT& message)
 {
     flatbuffers::FlatBufferBuilder builder(1024);
     builder.Finish(peer::envelope::Pack(builder, &message));
-    std::string frame(lengthBytes, '\0');
-    flatbuffers::WriteScalar(frame.data(), static_cast<std::uint32_t>(builder.GetSize()));
-    frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    auto frame = std::make_shared<std::string>(lengthBytes, '\0');
+    flatbuffers::WriteScalar(frame->data(), static_cast<std::uint32_t>(builder.GetSize()));
+    frame->append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
     return frame;
 }
 
@@ -47,217 +50,212 @@
     socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unacknowledgedTimeoutMs), ignored);
 }
 
-// Unsent messages of one kind replace each other. Kinds are sent in this order, most urgent first.
-enum class message_kind {
-    configuration,
-    endpoints,
-    report,
-};
-constexpr std::size_t messageKinds = 3;
-
-message_kind kindOf(const peer::envelopeT& message)
-{
-    const auto* copy = message.body.Asstore_copy();
-    if (!copy)
-        return message_kind::report;
-    return copy->configuration_key.empty() ? message_kind::endpoints : message_kind::configuration;
-}
+} // namespace
 
-// Reads messages from one connected peer until the connection closes or a message is invalid.
-class incoming_link : public std::enable_shared_from_this<incoming_link> {
+// One connection to a peer, dialed by either side. Closes itself on an invalid message, an error or a full queue.
+class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
-    incoming_link(tcp::socket socket, peer_links::handler onMessage, decision_log& log)
+    peer_connection(tcp::socket socket, std::weak_ptr<peer_links*> owner, decision_log& log)
         : m_socket(std::move(socket))
-        , m_onMessage(std::move(onMessage))
+        , m_timer(m_socket.get_executor())
+        , m_owner(std::move(owner))
         , m_log(log)
     {
     }
 
-    void read()
+    void startAccepted()
     {
-        m_socket.async_read_some(asio::buffer(m_chunk), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
-            if (status)
-                return;
-            self->m_buffer.append(self->m_chunk.data(), size);
-            if (self->handleMessages())
-                self->read();
-        });
+        m_isConnected = true;
+        setSocketOptions(m_socket);
+        read();
     }
 
-private:
-    bool handleMessages()
+    void dial(node_id peer)
     {
-        std::size_t position = 0;
-        while (m_buffer.size() - position >= lengthBytes) {
-            const std::size_t size = flatbuffers::ReadScalar<std::uint32_t>(m_buffer.data() + position);
-            if (size == 0 || size > maxMessageBytes)
-                return reject("length");
-            if (m_buffer.size() - position - lengthBytes < size)
-                break;
-            const auto* data = reinterpret_cast<const std::uint8_t*>(m_buffer.data() + position + lengthBytes);
-            // FlatBuffers requires aligned data, but messages start at arbitrary positions in the stream.
-            const std::vector<std::uint8_t> aligned(data, data + size);
-            flatbuffers::Verifier verifier(aligned.data(), aligned.size());
-            if (!verifier.VerifyBuffer<peer::envelope>(nullptr))
-                return reject("content");
-            peer::envelopeT message;
-            flatbuffers::GetRoot<peer::envelope>(aligned.data())->UnPackTo(&message);
-            m_onMessage(message);
-            position += lengthBytes + size;
-        }
-        m_buffer.erase(0, position);
-        return true;
-    }
-
-    bool reject(std::string_view reason)
-    {
-        m_log.event("peer_message_invalid").field("reason", reason);
-        return false;
-    }
-
-    tcp::socket m_socket;
-    peer_links::handler m_onMessage;
-    decision_log& m_log;
-    std::array<char, readBufferBytes> m_chunk {};
-    std::string m_buffer;
-};
-
-} // namespace
-
-class outgoing_link : public std::enable_shared_from_this<outgoing_link> {
-public:
-    outgoing_link(asio::io_context& context, std::string address)
-        : m_socket(context)
-        , m_timer(context)
-        , m_address(std::move(address))
-    {
-    }
-
-    void connect()
-    {
-        if (m_isClosed)
-            return;
-        m_isConnected = false;
-        m_socket = tcp::socket(m_socket.get_executor());
-        m_timer.expires_after(peerConnectTimeout);
+        m_peer = std::move(peer);
+        m_timer.expires_after(connectTimeout);
         m_timer.async_wait([self = shared_from_this()](boost::system::error_code status) {
-            boost::system::error_code ignored;
             if (!status && !self->m_isConnected)
-                self->m_socket.close(ignored);
+                self->close();
         });
-        m_socket.async_connect(endpointOf(m_address), [self = shared_from_this()](boost::system::error_code status) {
+        m_socket.async_connect(endpointOf(m_peer.value), [self = shared_from_this()](boost::system::error_code status) {
             if (self->m_isClosed)
                 return;
             if (status) {
-                self->retry();
+                self->close(status == asio::error::connection_refused);
                 return;
             }
             self->m_isConnected = true;
             self->m_timer.cancel();
             setSocketOptions(self->m_socket);
-            self->watchForClose();
+            self->read();
             self->flush();
         });
     }
 
-    // Replaces an unsent message of the same kind.
-    void send(std::shared_ptr<const std::string> frame, message_kind kind)
+    void send(std::shared_ptr<const std::string> frame)
     {
-        m_unsent[static_cast<std::size_t>(kind)] = std::move(frame);
+        m_queuedBytes += frame->size();
+        if (m_queuedBytes > maxQueuedBytes) {
+            close();
+            return;
+        }
+        m_queue.push_back(std::move(frame));
         flush();
     }
 
-    void close()
+    void close(bool wasRefused = false)
     {
-        m_isClosed = true;
+        if (std::exchange(m_isClosed, true))
+            return;
         boost::system::error_code ignored;
         m_timer.cancel();
         m_socket.close(ignored);
+        if (const auto owner = m_owner.lock(); owner && !m_peer.value.empty())
+            (*owner)->onClosed(m_peer, this, reasonOf(wasRefused));
     }
 
 private:
-    void retry()
+    peer_links::close_reason reasonOf(bool wasRefused) const
     {
-        m_isConnected = false;
-        m_isWriting = false;
-        boost::system::error_code ignored;
-        m_socket.close(ignored);
-        if (m_isClosed)
-            return;
-        m_timer.expires_after(reconnectDelay);
-        m_timer.async_wait([self = shared_from_this()](boost::system::error_code status) {
-            if (!status)
-                self->connect();
-        });
+        if (wasRefused)
+            return peer_links::close_reason::refused;
+        return m_isConnected ? peer_links::close_reason::lost : peer_links::close_reason::unreachable;
     }
 
-    // Peers send nothing on this connection, so it becomes readable only when it is closed or lost.
-    void watchForClose()
+    void read()
     {
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), generation = ++m_generation](boost::system::error_code) {
-            if (!self->m_isClosed && self->m_isConnected && generation == self->m_generation)
-                self->retry();
+        m_socket.async_read_some(asio::buffer(m_chunk), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+            if (self->m_isClosed)
+                return;
+            if (status) {
+                self->close();
+                return;
+            }
+            self->m_buffer.append(self->m_chunk.data(), size);
+            if (self->handleMessages())
+                self->read();
+            else
+                self->close();
         });
     }
 
+    bool handleMessages()
+    {
+        std::size_t position = 0;
+        while (m_buffer.size() - position >= lengthBytes) {
+            const std::size_t size = flatbuffers::ReadScalar<std::uint32_t>(m_buffer.data() + position);
+            if (size == 0 || size > maxMessageBytes)
+                return reject("length");
+            if (m_buffer.size() - position - lengthBytes < size)
+                break;
+            const auto* data = reinterpret_cast<const std::uint8_t*>(m_buffer.data() + position + lengthBytes);
+            if (!handleMessage({ data, size }) || m_isClosed)
+                return false;
+            position += lengthBytes + size;
+        }
+        m_buffer.erase(0, position);
+        return true;
+    }
+
+    bool handleMessage(std::span<const std::uint8_t> bytes)
+    {
+        // FlatBuffers requires aligned data, but messages start at arbitrary positions in the stream.
+        const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
+        flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+        if (!verifier.VerifyBuffer<peer::envelope>(nullptr))
+            return reject("content");
+        peer::envelopeT message;
+        flatbuffers::GetRoot<peer::envelope>(aligned.data())->UnPackTo(&message);
+        const node_id sender { message.sender };
+        if (sender.value.empty() || (!m_peer.value.empty() && sender != m_peer))
+            return reject("sender");
+        const auto owner = m_owner.lock();
+        if (!owner)
+            return false;
+        if (m_peer.value.empty()) {
+            m_peer = sender;
+            (*owner)->onIdentified(m_peer, shared_from_this());
+        }
+        (*owner)->m_handlers.onMessage(m_peer, message);
+        return true;
+    }
+
+    bool reject(std::string_view reason)
+    {
+        m_log.event("peer_message_invalid").field("peer", m_peer).field("reason", reason);
+        return false;
+    }
+
     void flush()
     {
-        if (!m_isConnected || m_isWriting)
-            return;
-        const auto next = std::ranges::find_if(m_unsent, [](const auto& frame) { return frame != nullptr; });
-        if (next == m_unsent.end())
+        if (!m_isConnected || m_isClosed || m_isWriting || m_queue.empty())
             return;
-        m_writing = std::exchange(*next, nullptr);
         m_isWriting = true;
-        asio::async_write(m_socket, asio::buffer(*m_writing),
-            [self = shared_from_this(), generation = m_generation](boost::system::error_code status, std::size_t) {
-                if (self->m_isClosed || generation != self->m_generation || !self->m_isConnected)
-                    return;
-                self->m_isWriting = false;
-                if (status)
-                    self->retry();
-                else
-                    self->flush();
-            });
+        m_writing.assign(m_queue.begin(), m_queue.end());
+        m_queue.clear();
+        std::vector<asio::const_buffer> buffers;
+        std::size_t bytes = 0;
+        for (const auto& frame : m_writing) {
+            buffers.emplace_back(asio::buffer(*frame));
+            bytes += frame->size();
+        }
+        asio::async_write(m_socket, buffers, [self = shared_from_this(), bytes](boost::system::error_code status, std::size_t) {
+            if (self->m_isClosed)
+                return;
+            self->m_isWriting = false;
+            self->m_queuedBytes -= bytes;
+            if (status)
+                self->close();
+            else
+                self->flush();
+        });
     }
 
     tcp::socket m_socket;
     asio::steady_timer m_timer;
-    std::string m_address;
-    std::array<std::shared_ptr<const std::string>, messageKinds> m_unsent;
-    std::shared_ptr<const std::string> m_writing;
-    std::uint64_t m_generation = 0;
+    std::weak_ptr<peer_links*> m_owner;
+    decision_log& m_log;
+    /// Empty until the first message on an accepted connection.
+    node_id m_peer;
+    std::array<char, readBufferBytes> m_chunk {};
+    std::string m_buffer;
+    std::deque<std::shared_ptr<const std::string>> m_queue;
+    std::vector<std::shared_ptr<const std::string>> m_writing;
+    std::size_t m_queuedBytes = 0;
     bool m_isConnected = false;
     bool m_isWriting = false;
     bool m_isClosed = false;
 };
 
-peer_links::peer_links(asio::io_context& context, std::string ownAddress, decision_log& log, handler onMessage)
+peer_links::peer_links(asio::io_context& context, node_id self, decision_log& log, peer_link_handlers handlers)
     : m_context(context)
-    , m_ownAddress(std::move(ownAddress))
+    , m_self(std::move(self))
     , m_log(log)
-    , m_onMessage(std::move(onMessage))
+    , m_handlers(std::move(handlers))
     , m_acceptor(context)
+    , m_alive(std::make_shared<peer_links*>(this))
 {
 }
 
 peer_links::~peer_links()
 {
-    for (const auto& [address, link] : m_links)
-        link->close();
+    m_alive.reset();
+    for (const auto& [peer, connection] : m_connections)
+        connection->close();
 }
 
 void peer_links::listen()
 {
     try {
-        const auto endpoint = endpointOf(m_ownAddress);
+        const auto endpoint = endpointOf(m_self.value);
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(endpoint);
         m_acceptor.listen();
     } catch (const boost::system::system_error& failure) {
         throw error(
-            error_kind::unavailable, "cannot listen on " + m_ownAddress + ": " + failure.code().message(), "choose a free peer port");
+            error_kind::unavailable, "cannot listen on " + m_self.value + ": " + failure.code().message(), "choose a free peer port");
     }
     accept();
 }
@@ -267,37 +265,85 @@
     m_acceptor.async_accept([this](boost::system::error_code status, tcp::socket socket) {
         if (status == asio::error::operation_aborted)
             return;
-        if (!status) {
-            setSocketOptions(socket);
-            std::make_shared<incoming_link>(std::move(socket), m_onMessage, m_log)->read();
-        }
+        if (!status)
+            std::make_shared<peer_connection>(std::move(socket), m_alive, m_log)->startAccepted();
         accept();
     });
 }
 
-void peer_links::add(const std::string& address)
+void peer_links::send(const node_id& peer, peer::envelopeT message)
 {
-    if (address == m_ownAddress || m_links.contains(address))
+    message.sender = m_self.value;
+    sendFrame(peer, encode(message));
+}
+
+void peer_links::send(std::span<const node_id> peers, peer::envelopeT message)
+{
+    if (peers.empty())
         return;
-    auto link = std::make_shared<outgoing_link>(m_context, address);
-    m_links.emplace(address, link);
-    link->connect();
+    message.sender = m_self.value;
+    const auto frame = encode(message);
+    for (const auto& peer : peers)
+        sendFrame(peer, frame);
+}
+
+void peer_links::sendFrame(const node_id& peer, const std::shared_ptr<const std::string>& frame)
+{
+    const auto found = m_connections.find(peer);
+    if (found != m_connections.end()) {
+        // The connection may close itself, so the map entry must not be used meanwhile.
+        const auto connection = found->second;
+        connection->send(frame);
+    } else if (m_nextDialAt[peer] <= std::chrono::steady_clock::now()) {
+        dial(peer, frame);
+    }
+}
+
+void peer_links::dial(const node_id& peer, std::shared_ptr<const std::string> firstFrame)
+{
+    const auto connection = std::make_shared<peer_connection>(tcp::socket(m_context), m_alive, m_log);
+    m_connections[peer] = connection;
+    if (firstFrame)
+        connection->send(std::move(firstFrame));
+    try {
+        connection->dial(peer);
+    } catch (const error& failure) {
+        m_log.event("peer_address_invalid").field("peer", peer).field("error", '"' + std::string(failure.what()) + '"');
+        m_connections.erase(peer);
+        m_nextDialAt[peer] = monotonic_time::max();
+    }
 }
 
-void peer_links::broadcast(const peer::envelopeT& message)
+void peer_links::drop(const node_id& peer)
 {
-    if (m_links.empty())
+    const auto found = m_connections.find(peer);
+    if (found == m_connections.end())
         return;
-    const auto frame = std::make_shared<const std::string>(encode(message));
-    for (const auto& [address, link] : m_links)
-        link->send(frame, kindOf(message));
+    const auto connection = found->second;
+    connection->close();
 }
 
-void peer_links::send(const std::string& address, const peer::envelopeT& message)
+void peer_links::onIdentified(const node_id& peer, const std::shared_ptr<peer_connection>& connection)
 {
-    const auto found = m_links.find(address);
-    if (found != m_links.end())
-        found->second->send(std::make_shared<const std::string>(encode(message)), kindOf(message));
+    m_connections.try_emplace(peer, connection);
+    m_nextDialAt.erase(peer);
+}
+
+void peer_links::onClosed(const node_id& peer, const peer_connection* connection, close_reason reason)
+{
+    const auto found = m_connections.find(peer);
+    if (found != m_connections.end() && found->second.get() == connection) {
+        m_connections.erase(found);
+        const auto now = std::chrono::steady_clock::now();
+        const bool mayDial = std::exchange(m_nextDialAt[peer], now + redialDelay) <= now;
+        // A refused connection shows that the process has ended, which is otherwise only noticed by its silence.
+        if (reason == close_reason::lost && mayDial)
+            dial(peer, nullptr);
+    }
+    if (reason == close_reason::refused)
+        m_handlers.onRefused(peer);
+    else
+        m_handlers.onLost(peer);
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -3,8 +3,7 @@
 #include "exchange.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
-#include <xxhash.h>
+#include <utility>
 
 namespace carawaylink::gateway {
 
@@ -16,8 +15,6 @@
 constexpr unsigned statusUnavailable = 503;
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(500);
 constexpr auto maxQuotaRetryAfter = std::chrono::seconds(5);
-// A process adopts the remaining quotas reported by its peers within this time after its start.
-constexpr auto quotaAdoptionTime = std::chrono::seconds(3);
 // Retry-After of requests refused while the node drains, and lower bound of the Retry-After of an exceeded quota.
 constexpr auto minRetryAfter = std::chrono::milliseconds(50);
 // Applies if neither the caller nor the route sets a deadline.
@@ -63,27 +60,21 @@
     return response;
 }
 
-std::uint64_t replicaHash(const discovery::replica_id& id)
-{
-    return XXH64(id.value.data(), id.value.size(), 0);
-}
-
-team_hash teamHash(const team_id& team)
-{
-    return XXH64(team.value.data(), team.value.size(), 0);
-}
-
 request_dispatcher::request_dispatcher(boost::asio::io_context& context, const gateway_settings& settings, const protocol_codec& codec,
     http_client& client, decision_log& log, gateway_metrics& metrics)
-    : m_context(context)
-    , m_settings(settings)
+    : m_settings(settings)
     , m_codec(codec)
     , m_client(client)
     , m_log(log)
     , m_metrics(metrics)
-    , m_startedAt(std::chrono::steady_clock::now())
     , m_random(randomSeed())
+    , m_self(settings.peerAddress)
+    , m_slots(context, m_self, log, m_random())
+    , m_quotas(m_self, m_random(), settings.isFirstStart, settings.quotaWindow, std::chrono::steady_clock::now(),
+          [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
+    , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
 {
+    setPeerHandlers([](const node_id&, const peer::envelopeT&) {}, [](const node_id&) {});
 }
 
 request_dispatcher::~request_dispatcher() = default;
@@ -138,37 +129,40 @@
         admitted.teamTier = team->tier.value_or(tier { 0 });
         admitted.team = team->name;
         admitted.quotaUnits = quotaUnits(*team, metadata);
-        const auto quota = m_quotas.find(team->name.value);
-        if (quota != m_quotas.end() && !quota->second.reserve(admitted.quotaUnits, admitted.route.tier, quotaNodes(), now)) {
-            const auto need = quota->second.requirementFor(admitted.quotaUnits, admitted.route.tier, quotaNodes(), now);
-            m_log.event("quota_exceeded")
-                .field("request", metadata.attempt)
-                .field("team", team->name)
-                .field("units", admitted.quotaUnits)
-                .field("tier", admitted.route.tier.value + 0)
-                .field("needed", need.requiredUnits)
-                .field("available", need.availableUnits)
-                .field("left", quota->second.remaining(now))
-                .field("rate_per_s", team->ratePerSecond)
-                .field("burst", team->burst)
-                .field("reporting_nodes", m_fleet.reporting)
-                .field("possible_nodes", m_fleet.possible);
-            const auto wait
-                = std::clamp<duration>(quota->second.timeUntilAvailable(admitted.quotaUnits, admitted.route.tier, quotaNodes(), now),
-                    minRetryAfter, maxQuotaRetryAfter);
-            reject(statusTooManyRequests, "quota", wait);
+        if (!m_quotas.reserve(team->name, admitted.quotaUnits, admitted.route.tier, m_fleet, now)) {
+            logQuotaExceeded(metadata.attempt, *team, admitted.quotaUnits, admitted.route.tier, now);
+            const auto wait = m_quotas.timeUntilAvailable(team->name, admitted.quotaUnits, admitted.route.tier, m_fleet, now);
+            reject(statusTooManyRequests, "quota", std::clamp<duration>(wait, minRetryAfter, maxQuotaRetryAfter));
             return;
         }
     }
     admitted.metadata = std::move(metadata);
     admitted.request = std::move(request);
-    service(admitted.service).retryBudget.countRequest(now);
+    retryBudget(admitted.service).countRequest(now);
     const auto id = admitted.id;
     const auto running = std::make_shared<exchange>(*this, std::move(admitted), std::move(responder));
     m_exchanges.emplace(id, running);
     running->start();
 }
 
+void request_dispatcher::logQuotaExceeded(
+    const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now)
+{
+    const auto need = m_quotas.requirementFor(team.name, units, level, m_fleet, now);
+    m_log.event("quota_exceeded")
+        .field("request", attempt)
+        .field("team", team.name)
+        .field("units", units)
+        .field("tier", level.value + 0)
+        .field("needed", need.requiredUnits)
+        .field("available", need.availableUnits)
+        .field("left", m_quotas.remaining(team.name, now))
+        .field("rate_per_s", team.ratePerSecond)
+        .field("burst", team.burst)
+        .field("reachable_nodes", m_fleet.reachable)
+        .field("possible_nodes", m_fleet.possible);
+}
+
 bool request_dispatcher::setConfiguration(routing::fleet_configuration configuration)
 {
     if (m_routes && configuration.version <= m_routes->configuration().version)
@@ -176,16 +170,15 @@
     const auto now = std::chrono::steady_clock::now();
     m_routes = std::make_shared<const routing::route_table>(std::move(configuration));
     const auto& current = m_routes->configuration();
-    for (const auto& team : current.teams) {
-        configureQuota(team, now);
-    }
+    for (const auto& team : current.teams)
+        m_quotas.configure(team, now);
     for (const auto& defined : current.services) {
         placement::pool_limits limits;
         if (defined.engine) {
             limits.memory = defined.engine->cacheCapacity;
             limits.tokensPerEvent = defined.engine->tokensPerEvent;
         }
-        service(defined.name).pool.setLimits(limits);
+        m_slots.setLimits(defined.name, limits);
     }
     m_log.event("configuration_in_force")
         .field("version", current.version)
@@ -195,16 +188,6 @@
     return true;
 }
 
-void request_dispatcher::configureQuota(const routing::team_definition& team, monotonic_time now)
-{
-    const auto limit = quotaLimit(team);
-    const auto [position, inserted] = m_quotas.try_emplace(team.name.value, limit, now, m_settings.isFirstStart);
-    if (inserted)
-        m_quotaByHash[teamHash(team.name)] = &position->second;
-    else
-        position->second.configure(limit, now);
-}
-
 config_version request_dispatcher::version() const
 {
     return m_routes ? m_routes->configuration().version : config_version {};
@@ -212,90 +195,51 @@
 
 void request_dispatcher::setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records)
 {
-    m_endpoints = records;
-    m_replicaByHash.clear();
-    for (const auto& [id, record] : m_endpoints)
-        m_replicaByHash.emplace(replicaHash(id), id);
-    std::map<std::string, std::vector<discovery::endpoint_record>> byService;
-    for (const auto& [id, record] : m_endpoints)
-        byService[record.service.value].push_back(record);
-    const auto now = std::chrono::steady_clock::now();
-    for (const auto& [name, list] : byService)
-        service(service_id { name });
-    for (auto& [name, state] : m_services) {
-        state->pool.setEndpoints(byService[name], now);
-        scheduleDecision(service_id { name });
-    }
-}
-
-void request_dispatcher::setFleetSize(const fleet_size& size)
-{
-    m_fleet = size;
-    for (auto& [name, state] : m_services)
-        state->pool.setNodes(size.rank, size.live);
-}
-
-void request_dispatcher::setPeerLoads(const node_id& node, const std::vector<peer_load>& loads)
-{
-    std::map<std::string, std::map<discovery::replica_id, placement::endpoint_load>> byService;
-    for (const auto& entry : loads) {
-        const auto id = m_replicaByHash.find(entry.replica);
-        if (id != m_replicaByHash.end())
-            byService[m_endpoints.at(id->second).service.value].emplace(id->second, entry.load);
-    }
-    for (auto& [name, state] : m_services) {
-        state->pool.setPeerLoad(node, byService[name]);
-        if (state->pool.hasWaiting())
-            scheduleDecision(service_id { name });
-    }
-}
-
-void request_dispatcher::setPeerSpeeds(const node_id& node, const std::vector<measured_speed>& speeds)
-{
-    for (const auto& entry : speeds) {
-        const auto id = m_replicaByHash.find(entry.replica);
-        if (id != m_replicaByHash.end())
-            service(m_endpoints.at(id->second).service).pool.setPeerSpeed(node, id->second, entry.speed);
-    }
-}
-
-void request_dispatcher::removePeer(const node_id& node)
-{
-    for (auto& [name, state] : m_services)
-        state->pool.removePeer(node);
+    m_slots.setEndpoints(records);
 }
 
-limits::shared_quota* request_dispatcher::findQuota(team_hash team) const
+void request_dispatcher::setPeerHandlers(
+    std::function<void(const node_id&, peer::envelopeT)> send, std::function<void(const node_id&)> onOwnerSilent)
 {
-    const auto found = m_quotaByHash.find(team);
-    return found == m_quotaByHash.end() ? nullptr : found->second;
+    m_send = std::move(send);
+    m_slots.setHandlers({ m_send, [this](const placement::pool_decisions& decisions) { apply(decisions); }, std::move(onOwnerSilent) });
 }
 
-void request_dispatcher::addPeerUsage(team_hash team, double units)
+void request_dispatcher::setMembers(const fleet_members& members)
 {
-    if (auto* quota = findQuota(team))
-        quota->addPeerUsage(units, std::chrono::steady_clock::now());
+    m_members = &members;
+    m_fleet = members.size(std::chrono::steady_clock::now());
+    m_slots.setMembers(members.serving(), m_fleet.rank);
 }
 
-void request_dispatcher::addPeerReserved(team_hash team, double units)
+void request_dispatcher::removeNode(const node_id& node)
 {
-    if (auto* quota = findQuota(team))
-        quota->addPeerReserved(units);
+    m_slots.removeNode(node);
+    m_quotas.removeNode(node);
 }
 
-limits::quota_limit request_dispatcher::quotaLimit(const routing::team_definition& team) const
+void request_dispatcher::send(const node_id& node, peer::envelopeT message)
 {
-    return { team.ratePerSecond, team.burst, m_settings.quotaWindow };
+    if (node == m_self)
+        receive(node, message);
+    else
+        m_send(node, std::move(message));
 }
 
-void request_dispatcher::adoptQuota(team_hash team, double remaining)
+bool request_dispatcher::receive(const node_id& sender, const peer::envelopeT& message)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (m_settings.isFirstStart || now - m_startedAt > quotaAdoptionTime)
-        return;
-    auto* quota = findQuota(team);
-    if (quota && m_adoptedQuotas.insert(team).second)
-        quota->setRemaining(remaining, now);
+    if (const auto* call = message.body.Asslot_call())
+        m_slots.receive(sender, *call);
+    else if (const auto* reply = message.body.Asslot_reply())
+        m_slots.receive(sender, *reply);
+    else if (const auto* report = message.body.Asquota_report())
+        m_quotas.receive(sender, *report, now);
+    else if (const auto* totals = message.body.Asquota_totals())
+        m_quotas.receive(sender, *totals, now);
+    else
+        return false;
+    return true;
 }
 
 void request_dispatcher::beginDrain(monotonic_time until)
@@ -317,107 +261,32 @@
         else
             entry->tick(now);
     }
-    std::size_t waiting = 0;
-    for (auto& [name, state] : m_services) {
-        waiting += state->pool.waitingCount();
-        if (state->pool.hasWaiting())
-            decide(*state);
-    }
-    m_metrics.setWaiting(waiting);
+    m_fleet = m_members->size(now);
+    m_quotas.tick(*m_members, now);
+    m_metrics.setWaiting(m_slots.waitingCount());
+    m_slots.tick();
     m_metrics.setActive(m_exchanges.size());
 }
 
-std::vector<peer_load> request_dispatcher::reportLoads()
-{
-    std::vector<peer_load> loads;
-    for (const auto& [name, state] : m_services) {
-        for (const auto& [id, load] : state->pool.reportLoad())
-            loads.push_back({ replicaHash(id), load });
-    }
-    return loads;
-}
-
-std::vector<measured_speed> request_dispatcher::reportSpeeds(bool all)
-{
-    std::vector<measured_speed> speeds;
-    for (const auto& [name, state] : m_services) {
-        for (const auto& [id, speed] : state->pool.reportSpeeds(all))
-            speeds.push_back({ replicaHash(id), speed });
-    }
-    return speeds;
-}
-
-std::map<team_hash, quota_usage> request_dispatcher::reportUsage(bool all)
-{
-    const auto now = std::chrono::steady_clock::now();
-    std::map<team_hash, quota_usage> usage;
-    for (const auto& [team, quota] : m_quotaByHash) {
-        if (!quota->isLimited())
-            continue;
-        const quota_usage use { quota->localUsage(), quota->remaining(now), quota->localReserved() };
-        auto& reported = m_reportedUsage[team];
-        if (!all && use.used == reported.used && use.reserved == reported.reserved)
-            continue;
-        reported = use;
-        usage.emplace(team, use);
-    }
-    return usage;
-}
-
-request_dispatcher::service_state& request_dispatcher::service(const service_id& name)
+limits::retry_budget& request_dispatcher::retryBudget(const service_id& name)
 {
-    auto& state = m_services[name.value];
-    if (!state) {
-        state = std::make_unique<service_state>(
-            limits::retry_budget(m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow), m_random());
-        state->pool.setNodes(m_fleet.rank, m_fleet.live);
-    }
-    return *state;
+    return m_retryBudgets.try_emplace(name, limits::retry_budget(m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow))
+        .first->second;
 }
 
 void request_dispatcher::submit(const std::shared_ptr<exchange>& source, placement::waiting_request request)
 {
-    service(source->service()).pool.submit(std::move(request));
-    scheduleDecision(source->service());
-}
-
-// Posts the decision instead of running it inline, so that an exchange is not re-entered from its own call.
-void request_dispatcher::scheduleDecision(const service_id& name)
-{
-    auto& state = service(name);
-    if (std::exchange(state.isDecisionScheduled, true))
-        return;
-    boost::asio::post(m_context, [this, &state] {
-        state.isDecisionScheduled = false;
-        decide(state);
-    });
+    m_slots.submit(source->service(), std::move(request));
 }
 
-void request_dispatcher::decide(service_state& state)
+void request_dispatcher::apply(const placement::pool_decisions& decisions)
 {
-    const auto decisions = state.pool.decide(std::chrono::steady_clock::now());
     for (const auto& granted : decisions.grants) {
         const auto found = m_exchanges.find(granted.id);
         if (found != m_exchanges.end())
             found->second->onGranted(granted);
     }
-    for (const auto& wait : decisions.waitReports) {
-        const auto found = m_exchanges.find(wait.id);
-        if (found == m_exchanges.end())
-            continue;
-        const auto& admitted = found->second->admitted();
-        m_log.event("request_waits")
-            .field("request", admitted.metadata.attempt)
-            .field("team_tier", admitted.teamTier.value + 0)
-            .field("tier", admitted.route.tier.value + 0)
-            .field("prompt_tokens", admitted.prompt)
-            .field("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wait.waited).count())
-            .field("ahead", wait.ahead)
-            .field("unusable", wait.unusable)
-            .field("full", wait.full)
-            .field("busy_reading", wait.prefillBusy)
-            .field("too_slow", wait.tooSlow);
-    }
+    std::ranges::for_each(decisions.waitReports, [this](const placement::wait_report& wait) { logWait(wait); });
     for (const auto& refused : decisions.refusals) {
         const auto found = m_exchanges.find(refused.id);
         if (found == m_exchanges.end())
@@ -427,47 +296,58 @@
     }
 }
 
+void request_dispatcher::logWait(const placement::wait_report& wait)
+{
+    const auto found = m_exchanges.find(wait.id);
+    if (found == m_exchanges.end())
+        return;
+    const auto& admitted = found->second->admitted();
+    m_log.event("request_waits")
+        .field("request", admitted.metadata.attempt)
+        .field("team_tier", admitted.teamTier.value + 0)
+        .field("tier", admitted.route.tier.value + 0)
+        .field("prompt_tokens", admitted.prompt)
+        .field("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wait.waited).count())
+        .field("ahead", wait.ahead)
+        .field("unusable", wait.unusable)
+        .field("full", wait.full)
+        .field("busy_reading", wait.prefillBusy)
+        .field("too_slow", wait.tooSlow);
+}
+
 void request_dispatcher::withdraw(const exchange& source)
 {
-    service(source.service()).pool.withdraw(source.id());
+    m_slots.withdraw(source.service(), source.id());
 }
 
 void request_dispatcher::recordProgress(const exchange& source, std::size_t events)
 {
-    service(source.service()).pool.recordProgress(source.id(), events, std::chrono::steady_clock::now());
+    m_slots.recordProgress(source.service(), source.id(), events);
 }
 
 void request_dispatcher::finishAttempt(const exchange& source, placement::outcome result, std::size_t events)
 {
-    auto& state = service(source.service());
-    state.pool.recordOutcome(source.id(), result, events, std::chrono::steady_clock::now());
-    if (state.pool.hasWaiting())
-        scheduleDecision(source.service());
+    m_slots.recordOutcome(source.service(), source.id(), result, events);
 }
 
 duration request_dispatcher::firstEventTimeout(const exchange& source) const
 {
-    const auto found = m_services.find(source.service().value);
-    return found == m_services.end() ? duration {} : found->second->pool.firstEventTimeout(source.id());
+    return m_slots.firstEventTimeout(source.service(), source.id());
 }
 
 bool request_dispatcher::tryTakeRetry(const service_id& name)
 {
-    return service(name).retryBudget.takeRetry(m_fleet.possible, std::chrono::steady_clock::now());
+    return retryBudget(name).takeRetry(m_fleet.possible, std::chrono::steady_clock::now());
 }
 
 void request_dispatcher::commitQuota(const team_id& team, double units)
 {
-    const auto found = m_quotas.find(team.value);
-    if (found != m_quotas.end())
-        found->second.commit(units, std::chrono::steady_clock::now());
+    m_quotas.commit(team, units, std::chrono::steady_clock::now());
 }
 
 void request_dispatcher::releaseQuota(const team_id& team, double units)
 {
-    const auto found = m_quotas.find(team.value);
-    if (found != m_quotas.end())
-        found->second.release(units);
+    m_quotas.release(team, units);
 }
 
 void request_dispatcher::onExchangeEnded(const exchange& source)
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -6,60 +6,21 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "limits/retry_budget.h"
-#include "limits/shared_quota.h"
 #include "metrics.h"
-#include "placement/service_pool.h"
 #include "routing/route_table.h"
+#include "slot_coordinator.h"
+#include "team_quotas.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
-#include <set>
 #include <unordered_map>
 
 namespace carawaylink::gateway {
 
 class exchange;
 
-/// Node counts of the fleet as known to this node.
-struct fleet_size {
-    /// Rank of this node among the live nodes, by address.
-    std::size_t rank = 0;
-    /// Nodes that accept callers, including this one.
-    std::size_t live = 1;
-    /// Nodes whose quota usage is reported, including this one and draining nodes.
-    std::size_t reporting = 1;
-    /// Nodes that may be running, including unreachable ones.
-    std::size_t possible = 1;
-};
-
-/// Load that a peer causes on one endpoint.
-struct peer_load {
-    std::uint64_t replica = 0;
-    placement::endpoint_load load;
-};
-
-/// Speed of one endpoint as measured by a node.
-struct measured_speed {
-    std::uint64_t replica = 0;
-    placement::endpoint_speed speed;
-};
-
-/// Identifies a team in messages between nodes.
-using team_hash = std::uint64_t;
-team_hash teamHash(const team_id& team);
-
-/// Usage of one team's quota, in quota units.
-struct quota_usage {
-    double used = 0;
-    double remaining = 0;
-    double reserved = 0;
-};
-
-/// Identifies an endpoint in messages between nodes.
-std::uint64_t replicaHash(const discovery::replica_id& id);
-
 /// Admits callers' requests, dispatches them to endpoints according to the current configuration, and owns the active exchanges.
 class request_dispatcher {
 public:
@@ -72,33 +33,23 @@
     /// Applies the configuration; returns false if it is not newer than the current one.
     bool setConfiguration(routing::fleet_configuration configuration);
     void setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records);
-    void setFleetSize(const fleet_size& size);
-    /// Replaces all loads that the peer reported before.
-    void setPeerLoads(const node_id& node, const std::vector<peer_load>& loads);
-    void setPeerSpeeds(const node_id& node, const std::vector<measured_speed>& speeds);
-    void removePeer(const node_id& node);
-    void addPeerUsage(team_hash team, double units);
-    /// Adds to the units of a team's quota that peers hold reserved; negative units release them.
-    void addPeerReserved(team_hash team, double units);
-    /// Adopts the remaining units of a team's quota as reported by a peer; effective once per team and only shortly after process start.
-    void adoptQuota(team_hash team, double remaining);
+    /// Sets the functions that send messages to other nodes and replace a connection that does not respond.
+    void setPeerHandlers(std::function<void(const node_id&, peer::envelopeT)> send, std::function<void(const node_id&)> onOwnerSilent);
+    /// Applies a change of the fleet's members.
+    void setMembers(const fleet_members& members);
+    /// Handles a message from another node; returns false if it is not about requests.
+    bool receive(const node_id& sender, const peer::envelopeT& message);
+    void loseConnection(const node_id& node) { m_slots.loseConnection(node); }
+    /// A node's process has ended.
+    void removeNode(const node_id& node);
     void beginDrain(monotonic_time until);
 
-    /// Enforces deadlines, detects unresponsive endpoints and places waiting requests; call every few tens of milliseconds.
+    /// Enforces deadlines, detects unresponsive endpoints, places waiting requests and reports to other nodes; call every 25 ms.
     void tick();
-    /// Whether the whole fleet started for the first time with this process.
-    bool isFirstStart() const { return m_settings.isFirstStart; }
     bool isConfigured() const { return m_routes != nullptr; }
     config_version version() const;
     std::size_t active() const { return m_exchanges.size(); }
     const routing::route_table* routes() const { return m_routes.get(); }
-    /// Load of this node, for a report to the peers.
-    std::vector<peer_load> reportLoads();
-    /// Speeds measured by this node: those that changed notably since their last report, or all.
-    std::vector<measured_speed> reportSpeeds(bool all);
-    /// Quota usage by team: teams whose usage changed since the last call, or all.
-    std::map<team_hash, quota_usage> reportUsage(bool all);
-
     // Called by exchanges.
     void submit(const std::shared_ptr<exchange>& source, placement::waiting_request request);
     void withdraw(const exchange& source);
@@ -117,44 +68,29 @@
     gateway_metrics& metrics() { return m_metrics; }
 
 private:
-    struct service_state {
-        service_state(limits::retry_budget initial, std::uint64_t seed)
-            : pool(seed)
-            , retryBudget(std::move(initial))
-        {
-        }
-        placement::service_pool pool;
-        limits::retry_budget retryBudget;
-        bool isDecisionScheduled = false;
-    };
+    limits::retry_budget& retryBudget(const service_id& service);
+    void logQuotaExceeded(const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now);
+    /// Sends a message to a node, which may be this one.
+    void send(const node_id& node, peer::envelopeT message);
+    void apply(const placement::pool_decisions& decisions);
+    void logWait(const placement::wait_report& wait);
 
-    service_state& service(const service_id& name);
-    void configureQuota(const routing::team_definition& team, monotonic_time now);
-    limits::shared_quota* findQuota(team_hash team) const;
-    limits::quota_limit quotaLimit(const routing::team_definition& team) const;
-    limits::quota_nodes quotaNodes() const { return { m_fleet.reporting, m_fleet.possible }; }
-    void decide(service_state& state);
-    void scheduleDecision(const service_id& name);
-
-    boost::asio::io_context& m_context;
     const gateway_settings& m_settings;
     const protocol_codec& m_codec;
     http_client& m_client;
     decision_log& m_log;
     gateway_metrics& m_metrics;
     std::shared_ptr<const routing::route_table> m_routes;
-    std::map<std::string, std::unique_ptr<service_state>> m_services;
-    std::map<std::string, limits::shared_quota> m_quotas;
-    // Index of m_quotas by the ids used in peer messages.
-    std::map<team_hash, limits::shared_quota*> m_quotaByHash;
-    std::map<team_hash, quota_usage> m_reportedUsage;
-    std::set<team_hash> m_adoptedQuotas;
-    std::map<discovery::replica_id, discovery::endpoint_record> m_endpoints;
-    std::unordered_map<std::uint64_t, discovery::replica_id> m_replicaByHash;
+    random_source m_random;
+    node_id m_self;
+    slot_coordinator m_slots;
+    team_quotas m_quotas;
+    fleet_members m_noMembers;
+    const fleet_members* m_members = &m_noMembers;
+    std::map<service_id, limits::retry_budget> m_retryBudgets;
+    std::function<void(const node_id&, peer::envelopeT)> m_send;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     fleet_size m_fleet;
-    monotonic_time m_startedAt;
-    random_source m_random;
     std::uint64_t m_nextId = 1;
     monotonic_time m_drainStartedAt {};
     std::optional<monotonic_time> m_drainDeadline;
--- /dev/null
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -0,0 +1,241 @@
+#include "slot_coordinator.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <numeric>
+
+namespace carawaylink::gateway {
+
+slot_coordinator::slot_coordinator(boost::asio::io_context& context, node_id self, decision_log& log, std::uint64_t seed)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_log(log)
+    , m_random(seed)
+    , m_run(static_cast<std::uint32_t>(m_random()))
+    , m_owned(m_self, m_random())
+    , m_nodes({ { m_self, 0 } })
+    , m_alive(std::make_shared<slot_coordinator*>(this))
+{
+}
+
+slot_coordinator::service_state& slot_coordinator::service(const service_id& name)
+{
+    auto& state = m_services[name];
+    if (!state) {
+        state = std::make_unique<service_state>(name, m_run, m_random());
+        state->client.setShare(m_rank, m_nodes.size());
+    }
+    return *state;
+}
+
+const slot_coordinator::service_state* slot_coordinator::find(const service_id& name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second.get();
+}
+
+void slot_coordinator::setLimits(const service_id& name, const placement::pool_limits& limits)
+{
+    service(name).client.setLimits(limits);
+    m_owned.setLimits(name, limits);
+}
+
+void slot_coordinator::setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records)
+{
+    for (auto& [name, list] : m_endpoints)
+        list.clear();
+    m_endpointByHash.clear();
+    for (const auto& [id, record] : records) {
+        m_endpoints[record.service].push_back(record);
+        m_endpointByHash.emplace(replicaHash(id), record);
+    }
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [name, list] : m_endpoints)
+        service(name).client.setEndpoints(list, now);
+    updateOwners();
+}
+
+void slot_coordinator::setMembers(std::vector<placement::owner_candidate> nodes, std::size_t rank)
+{
+    m_nodes = std::move(nodes);
+    m_rank = rank;
+    for (auto& [name, state] : m_services)
+        state->client.setShare(rank, m_nodes.size());
+    updateOwners();
+}
+
+void slot_coordinator::updateOwners()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto owned = m_owned.pools().size();
+    const auto knownSpeeds = [this](const service_id& name) { return service(name).client.local().speeds(); };
+    if (m_owned.update(m_endpoints, m_nodes, knownSpeeds, now)) {
+        m_log.event("pools_owned").field("pools", m_owned.pools().size()).field("before", owned).field("nodes", m_nodes.size());
+    }
+    for (const auto& [name, list] : m_endpoints) {
+        auto& client = service(name).client;
+        client.setOwners(placement::ownersOf(name, client.pools(), m_nodes), now);
+    }
+    schedule();
+}
+
+void slot_coordinator::submit(const service_id& name, placement::waiting_request request)
+{
+    service(name).client.submit(std::move(request), std::chrono::steady_clock::now());
+    schedule();
+}
+
+bool slot_coordinator::withdraw(const service_id& name, std::uint64_t id)
+{
+    const bool wasWaiting = service(name).client.withdraw(id);
+    schedule();
+    return wasWaiting;
+}
+
+void slot_coordinator::recordProgress(const service_id& name, std::uint64_t id, std::size_t events)
+{
+    auto& client = service(name).client;
+    client.recordProgress(id, events, std::chrono::steady_clock::now());
+    if (client.hasUrgentCalls())
+        schedule();
+}
+
+void slot_coordinator::recordOutcome(const service_id& name, std::uint64_t id, placement::outcome result, std::size_t events)
+{
+    auto& client = service(name).client;
+    client.recordOutcome(id, result, events, std::chrono::steady_clock::now());
+    if (client.hasUrgentCalls() || client.hasWaiting())
+        schedule();
+}
+
+duration slot_coordinator::firstEventTimeout(const service_id& name, std::uint64_t id) const
+{
+    const auto* state = find(name);
+    return state ? state->client.firstEventTimeout(id) : duration {};
+}
+
+void slot_coordinator::tick()
+{
+    decide(true);
+}
+
+// Posts the decision instead of running it inline, so that an exchange is not re-entered from its own call.
+void slot_coordinator::schedule()
+{
+    if (std::exchange(m_isScheduled, true))
+        return;
+    boost::asio::post(m_context, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.expired())
+            return;
+        m_isScheduled = false;
+        decide(false);
+    });
+}
+
+void slot_coordinator::decide(bool isTick)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [name, state] : m_services) {
+        if (isTick || state->client.hasUrgentCalls())
+            sendCalls(*state, now);
+    }
+    deliverReplies(now);
+    for (auto& [name, state] : m_services) {
+        const auto decisions = state->client.decide(now);
+        logSilentOwners(name, *state);
+        if (!decisions.grants.empty() || !decisions.refusals.empty() || !decisions.waitReports.empty())
+            m_handlers.onDecisions(decisions);
+        if (state->client.hasUrgentCalls())
+            schedule();
+    }
+}
+
+void slot_coordinator::sendCalls(service_state& state, monotonic_time now)
+{
+    for (auto& entry : state.client.takeCalls(now)) {
+        if (entry.owner == m_self) {
+            m_owned.receive(m_self, entry.call, now);
+            continue;
+        }
+        peer::envelopeT message;
+        message.body.Set(encodeCall(entry.call, now));
+        m_handlers.send(entry.owner, std::move(message));
+    }
+}
+
+void slot_coordinator::deliverReplies(monotonic_time now)
+{
+    for (auto& entry : m_owned.takeReplies(now)) {
+        if (entry.node == m_self) {
+            service(entry.reply.pool.service).client.receive(m_self, entry.reply, now);
+            continue;
+        }
+        peer::envelopeT message;
+        message.body.Set(encodeReply(entry.reply));
+        m_handlers.send(entry.node, std::move(message));
+    }
+}
+
+void slot_coordinator::receive(const node_id& node, const peer::slot_callT& call)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_owned.receive(node,
+        decodeCall(
+            call, [this](std::uint64_t hash) { return lookUp(hash); }, now),
+        now);
+    schedule();
+}
+
+void slot_coordinator::receive(const node_id& node, const peer::slot_replyT& message)
+{
+    const auto reply = decodeReply(message, [this](std::uint64_t hash) { return lookUp(hash); });
+    service(reply.pool.service).client.receive(node, reply, std::chrono::steady_clock::now());
+    schedule();
+}
+
+void slot_coordinator::loseConnection(const node_id& node)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [name, state] : m_services)
+        state->client.loseOwner(node, now);
+    schedule();
+}
+
+void slot_coordinator::removeNode(const node_id& node)
+{
+    m_owned.removeNode(node, std::chrono::steady_clock::now());
+    schedule();
+}
+
+void slot_coordinator::logSilentOwners(const service_id& name, service_state& state)
+{
+    state.silentOwners.resize(state.client.pools());
+    for (std::uint32_t pool = 0; pool < state.client.pools(); ++pool) {
+        const bool isSilent = state.client.isOwnerSilent(pool);
+        if (state.silentOwners[pool] == isSilent)
+            continue;
+        state.silentOwners[pool] = isSilent;
+        const auto owner = placement::ownerOf({ name, pool }, m_nodes);
+        m_log.event(isSilent ? "owner_silent" : "owner_replies")
+            .field("service", name)
+            .field("pool", pool)
+            .field("owner", owner.value_or(node_id {}))
+            .field("waiting", state.client.waitingCount());
+        if (isSilent && owner && *owner != m_self)
+            m_handlers.onOwnerSilent(*owner);
+    }
+}
+
+std::size_t slot_coordinator::waitingCount() const
+{
+    return std::accumulate(m_services.begin(), m_services.end(), std::size_t { 0 },
+        [](std::size_t total, const auto& entry) { return total + entry.second->client.waitingCount(); });
+}
+
+std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
+{
+    const auto found = m_endpointByHash.find(hash);
+    return found == m_endpointByHash.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/slot_coordinator.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "decision_log.h"
+#include "peer_codec.h"
+#include "placement/owned_pools.h"
+#include "placement/slot_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace carawaylink::gateway {
+
+/// Obtains slots for the requests of this node from the owners of the pools, and owns pools itself. Exchanges calls and replies with the
+/// other nodes; those to itself stay in the process. Runs on one event loop.
+class slot_coordinator {
+public:
+    struct handlers {
+        std::function<void(const node_id& node, peer::envelopeT message)> send;
+        std::function<void(const placement::pool_decisions& decisions)> onDecisions;
+        /// The owner does not reply over the present connection.
+        std::function<void(const node_id& owner)> onOwnerSilent;
+    };
+
+    slot_coordinator(boost::asio::io_context& context, node_id self, decision_log& log, std::uint64_t seed);
+
+    void setHandlers(handlers given) { m_handlers = std::move(given); }
+    void setLimits(const service_id& service, const placement::pool_limits& limits);
+    void setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records);
+    /// nodes: those that accept callers. rank: index of this node among them.
+    void setMembers(std::vector<placement::owner_candidate> nodes, std::size_t rank);
+
+    void submit(const service_id& service, placement::waiting_request request);
+    bool withdraw(const service_id& service, std::uint64_t id);
+    void recordProgress(const service_id& service, std::uint64_t id, std::size_t events);
+    void recordOutcome(const service_id& service, std::uint64_t id, placement::outcome result, std::size_t events);
+    duration firstEventTimeout(const service_id& service, std::uint64_t id) const;
+
+    /// Decides what is due; call every 25 ms.
+    void tick();
+    void receive(const node_id& node, const peer::slot_callT& call);
+    void receive(const node_id& node, const peer::slot_replyT& reply);
+    /// The connection to a node was lost.
+    void loseConnection(const node_id& node);
+    /// A node's process has ended.
+    void removeNode(const node_id& node);
+
+    std::size_t waitingCount() const;
+    std::size_t ownedCount() const { return m_owned.pools().size(); }
+
+private:
+    struct service_state {
+        service_state(const service_id& name, std::uint32_t run, std::uint64_t seed)
+            : client(name, run, seed)
+        {
+        }
+        placement::slot_client client;
+        /// By pool, as last logged.
+        std::vector<bool> silentOwners;
+    };
+
+    service_state& service(const service_id& name);
+    const service_state* find(const service_id& name) const;
+    void updateOwners();
+    void schedule();
+    void decide(bool isTick);
+    void deliverReplies(monotonic_time now);
+    void sendCalls(service_state& state, monotonic_time now);
+    void logSilentOwners(const service_id& name, service_state& state);
+    std::optional<discovery::endpoint_record> lookUp(std::uint64_t hash) const;
+
+    boost::asio::io_context& m_context;
+    node_id m_self;
+    decision_log& m_log;
+    handlers m_handlers;
+    random_source m_random;
+    std::uint32_t m_run;
+    std::map<service_id, std::unique_ptr<service_state>> m_services;
+    placement::owned_pools m_owned;
+    placement::owned_pools::endpoints_by_service m_endpoints;
+    std::unordered_map<std::uint64_t, discovery::endpoint_record> m_endpointByHash;
+    std::vector<placement::owner_candidate> m_nodes;
+    std::size_t m_rank = 0;
+    bool m_isScheduled = false;
+    /// Expires with this object, before the work that the event loop still holds.
+    std::shared_ptr<slot_coordinator*> m_alive;
+};
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/store_readers.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace carawaylink::gateway {
+
+/// Identifies an update and the time at which it was sent.
+struct update_stamp {
+    node_id origin;
+    /// Process of the origin.
+    std::uint64_t run = 0;
+    std::uint64_t sequence = 0;
+    /// On the origin's clock.
+    std::chrono::microseconds sentAt {};
+};
+
+/// Which nodes read the store at the full rate for all others, as heard through their updates. Any node that misses readers becomes one
+/// itself, the one with the lowest address first, so that no election is needed. Does no I/O and reads no clock.
+class store_readers {
+public:
+    /// Returns the age of the data now, or nullopt for an update that was received before.
+    std::optional<duration> receive(const update_stamp& stamp, duration dataAge, monotonic_time now);
+    /// Whether this node has to read for the others. rank: number of reachable nodes with lower addresses.
+    bool shouldRead(const node_id& self, std::size_t rank, monotonic_time now);
+
+private:
+    struct reader_state {
+        std::uint64_t run = 0;
+        std::uint64_t sequence = 0;
+        monotonic_time lastHeardAt {};
+        /// Smallest difference between the clocks at sending and receipt, in this and the previous period.
+        std::chrono::microseconds minDifference {};
+        std::chrono::microseconds previousMinDifference {};
+        monotonic_time periodSince {};
+    };
+    static duration transitDelay(reader_state& reader, std::chrono::microseconds sentAt, monotonic_time now);
+
+    std::map<node_id, reader_state> m_readers;
+    std::optional<monotonic_time> m_missingSince;
+};
+
+/// The nodes to which a node passes on updates of the origin. All nodes form a tree of bounded fan-out below the origin; nodes must be in
+/// ascending order. Empty if the origin or the node itself is not among them.
+std::vector<node_id> relayTargets(const node_id& origin, const node_id& self, std::span<const node_id> nodes);
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/store_sync.cpp
@@ -0,0 +1,296 @@
+#include "store_sync.h"
+
+#include "base/error.h"
+#include "base/random.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <limits>
+
+namespace carawaylink::gateway {
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr auto endpointInterval = std::chrono::milliseconds(800);
+constexpr auto configurationWait = std::chrono::milliseconds(1500);
+constexpr auto nodesInterval = std::chrono::seconds(4);
+// Of nodes that get the changes from readers.
+constexpr auto passiveEndpointInterval = std::chrono::seconds(15);
+constexpr auto passiveConfigurationWait = std::chrono::seconds(15);
+constexpr auto passiveNodesInterval = std::chrono::seconds(30);
+// A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint must
+// stop receiving requests.
+constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
+constexpr auto updateInterval = std::chrono::milliseconds(400);
+// An update repeats the changes of this time, so that a receiver may miss some.
+constexpr auto repeatedChangesTime = std::chrono::milliseconds(2500);
+constexpr auto copyRequestInterval = std::chrono::milliseconds(400);
+constexpr std::size_t copySources = 2;
+// A configuration that a peer mentions is usually about to arrive from the store.
+constexpr auto configurationGrace = std::chrono::milliseconds(150);
+constexpr auto publishTimeout = std::chrono::seconds(2);
+constexpr auto publishRetryDelay = std::chrono::milliseconds(500);
+
+std::uint32_t ageInMilliseconds(monotonic_time asOf, monotonic_time now)
+{
+    if (asOf == monotonic_time {})
+        return std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - asOf).count());
+}
+
+} // namespace
+
+store_sync::store_sync(boost::asio::io_context& context, const gateway_settings& settings, const protocol_codec& codec, decision_log& log,
+    const fleet_members& members, handlers callbacks)
+    : m_context(context)
+    , m_settings(settings)
+    , m_codec(codec)
+    , m_log(log)
+    , m_members(members)
+    , m_handlers(std::move(callbacks))
+    , m_client(context)
+    , m_random(randomSeed())
+    , m_self(settings.peerAddress)
+    , m_run(m_random())
+    , m_endpoints(codec, log)
+{
+}
+
+void store_sync::start()
+{
+    follow();
+    publishSelf();
+}
+
+void store_sync::follow()
+{
+    const auto follower = [this](follow_options options, store_follower::handlers callbacks) {
+        auto created
+            = std::make_shared<store_follower>(m_context, m_client, m_settings.storeAddress, m_codec, m_log, options, std::move(callbacks));
+        created->start();
+        return created;
+    };
+    const auto applyRecords = [this](const std::vector<store_record>& records) {
+        std::ranges::for_each(records, [this](const store_record& record) { applyConfiguration(record); });
+    };
+    m_configurationFollower
+        = follower({ store_topic::configuration, configurationWait, {} }, { applyRecords, applyRecords, [](duration) {} });
+    m_endpointFollower = follower({ store_topic::endpoints, {}, endpointInterval },
+        { [this](const auto& records) { onEndpointSnapshot(records); }, [this](const auto& records) { onEndpointRecords(records); },
+            [this](duration outage) { m_endpoints.onStoreReconnected(outage, std::chrono::steady_clock::now()); } });
+    m_nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
+        { [this](const auto& records) { onNodeRecords(records); }, [this](const auto& records) { onNodeRecords(records); },
+            [](duration) {} });
+}
+
+void store_sync::publishSelf()
+{
+    http_call_options options;
+    options.idleTimeout = publishTimeout;
+    m_client.send(m_settings.storeAddress, m_codec.publish(store_topic::nodes, m_settings.nodeName, m_settings.peerAddress), options,
+        [this](const http_result& result) {
+            if (result.ok() && result.response.status == statusOk)
+                return;
+            m_log.event("publish_failed").field("status", result.response.status).field("detail", '"' + result.detail + '"');
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_context, publishRetryDelay);
+            timer->async_wait([this, timer](boost::system::error_code status) {
+                if (!status)
+                    publishSelf();
+            });
+        });
+}
+
+bool store_sync::reachesStore() const
+{
+    return m_configurationFollower->isReachable() && m_endpointFollower->isReachable();
+}
+
+bool store_sync::applyConfiguration(const store_record& record)
+{
+    try {
+        auto routes = m_codec.decodeConfiguration(record);
+        if (!routes || !m_handlers.onConfiguration(std::move(*routes)))
+            return false;
+        m_configurationRecord = record;
+        return true;
+    } catch (const error& failure) {
+        m_log.event("configuration_invalid").field("key", record.key).field("error", '"' + std::string(failure.what()) + '"');
+        return false;
+    }
+}
+
+void store_sync::onEndpointSnapshot(const std::vector<store_record>& records)
+{
+    if (m_endpoints.replaceAll(records, m_endpointFollower->offset(), std::chrono::steady_clock::now()))
+        onEndpointsChanged();
+}
+
+void store_sync::onEndpointRecords(const std::vector<store_record>& records)
+{
+    if (m_endpoints.apply(records, m_endpointFollower->offset(), std::chrono::steady_clock::now()))
+        onEndpointsChanged();
+}
+
+void store_sync::onNodeRecords(const std::vector<store_record>& records)
+{
+    for (const auto& record : records) {
+        if (record.value)
+            m_listed.insert(node_id { *record.value });
+    }
+    m_handlers.onNodes(m_listed);
+}
+
+void store_sync::onEndpointsChanged()
+{
+    applyEndpoints();
+    if (m_isReader)
+        sendUpdate(std::chrono::steady_clock::now());
+}
+
+void store_sync::applyEndpoints()
+{
+    const auto draining = std::ranges::count_if(m_endpoints.records(), [](const auto& entry) { return entry.second.draining; });
+    m_log.event("endpoints_changed")
+        .field("endpoints", m_endpoints.records().size())
+        .field("draining", draining)
+        .field("offset", m_endpoints.changedOffset());
+    m_handlers.onEndpoints(m_endpoints.records());
+}
+
+void store_sync::tick(monotonic_time now)
+{
+    if (m_endpoints.expire(m_endpointFollower->offset(), now))
+        onEndpointsChanged();
+    const bool wasReader = m_isReader;
+    m_isReader = reachesStore() && m_readers.shouldRead(m_self, rank(), now);
+    if (m_isReader != wasReader)
+        m_log.event(m_isReader ? "reads_store_for_all" : "reads_store_no_longer").field("rank", rank());
+    adjustReadTiming(now);
+    if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
+        sendUpdate(now);
+    const bool missesConfiguration = m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationGrace;
+    if ((!reachesStore() || missesConfiguration) && now - m_lastCopyRequestAt >= copyRequestInterval)
+        requestCopy(now);
+}
+
+std::size_t store_sync::rank() const
+{
+    const auto nodes = m_members.reachable();
+    return static_cast<std::size_t>(std::ranges::lower_bound(nodes, m_self) - nodes.begin());
+}
+
+void store_sync::adjustReadTiming(monotonic_time now)
+{
+    const bool readsAtFullRate = m_isReader || !reachesStore();
+    m_configurationFollower->setReadTiming(readsAtFullRate ? duration(configurationWait) : duration(passiveConfigurationWait), {});
+    const bool isUpdated = now - m_updatedAsOf < maxEndpointAge;
+    const bool needsEndpointRead = readsAtFullRate || !isUpdated;
+    m_endpointFollower->setReadTiming({}, needsEndpointRead ? duration(endpointInterval) : duration(passiveEndpointInterval));
+    if (needsEndpointRead && now - m_endpointFollower->asOf() > maxEndpointAge)
+        m_endpointFollower->readNow();
+    m_nodeFollower->setReadTiming({}, readsAtFullRate ? duration(nodesInterval) : duration(passiveNodesInterval));
+}
+
+void store_sync::sendUpdate(monotonic_time now)
+{
+    m_lastUpdateAt = now;
+    peer::store_updateT update;
+    update.origin = m_self.value;
+    update.run = m_run;
+    update.sent_us = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
+    update.sequence = ++m_updateSequence;
+    update.configuration_version = m_handlers.version().value;
+    update.offset = m_endpointFollower->offset();
+    update.age_ms = ageInMilliseconds(m_endpointFollower->asOf(), now);
+    while (m_updateOffsets.size() > 1 && now - m_updateOffsets[1].first >= repeatedChangesTime)
+        m_updateOffsets.pop_front();
+    const bool coversTime = !m_updateOffsets.empty() && now - m_updateOffsets.front().first >= repeatedChangesTime;
+    update.base_offset = coversTime ? m_updateOffsets.front().second : 0;
+    m_endpoints.forgetChangesUpTo(update.base_offset);
+    m_endpoints.fillUpdate(update, now);
+    m_updateOffsets.emplace_back(now, update.offset);
+    relay(update);
+}
+
+void store_sync::relay(const peer::store_updateT& update)
+{
+    const auto targets = relayTargets(node_id { update.origin }, m_self, m_members.reachable());
+    if (targets.empty())
+        return;
+    peer::envelopeT message;
+    message.body.Set(peer::store_updateT(update));
+    m_handlers.send(targets, std::move(message));
+}
+
+void store_sync::receive(const node_id&, const peer::store_updateT& update)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const update_stamp stamp { node_id { update.origin }, update.run, update.sequence, std::chrono::microseconds(update.sent_us) };
+    if (stamp.origin == m_self)
+        return;
+    const auto age = m_readers.receive(stamp, std::chrono::milliseconds(update.age_ms), now);
+    if (!age)
+        return;
+    relay(update);
+    const config_version mentioned { update.configuration_version };
+    if (mentioned > m_mentionedVersion) {
+        m_mentionedVersion = mentioned;
+        m_mentionedAt = now;
+    }
+    // Without the changes before the base, this node reads the store itself.
+    if (!m_endpoints.isLoaded() || m_endpointFollower->offset() < update.base_offset)
+        return;
+    if (update.offset > m_endpointFollower->offset()) {
+        m_endpointFollower->skipTo(update.offset);
+        if (m_endpoints.applyUpdate(update, reachesStore(), now))
+            applyEndpoints();
+    }
+    m_updatedAsOf = std::max(m_updatedAsOf, now - *age);
+}
+
+void store_sync::requestCopy(monotonic_time now)
+{
+    m_lastCopyRequestAt = now;
+    auto nodes = m_members.reachable();
+    std::erase(nodes, m_self);
+    std::ranges::shuffle(nodes, m_random);
+    nodes.resize(std::min(nodes.size(), copySources));
+    peer::copy_requestT request;
+    request.endpoints_offset = m_endpointFollower->offset();
+    request.configuration_version = m_handlers.version().value;
+    peer::envelopeT message;
+    message.body.Set(std::move(request));
+    m_handlers.send(nodes, std::move(message));
+}
+
+void store_sync::receive(const node_id& sender, const peer::copy_requestT& request)
+{
+    const bool hasConfiguration = m_handlers.version().value > request.configuration_version && m_configurationRecord.value;
+    const bool hasEndpoints = reachesStore() && m_endpoints.isLoaded() && m_endpointFollower->offset() > request.endpoints_offset;
+    if (!hasConfiguration && !hasEndpoints)
+        return;
+    peer::store_copyT copy;
+    if (hasConfiguration) {
+        copy.configuration_key = m_configurationRecord.key;
+        copy.configuration.assign(m_configurationRecord.value->begin(), m_configurationRecord.value->end());
+    }
+    if (hasEndpoints)
+        m_endpoints.fillCopy(copy, m_endpointFollower->offset(), std::chrono::steady_clock::now());
+    peer::envelopeT message;
+    message.body.Set(std::move(copy));
+    m_handlers.send({ &sender, 1 }, std::move(message));
+}
+
+void store_sync::receive(const node_id&, const peer::store_copyT& copy)
+{
+    if (!copy.configuration_key.empty())
+        applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) });
+    if (copy.endpoints.empty() || copy.endpoints_offset <= m_endpointFollower->offset())
+        return;
+    m_endpointFollower->skipTo(copy.endpoints_offset);
+    if (m_endpoints.applyCopy(copy, m_endpointFollower->isReachable(), std::chrono::steady_clock::now()))
+        applyEndpoints();
+}
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/store_sync.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "decision_log.h"
+#include "endpoint_registry.h"
+#include "fleet_members.h"
+#include "gateway/gateway_node.h"
+#include "gateway/protocol_codec.h"
+#include "http/client.h"
+#include "store_follower.h"
+#include "store_readers.h"
+#include "wire/generated/peer_state_generated.h"
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <span>
+
+namespace carawaylink::gateway {
+
+/// Keeps this node's copy of what the store holds: configuration, endpoints and addresses of nodes. Two nodes read the endpoints for all
+/// and pass on the changes; a node without recent news reads them itself, and one that cannot reach the store asks its peers for copies.
+/// Runs on one event loop.
+class store_sync {
+public:
+    struct handlers {
+        /// Returns whether the configuration is newer than the one in force.
+        std::function<bool(routing::fleet_configuration)> onConfiguration;
+        std::function<void(const std::map<discovery::replica_id, discovery::endpoint_record>&)> onEndpoints;
+        std::function<void(const std::set<node_id>&)> onNodes;
+        std::function<void(std::span<const node_id>, peer::envelopeT)> send;
+        std::function<config_version()> version;
+    };
+
+    store_sync(boost::asio::io_context& context, const gateway_settings& settings, const protocol_codec& codec, decision_log& log,
+        const fleet_members& members, handlers callbacks);
+
+    void start();
+    /// Adjusts the reads to what the peers deliver; call every few tens of milliseconds.
+    void tick(monotonic_time now);
+    void receive(const node_id& sender, const peer::store_updateT& update);
+    void receive(const node_id& sender, const peer::copy_requestT& request);
+    void receive(const node_id& sender, const peer::store_copyT& copy);
+
+    bool isLoaded() const { return m_endpoints.isLoaded(); }
+    bool reachesStore() const;
+
+private:
+    void follow();
+    void publishSelf();
+    bool applyConfiguration(const store_record& record);
+    void onEndpointSnapshot(const std::vector<store_record>& records);
+    void onEndpointRecords(const std::vector<store_record>& records);
+    void onNodeRecords(const std::vector<store_record>& records);
+    void onEndpointsChanged();
+    void applyEndpoints();
+    void adjustReadTiming(monotonic_time now);
+    void sendUpdate(monotonic_time now);
+    void relay(const peer::store_updateT& update);
+    void requestCopy(monotonic_time now);
+    std::size_t rank() const;
+
+    boost::asio::io_context& m_context;
+    const gateway_settings& m_settings;
+    const protocol_codec& m_codec;
+    decision_log& m_log;
+    const fleet_members& m_members;
+    handlers m_handlers;
+    http_client m_client;
+    random_source m_random;
+    node_id m_self;
+    /// Identifies this process in its updates.
+    std::uint64_t m_run;
+    std::shared_ptr<store_follower> m_configurationFollower;
+    std::shared_ptr<store_follower> m_endpointFollower;
+    std::shared_ptr<store_follower> m_nodeFollower;
+    endpoint_registry m_endpoints;
+    store_readers m_readers;
+    store_record m_configurationRecord;
+    std::set<node_id> m_listed;
+    bool m_isReader = false;
+    std::uint64_t m_updateSequence = 0;
+    /// Offsets that this node had reached at its last updates.
+    std::deque<std::pair<monotonic_time, std::uint64_t>> m_updateOffsets;
+    monotonic_time m_lastUpdateAt {};
+    monotonic_time m_lastCopyRequestAt {};
+    /// Time as of which the endpoints are known through updates.
+    monotonic_time m_updatedAsOf {};
+    /// Newest configuration that a peer mentioned, and when it was first mentioned.
+    config_version m_mentionedVersion;
+    monotonic_time m_mentionedAt {};
+};
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/team_quotas.cpp
@@ -0,0 +1,151 @@
+#include "team_quotas.h"
+
+#include "peer_codec.h"
+
+#include <utility>
+
+namespace carawaylink::gateway {
+
+namespace {
+
+// A process adopts the remaining units that other nodes know within this time after its start.
+constexpr auto adoptionTime = std::chrono::seconds(3);
+constexpr auto expiryInterval = std::chrono::seconds(1);
+
+} // namespace
+
+team_quotas::team_quotas(node_id self, std::uint64_t run, bool isFirstStart, duration window, monotonic_time now, sender send)
+    : m_self(std::move(self))
+    , m_run(run)
+    , m_isFirstStart(isFirstStart)
+    , m_window(window)
+    , m_startedAt(now)
+    , m_send(std::move(send))
+{
+}
+
+const team_quotas::team_state* team_quotas::find(const team_id& team) const
+{
+    const auto found = m_teams.find(teamHash(team));
+    return found == m_teams.end() ? nullptr : &found->second;
+}
+
+void team_quotas::configure(const routing::team_definition& team, monotonic_time now)
+{
+    const limits::quota_limit limit { team.ratePerSecond, team.burst, m_window };
+    const auto [position, inserted] = m_teams.try_emplace(teamHash(team.name), limit, now, m_isFirstStart);
+    if (!inserted)
+        position->second.quota.configure(limit, now);
+}
+
+limits::quota_nodes team_quotas::nodesFor(const team_state& team, const fleet_size& fleet, monotonic_time now) const
+{
+    return team.reporter.nodes(fleet.reachable, fleet.possible, now);
+}
+
+bool team_quotas::reserve(const team_id& team, double units, tier level, const fleet_size& fleet, monotonic_time now)
+{
+    auto* state = find(team);
+    return !state || state->quota.reserve(units, level, nodesFor(*state, fleet, now), now);
+}
+
+void team_quotas::commit(const team_id& team, double units, monotonic_time now)
+{
+    if (auto* state = find(team))
+        state->quota.commit(units, now);
+}
+
+void team_quotas::release(const team_id& team, double units)
+{
+    if (auto* state = find(team))
+        state->quota.release(units);
+}
+
+limits::quota_requirement team_quotas::requirementFor(
+    const team_id& team, double units, tier level, const fleet_size& fleet, monotonic_time now) const
+{
+    const auto* state = find(team);
+    return state ? state->quota.requirementFor(units, level, nodesFor(*state, fleet, now), now) : limits::quota_requirement {};
+}
+
+duration team_quotas::timeUntilAvailable(const team_id& team, double units, tier level, const fleet_size& fleet, monotonic_time now) const
+{
+    const auto* state = find(team);
+    return state ? state->quota.timeUntilAvailable(units, level, nodesFor(*state, fleet, now), now) : duration {};
+}
+
+double team_quotas::remaining(const team_id& team, monotonic_time now) const
+{
+    const auto* state = find(team);
+    return state ? state->quota.remaining(now) : 0;
+}
+
+void team_quotas::tick(const fleet_members& members, monotonic_time now)
+{
+    if (now - m_lastExpiryAt > expiryInterval) {
+        m_lastExpiryAt = now;
+        m_collector.expire(now);
+    }
+    std::map<node_id, peer::quota_reportT> reports;
+    for (auto& [hash, team] : m_teams) {
+        if (!team.reporter.isDue(team.quota, now))
+            continue;
+        if (std::exchange(team.membersVersion, members.version()) != members.version())
+            team.collector = members.nodeFor(hash);
+        const auto use = team.reporter.takeReport(team.collector, team.quota, now);
+        reports[team.collector].uses.emplace_back(hash, use.used, static_cast<float>(use.unconfirmed), static_cast<float>(use.reserved),
+            static_cast<float>(team.quota.remaining(now)));
+    }
+    for (auto& [node, report] : reports) {
+        report.run = m_run;
+        peer::envelopeT message;
+        message.body.Set(std::move(report));
+        m_send(node, std::move(message));
+    }
+}
+
+void team_quotas::receive(const node_id& node, const peer::quota_reportT& report, monotonic_time now)
+{
+    peer::quota_totalsT totals;
+    totals.run = m_run;
+    for (const auto& use : report.uses) {
+        if (node != m_self)
+            adopt(use.team(), use.level(), now);
+        const auto total = m_collector.report(use.team(), node, report.run, { use.used(), use.unconfirmed(), use.reserved() }, now);
+        const auto team = m_teams.find(use.team());
+        // Without the configuration of the team, the remaining units are unknown here.
+        if (team == m_teams.end())
+            continue;
+        const auto level = team->second.quota.remaining(now);
+        totals.totals.emplace_back(use.team(), total.confirmed, total.othersUsed, static_cast<float>(total.othersReserved),
+            static_cast<float>(level),
+            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(total.counted).count()));
+    }
+    peer::envelopeT message;
+    message.body.Set(std::move(totals));
+    m_send(node, std::move(message));
+}
+
+void team_quotas::receive(const node_id& node, const peer::quota_totalsT& totals, monotonic_time now)
+{
+    for (const auto& entry : totals.totals) {
+        const auto found = m_teams.find(entry.team());
+        if (found == m_teams.end())
+            continue;
+        if (node != m_self)
+            adopt(entry.team(), entry.level(), now);
+        const limits::quota_total total { entry.confirmed(), entry.others_used(), entry.others_reserved(),
+            std::chrono::milliseconds(entry.counted_ms()) };
+        found->second.reporter.receive(node, totals.run, total, entry.level(), found->second.quota, now);
+    }
+}
+
+void team_quotas::adopt(limits::team_hash team, double remaining, monotonic_time now)
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end() || m_isFirstStart || now - m_startedAt > adoptionTime || std::exchange(found->second.hasAdopted, true))
+        return;
+    found->second.quota.setRemaining(remaining, now);
+}
+
+} // namespace carawaylink::gateway
--- a/libs/gateway/tests/endpoint_registry_tests.cpp
+++ b/libs/gateway/tests/endpoint_registry_tests.cpp
@@ -115,5 +115,53 @@
     EXPECT_EQ(m_receiver.changedOffset(), 15U);
 }
 
+TEST_F(endpoint_registry_test, update_carriesOnlyWhatChangedAfterItsBase)
+{
+    // Sending all endpoints on each change filled the links of small vms: 169 entries to 117 nodes.
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" }, { "c", "ready" } }, 10, m_now);
+    m_receiver.replaceAll({ { "a", "ready" }, { "b", "ready" }, { "c", "ready" } }, 10, m_now);
+    m_reader.apply({ { "a", "ready" }, { "b", "draining" }, { "c", std::nullopt } }, 20, m_now);
+    peer::store_updateT update;
+    update.base_offset = 10;
+    update.offset = 20;
+    m_reader.fillUpdate(update, m_now);
+    EXPECT_EQ(update.changes.size(), 2U);
+    EXPECT_TRUE(m_receiver.applyUpdate(update, true, m_now));
+    EXPECT_EQ(m_receiver.records(), m_reader.records());
+    EXPECT_EQ(m_receiver.changedOffset(), 20U);
+}
+
+TEST_F(endpoint_registry_test, removalInUpdateOfReaderWithoutOutage_takesEffectImmediately)
+{
+    // As for copies: a removal deferred on top of the read interval lets requests reach an endpoint that has left.
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.onStoreReconnected(5s, m_now);
+    m_reader.apply({ { "b", std::nullopt } }, 11, m_now);
+    peer::store_updateT update;
+    update.base_offset = 10;
+    update.offset = 11;
+    m_reader.fillUpdate(update, m_now);
+    m_receiver.applyUpdate(update, false, m_now);
+    EXPECT_EQ(m_receiver.records().size(), 1U);
+}
+
+TEST_F(endpoint_registry_test, removalDeferredByReader_isDeferredByNodesWithoutStore)
+{
+    // Entries that expire during an outage of the store are registered again within two seconds.
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.applyCopy(copyOf(m_reader, 10), false, m_now);
+    m_reader.onStoreReconnected(5s, m_now);
+    m_reader.apply({ { "b", std::nullopt } }, 11, m_now);
+    peer::store_updateT update;
+    update.base_offset = 10;
+    update.offset = 11;
+    m_reader.fillUpdate(update, m_now);
+    m_receiver.applyUpdate(update, false, m_now);
+    EXPECT_EQ(m_receiver.records().size(), 2U);
+    EXPECT_TRUE(m_receiver.expire(11, m_now + 3s));
+    EXPECT_EQ(m_receiver.records().size(), 1U);
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -0,0 +1,141 @@
+#include "slot_coordinator.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <gtest/gtest.h>
+#include <map>
+#include <thread>
+
+namespace carawaylink::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const service_id service { "engine" };
+constexpr auto patience = 5s;
+
+// Coordinators of several nodes on one event loop; messages pass through the encoder and back.
+class slot_coordinator_test : public testing::Test {
+protected:
+    struct fleet_node {
+        fleet_node(boost::asio::io_context& context, const std::string& name, decision_log& log, std::uint64_t seed)
+            : id(name)
+            , slots(context, id, log, seed)
+        {
+        }
+        node_id id;
+        slot_coordinator slots;
+        std::map<std::uint64_t, placement::grant> grants;
+        std::size_t sent = 0;
+    };
+
+    void start(std::size_t count, std::size_t endpoints, unsigned slots)
+    {
+        std::vector<placement::owner_candidate> candidates;
+        for (std::size_t i = 0; i < count; ++i) {
+            m_nodes.push_back(std::make_unique<fleet_node>(m_context, "n" + std::to_string(i), m_log, i));
+            candidates.push_back({ m_nodes.back()->id, 500 });
+        }
+        std::map<discovery::replica_id, discovery::endpoint_record> records;
+        for (std::size_t i = 0; i < endpoints; ++i) {
+            const discovery::replica_id id { "e" + std::to_string(i) };
+            records.emplace(
+                id, discovery::endpoint_record { id, service, endpoint_id { id.value + ":80" }, failure_domain { "a" }, slots, false, 1 });
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            auto& node = *m_nodes[i];
+            slot_coordinator::handlers handlers;
+            handlers.send = [this, &node](const node_id& to, peer::envelopeT message) { deliver(node, to, std::move(message)); };
+            handlers.onDecisions = [&node](const placement::pool_decisions& decisions) {
+                for (const auto& granted : decisions.grants)
+                    node.grants.insert_or_assign(granted.id, granted);
+            };
+            handlers.onOwnerSilent = [](const node_id&) {};
+            node.slots.setHandlers(handlers);
+            node.slots.setMembers(candidates, i);
+            node.slots.setEndpoints(records);
+        }
+    }
+
+    void deliver(fleet_node& from, const node_id& to, peer::envelopeT message)
+    {
+        ++from.sent;
+        const auto found = std::ranges::find_if(m_nodes, [&](const auto& node) { return node->id == to; });
+        if (message.body.Asslot_call())
+            (*found)->slots.receive(from.id, *message.body.Asslot_call());
+        else
+            (*found)->slots.receive(from.id, *message.body.Asslot_reply());
+    }
+
+    static placement::waiting_request request(std::uint64_t id)
+    {
+        placement::waiting_request result;
+        result.id = id;
+        result.prompt = tokens { 100 };
+        result.output = tokens { 10 };
+        result.arrived = std::chrono::steady_clock::now();
+        result.target = result.arrived + 2s;
+        result.deadline = result.arrived + 8s;
+        return result;
+    }
+
+    // Runs the event loop and the ticks of all nodes until the condition holds.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            for (auto& node : m_nodes)
+                node->slots.tick();
+            m_context.restart();
+            m_context.poll();
+            std::this_thread::sleep_for(1ms);
+        }
+        return condition();
+    }
+
+    boost::asio::io_context m_context;
+    decision_log m_log { "test" };
+    std::vector<std::unique_ptr<fleet_node>> m_nodes;
+};
+
+TEST_F(slot_coordinator_test, requestsOfAllNodes_shareTheSlotsOfOneOwner)
+{
+    // Guards against a message that loses a field on its way: an endpoint's address, a time or a deadline.
+    start(3, 1, 2);
+    for (std::uint64_t i = 0; i < 3; ++i)
+        m_nodes[i]->slots.submit(service, request(i + 1));
+    const auto granted = [this] { return m_nodes[0]->grants.size() + m_nodes[1]->grants.size() + m_nodes[2]->grants.size(); };
+    ASSERT_TRUE(runUntil([&] { return granted() == 2; }));
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        const auto found = m_nodes[i]->grants.find(i + 1);
+        if (found == m_nodes[i]->grants.end())
+            continue;
+        EXPECT_EQ(found->second.address.value, "e0:80");
+        m_nodes[i]->slots.recordProgress(service, i + 1, 1);
+        m_nodes[i]->slots.recordOutcome(service, i + 1, placement::outcome::completed, 1);
+        break;
+    }
+    EXPECT_TRUE(runUntil([&] { return granted() == 3; }));
+}
+
+TEST_F(slot_coordinator_test, onlyOneNode_ownsThePool)
+{
+    // Two owners would grant each slot twice.
+    start(3, 4, 2);
+    std::size_t owners = 0;
+    for (const auto& node : m_nodes)
+        owners += node->slots.ownedCount();
+    EXPECT_EQ(owners, 1U);
+}
+
+TEST_F(slot_coordinator_test, nodeAlone_grantsWithoutMessages)
+{
+    // Guards against a fleet of one that waits for an owner.
+    start(1, 1, 2);
+    m_nodes[0]->slots.submit(service, request(1));
+    EXPECT_TRUE(runUntil([&] { return m_nodes[0]->grants.contains(1); }));
+    EXPECT_EQ(m_nodes[0]->sent, 0U);
+}
+
+} // namespace
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/tests/team_quotas_tests.cpp
@@ -0,0 +1,104 @@
+#include "team_quotas.h"
+
+#include "peer_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace carawaylink::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const team_id team { "team" };
+const node_id self { "b" };
+const node_id other { "a" };
+const tier urgent { 0 };
+
+// A team with a quota of 100 units per second and a burst of 1,000.
+routing::team_definition limitedTeam()
+{
+    routing::team_definition definition;
+    definition.name = team;
+    definition.ratePerSecond = 100;
+    definition.burst = 1000;
+    return definition;
+}
+
+class team_quotas_test : public testing::Test {
+protected:
+    team_quotas makeQuotas(bool isFirstStart)
+    {
+        team_quotas quotas(self, 1, isFirstStart, 8s, m_now,
+            [this](const node_id& node, peer::envelopeT message) { m_sent.emplace_back(node, std::move(message)); });
+        quotas.configure(limitedTeam(), m_now);
+        return quotas;
+    }
+
+    static peer::quota_reportT report(double used, float level, std::uint64_t run = 5)
+    {
+        peer::quota_reportT message;
+        message.run = run;
+        message.uses.emplace_back(teamHash(team), used, static_cast<float>(used), 0.0F, level);
+        return message;
+    }
+
+    monotonic_time m_now { 100s };
+    std::vector<std::pair<node_id, peer::envelopeT>> m_sent;
+    fleet_members m_members { self, 0, m_now };
+};
+
+TEST_F(team_quotas_test, restartedNode_adoptsRemainingQuotaOnce)
+{
+    // During a rolling restart, nodes refused requests of every team although it was below its limit (inc-ed56 of platecommons).
+    auto quotas = makeQuotas(false);
+    EXPECT_EQ(quotas.remaining(team, m_now), 250);
+    quotas.receive(other, report(0, 900), m_now);
+    EXPECT_EQ(quotas.remaining(team, m_now), 900);
+    quotas.receive(other, report(0, 1000), m_now);
+    EXPECT_EQ(quotas.remaining(team, m_now), 900);
+}
+
+TEST_F(team_quotas_test, nodeThatHasRunForLong_adoptsNothing)
+{
+    // A restarted peer that knows little must not reset what this node has counted.
+    auto quotas = makeQuotas(false);
+    quotas.receive(other, report(0, 900), m_now + 10s);
+    EXPECT_LT(quotas.remaining(team, m_now), 900);
+}
+
+TEST_F(team_quotas_test, useReportedByAnotherNode_countsAtTheNodeInCharge)
+{
+    // The node in charge of a team is told nothing by itself; its own requests must respect the use of the others as well.
+    auto quotas = makeQuotas(true);
+    quotas.receive(other, report(300, 1500), m_now);
+    quotas.tick(m_members, m_now);
+    ASSERT_EQ(m_sent.back().first, self);
+    quotas.receive(self, *m_sent.back().second.body.Asquota_report(), m_now);
+    quotas.receive(self, *m_sent.back().second.body.Asquota_totals(), m_now);
+    EXPECT_NEAR(quotas.remaining(team, m_now), 1500, 1);
+}
+
+TEST_F(team_quotas_test, unknownTeam_getsNoTotals)
+{
+    // A node in charge that does not know the team's configuration yet must not report that nothing is left.
+    auto quotas = makeQuotas(true);
+    peer::quota_reportT unknown;
+    unknown.uses.emplace_back(teamHash(team_id { "new" }), 10.0, 10.0F, 0.0F, 5.0F);
+    quotas.receive(other, unknown, m_now);
+    EXPECT_TRUE(m_sent.back().second.body.Asquota_totals()->totals.empty());
+}
+
+TEST_F(team_quotas_test, request_beyondTheQuota_isNotReserved)
+{
+    // Guards against a team that takes the capacity of the others.
+    auto quotas = makeQuotas(true);
+    EXPECT_TRUE(quotas.reserve(team, 800, urgent, {}, m_now));
+    quotas.commit(team, 800, m_now);
+    EXPECT_TRUE(quotas.reserve(team, 900, urgent, {}, m_now));
+    EXPECT_FALSE(quotas.reserve(team, 900, urgent, {}, m_now));
+    quotas.release(team, 900);
+    EXPECT_TRUE(quotas.reserve(team, 900, urgent, {}, m_now));
+}
+
+} // namespace
+} // namespace carawaylink::gateway
--- a/libs/limits/include/limits/shared_quota.h
+++ b/libs/limits/include/limits/shared_quota.h
@@ -23,6 +23,10 @@
     std::size_t reporting = 1;
     /// Nodes that may be running.
     std::size_t possible = 1;
+    /// Rate at which the other nodes used the quota by their last reports.
+    double peerUnitsPerSecond = 0;
+    /// Age of what is known of their usage.
+    duration reportAge = std::chrono::milliseconds(300);
 
     double share() const;
 };
@@ -69,6 +73,8 @@
     /// Units currently reserved by this node.
     double localReserved() const { return m_reserved; }
     bool isLimited() const { return m_limit.ratePerSecond > 0; }
+    duration window() const { return m_limit.window; }
+    double unitsPerWindow() const { return m_limit.unitsPerWindow(); }
 
 private:
     struct interval {
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -15,10 +15,8 @@
 constexpr double maxReserveFraction = 0.1;
 // Fraction of the burst that is available immediately after a restart, when the usage before it is unknown.
 constexpr double initialBurstFraction = 0.25;
-// Usage of peers within this time is not reported yet; peers are assumed to use as much as this node.
-constexpr auto reportDelay = std::chrono::milliseconds(300);
 // Own usage is averaged over this time, since a single large request says little about the usage of peers.
-constexpr auto usageAveragingTime = 4 * reportDelay;
+constexpr auto usageAveragingTime = std::chrono::milliseconds(1200);
 
 double seconds(duration span)
 {
@@ -158,11 +156,14 @@
     return sumOf(m_intervals);
 }
 
+// Peers are assumed to use as much as this node, or as they last reported.
 double shared_quota::estimatedUnreportedUsage(const quota_nodes& nodes, monotonic_time now) const
 {
     const double own = std::accumulate(m_recentUsage.begin(), m_recentUsage.end(), 0.0,
         [&](double total, const timed_usage& entry) { return now - entry.time > usageAveragingTime ? total : total + entry.units; });
-    return own * static_cast<double>(nodes.reporting - 1) * seconds(reportDelay) / seconds(usageAveragingTime);
+    const double ownUnitsPerSecond = own / seconds(usageAveragingTime);
+    const double likeThisNode = ownUnitsPerSecond * static_cast<double>(nodes.reporting - 1);
+    return std::max(likeThisNode, nodes.peerUnitsPerSecond) * seconds(nodes.reportAge);
 }
 
 double shared_quota::requiredUnits(double units, tier level, double capacity) const
--- a/libs/membership/include/membership/failure_detector.h
+++ b/libs/membership/include/membership/failure_detector.h
@@ -38,6 +38,8 @@
     std::string httpAddress;
     bool draining = false;
     config_version config;
+    /// Processor capacity in thousandths of a core; 0 if unknown.
+    std::uint16_t capacity = 0;
 };
 
 enum class packet_kind {
@@ -85,6 +87,9 @@
     duration deadProbeInterval = std::chrono::seconds(5);
     /// Time after which a dead or departed member is removed.
     duration deadMemberRetention = std::chrono::minutes(30);
+    /// A process whose incarnation is below that of its predecessor, because the clock was set back, takes the next greater one. Not for
+    /// processes whose incarnation is used as their identity elsewhere.
+    bool renewsIncarnation = false;
 };
 
 /// SWIM failure detector (Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol")
@@ -104,6 +109,8 @@
     /// Changes this process's own attributes, which are sent to the other members.
     std::vector<membership_action> setDraining(monotonic_time now);
     std::vector<membership_action> setConfigVersion(monotonic_time now, config_version version);
+    /// Announces the address at which this member now accepts callers.
+    std::vector<membership_action> setHttpAddress(monotonic_time now, const std::string& address);
     /// Announces a planned departure.
     std::vector<membership_action> leave(monotonic_time now);
     /// Marks a member dead at once because its process is known to have ended, for example after a refused connection.
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -59,8 +59,15 @@
     if (from == self.node || from.value.empty())
         return;
     const auto known = members.find(from);
-    if (known != members.end() && packet.sender.run < known->second.info.run)
+    if (known != members.end() && packet.sender.run < known->second.info.run) {
+        if (!settings.renewsIncarnation)
+            return;
+        // Either a late datagram of an earlier process, or a new process whose clock was set back and that must learn of its
+        // predecessor's incarnation.
+        membership_packet answer { packet_kind::ack, packet.sequence, self, {}, { compact(known->second.info) } };
+        actions.push_back(send_packet { from, std::move(answer) });
         return;
+    }
     const bool isNew = known == members.end();
     const bool wasDead = dead.contains(from);
     const auto refutation = self.refutation;
@@ -222,6 +229,18 @@
     return state.takeActions();
 }
 
+std::vector<membership_action> failure_detector::setHttpAddress(monotonic_time now, const std::string& address)
+{
+    auto& state = *m_implementation;
+    if (state.self.httpAddress != address) {
+        state.self.httpAddress = address;
+        ++state.self.refutation;
+        state.announceSelf();
+        state.push(now);
+    }
+    return state.takeActions();
+}
+
 std::vector<membership_action> failure_detector::setConfigVersion(monotonic_time, config_version version)
 {
     // Not gossiped: 750 members and 11,000 changes a day would cause 370 KB/s per node. Every datagram carries the version of its sender,
--- a/libs/membership/src/member_changes.cpp
+++ b/libs/membership/src/member_changes.cpp
@@ -23,7 +23,7 @@
 /// Merges a member's own attributes within one incarnation. The drain state and the configuration version only move forward.
 bool mergeAttributes(member_update& known, const member_update& update)
 {
-    const auto before = std::tuple(known.draining, known.config, known.domain, known.region, known.httpAddress);
+    const auto before = std::tuple(known.draining, known.config, known.domain, known.region, known.httpAddress, known.capacity);
     known.draining = known.draining || update.draining;
     known.config = std::max(known.config, update.config);
     const auto take = [](auto& to, const auto& from) {
@@ -33,7 +33,8 @@
     take(known.domain, update.domain);
     take(known.region, update.region);
     take(known.httpAddress, update.httpAddress);
-    return before != std::tuple(known.draining, known.config, known.domain, known.region, known.httpAddress);
+    take(known.capacity, update.capacity);
+    return before != std::tuple(known.draining, known.config, known.domain, known.region, known.httpAddress, known.capacity);
 }
 
 } // namespace
@@ -124,6 +125,11 @@
             gossip.add(self);
         return;
     }
+    if (update.run > self.run && settings.renewsIncarnation) {
+        self.run = incarnation(update.run.value + 1);
+        announceSelf();
+        return;
+    }
     if (update.run > self.run || self.state == member_state::left || update.refutation < self.refutation)
         return;
     if (update.state == member_state::alive) {
--- a/libs/membership/src/packet_size.cpp
+++ b/libs/membership/src/packet_size.cpp
@@ -13,10 +13,10 @@
 }
 
 // Table of member_update: offset to its vtable 4, incarnation 8, config_version 8, refutation 4, four string offsets 16, two single bytes
-// 4, padding 8, and the offset that refers to the table 4.
+// and the capacity 4, padding 8, and the offset that refers to the table 4.
 constexpr std::size_t updateTableBytes = 4 + 8 + 8 + 4 + 16 + 4 + 8 + 4;
-// Updates that set the same fields share a vtable of 9 fields; a packet rarely has more than 5 such layouts.
-constexpr std::size_t updateVtableBytes = 4 + 2 * 9 + 2;
+// Updates that set the same fields share a vtable of 10 fields; a packet rarely has more than 5 such layouts.
+constexpr std::size_t updateVtableBytes = 4 + 2 * 10;
 constexpr std::size_t maxVtables = 5;
 // Root offset, table of membership_packet, its vtable, the length of the vector of updates.
 constexpr std::size_t packetTableBytes = 4 + 32 + 20 + 4;
--- a/libs/membership/tests/failure_detector_tests.cpp
+++ b/libs/membership/tests/failure_detector_tests.cpp
@@ -276,5 +276,56 @@
     refused([](auto&, auto& settings) { settings.maxUpdates = 0; });
 }
 
+failure_detector_settings fastSettings()
+{
+    failure_detector_settings settings;
+    settings.probeInterval = 250ms;
+    settings.probeTimeout = 100ms;
+    settings.suspicionTimeout = 600ms;
+    settings.deadProbeInterval = 1s;
+    settings.renewsIncarnation = true;
+    return settings;
+}
+
+// Guards against a fleet whose nodes know only a part of each other when traffic begins, 14 s after a start of all.
+TEST_F(failure_detector_test, fleet_with_three_common_seeds_agrees_before_traffic)
+{
+    for (const std::size_t size : { 4, 34, 118, 300 }) {
+        network net(size, 7, fastSettings());
+        for (std::size_t i = 0; i < size; ++i)
+            net.start(i, { 0, 1, 2 });
+        EXPECT_LE(net.runUntil(30s, [&] { return net.allAgree(); }), 9s) << size;
+    }
+}
+
+// Guards against a lost node that callers are still sent to: it must be suspected, and so left out of the directory, within two seconds.
+TEST_F(failure_detector_test, lost_node_is_suspected_everywhere_within_2_s)
+{
+    for (const std::size_t size : { 4, 34, 118 }) {
+        network net(size, 8, fastSettings());
+        net.startAll();
+        net.runUntil(30s, [&] { return net.allAgree(); });
+        net.run(10s);
+        net.kill(size / 2);
+        const auto elapsed = net.runUntil(
+            10s, [&] { return allObserversSee(net, size / 2, [](const auto& seen) { return seen.state != member_state::alive; }); });
+        EXPECT_LE(elapsed, 2s) << size;
+    }
+}
+
+// Guards against a restarted node that stays unknown for half an hour because the clock of its vm was set back.
+TEST_F(failure_detector_test, restarted_node_with_lower_incarnation_is_alive_again)
+{
+    network net(5, 9, fastSettings());
+    net.startAll();
+    net.runUntil(30s, [&] { return net.allAgree(); });
+    net.run(5s);
+    net.kill(3);
+    net.run(2s);
+    net.setClockBack(3, 1000);
+    net.start(3, { 0, 1, 2 });
+    EXPECT_LE(net.runUntil(10s, [&] { return net.allAgree(); }), 5s);
+}
+
 } // namespace
 } // namespace carawaylink
--- a/libs/membership/tests/simulated_network.h
+++ b/libs/membership/tests/simulated_network.h
@@ -68,7 +68,7 @@
         ++node.run;
         member_update self;
         self.node = nodeIdOf(index);
-        self.run = incarnation(1'764'800'000'000'000 + node.run);
+        self.run = incarnation(1'764'800'000'000'000 + node.run - node.clockBack);
         self.domain = failure_domain("zone-" + std::string(1, static_cast<char>('a' + index % 3)));
         self.region = "region-1";
         self.httpAddress = nodeIdOf(index).value + "0";
@@ -80,6 +80,9 @@
         schedule(tickInterval * (m_random() % 50) / 50, { event_kind::tick, index, node.run, {} });
     }
 
+    /// Later incarnations of the node are lower by the given number than they would be.
+    void setClockBack(std::size_t index, std::uint64_t steps) { m_nodes[index].clockBack = steps; }
+
     /// Starts all nodes, each with three seeds.
     void startAll()
     {
@@ -188,6 +191,7 @@
     struct node_state {
         std::unique_ptr<failure_detector> detector;
         std::uint64_t run = 0;
+        std::uint64_t clockBack = 0;
         bool paused = false;
         double inboundLoss = 0;
         std::vector<membership_packet> inbox;
--- a/libs/mesh/include/mesh/membership_transport.h
+++ b/libs/mesh/include/mesh/membership_transport.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "membership/failure_detector.h"
+#include "mesh/traffic_counters.h"
 #include "ticket/ticket.h"
-#include "traffic_counters.h"
 
 #include <functional>
 #include <memory>
@@ -28,6 +28,8 @@
     void addSeeds(const std::vector<node_id>& seeds);
     void setDraining();
     void setConfigVersion(config_version version);
+    /// Announces the address at which this process now accepts callers.
+    void setHttpAddress(const std::string& address);
     void confirmDead(const process_identity& process);
     void leave();
 
--- a/libs/mesh/src/membership_transport.cpp
+++ b/libs/mesh/src/membership_transport.cpp
@@ -1,11 +1,11 @@
-#include "membership_transport.h"
+#include "mesh/membership_transport.h"
 
 #include "base/error.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "crypto/digest.h"
 #include "http/message.h"
-#include "periodic_task.h"
+#include "mesh/periodic_task.h"
 #include "wire/frame.h"
 
 #include <algorithm>
@@ -63,6 +63,7 @@
     result->http_address = update.httpAddress;
     result->draining = update.draining;
     result->config_version = update.config.value;
+    result->capacity = update.capacity;
     return result;
 }
 
@@ -81,6 +82,7 @@
     result.httpAddress = update.http_address;
     result.draining = update.draining;
     result.config = config_version(update.config_version);
+    result.capacity = update.capacity;
     return result;
 }
 
@@ -250,6 +252,11 @@
     m_implementation->perform(m_implementation->detector->setConfigVersion(std::chrono::steady_clock::now(), version));
 }
 
+void membership_transport::setHttpAddress(const std::string& address)
+{
+    m_implementation->perform(m_implementation->detector->setHttpAddress(std::chrono::steady_clock::now(), address));
+}
+
 void membership_transport::confirmDead(const process_identity& process)
 {
     m_implementation->perform(m_implementation->detector->confirmDead(std::chrono::steady_clock::now(), process.node, process.run));
--- a/libs/node/src/config_follower.h
+++ b/libs/node/src/config_follower.h
@@ -4,8 +4,8 @@
 #include "history.h"
 #include "http/client.h"
 #include "membership/failure_detector.h"
+#include "mesh/periodic_task.h"
 #include "peer_mesh.h"
-#include "periodic_task.h"
 
 #include <functional>
 #include <memory>
--- a/libs/node/src/endpoint_directory.cpp
+++ b/libs/node/src/endpoint_directory.cpp
@@ -2,7 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
-#include "periodic_task.h"
+#include "mesh/periodic_task.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/libs/node/src/endpoint_monitor.h
+++ b/libs/node/src/endpoint_monitor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/client.h"
-#include "periodic_task.h"
+#include "mesh/periodic_task.h"
 #include "scheduling/placement_policy.h"
 #include "scheduling/types.h"
 
--- a/libs/node/src/node_state.h
+++ b/libs/node/src/node_state.h
@@ -7,7 +7,7 @@
 #include "fleet_view.h"
 #include "history.h"
 #include "http/server.h"
-#include "membership_transport.h"
+#include "mesh/membership_transport.h"
 #include "metrics.h"
 #include "node/node.h"
 #include "order_driver.h"
--- a/libs/node/src/order_driver.h
+++ b/libs/node/src/order_driver.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "http/client.h"
+#include "mesh/periodic_task.h"
 #include "orders/order_lease.h"
 #include "orders/permit_table.h"
 #include "orders/reconciler.h"
-#include "periodic_task.h"
 #include "platform_log.h"
 
 #include <functional>
--- a/libs/node/src/peer_mesh.cpp
+++ b/libs/node/src/peer_mesh.cpp
@@ -4,8 +4,8 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "http/message.h"
+#include "mesh/periodic_task.h"
 #include "peer_channel.h"
-#include "periodic_task.h"
 
 #include <algorithm>
 #include <map>
--- a/libs/node/src/peer_mesh.h
+++ b/libs/node/src/peer_mesh.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/ids.h"
+#include "mesh/traffic_counters.h"
 #include "ticket/ticket.h"
-#include "traffic_counters.h"
 #include "wire/frame.h"
 
 #include <functional>
--- a/libs/node/tests/membership_transport_tests.cpp
+++ b/libs/node/tests/membership_transport_tests.cpp
@@ -1,6 +1,6 @@
 #include "event_loop.h"
 #include "http/message.h"
-#include "membership_transport.h"
+#include "mesh/membership_transport.h"
 
 #include <algorithm>
 #include <array>
--- a/libs/placement/include/placement/latency_model.h
+++ b/libs/placement/include/placement/latency_model.h
@@ -2,7 +2,7 @@
 
 #include "base/ids.h"
 
-#include <map>
+#include <optional>
 #include <vector>
 
 namespace carawaylink::placement {
@@ -47,13 +47,12 @@
 
     /// Sets an estimate that the first responses replace.
     void setInitialEstimate(const endpoint_speed& estimate);
-    /// Estimate used for predictions: the mean over the nodes.
+    /// Estimate used for predictions: the mean of the own and the reported one.
     const endpoint_speed& combined() const { return m_combined; }
     /// Estimate from the responses that this node observed.
     const endpoint_speed& own() const { return m_own; }
-    /// Sets the estimate reported by a peer.
-    void setPeer(const node_id& node, const endpoint_speed& speed);
-    void removePeer(const node_id& node);
+    /// Sets the estimate that another node has learned from more responses; it replaces an earlier one.
+    void setReported(const endpoint_speed& speed);
 
 private:
     void scaleBy(double ratio);
@@ -61,7 +60,7 @@
 
     endpoint_speed m_own;
     std::uint32_t m_eventSamples = 0;
-    std::map<node_id, endpoint_speed> m_peers;
+    std::optional<endpoint_speed> m_reported;
     endpoint_speed m_combined;
 };
 
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -8,10 +8,12 @@
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -41,10 +43,10 @@
     bool wasAdmitted = false;
     /// True if part of the response has reached the caller; such a request is not refused before its deadline.
     bool responseStarted = false;
+    /// Time to the first event on the fastest usable endpoint; updated by the pool.
+    std::optional<duration> minTimeToFirstEvent;
     /// True if no endpoint can meet the target; updated by the pool.
     bool isLate = false;
-    /// True if prefilling its prompt would exceed the event gap of running responses on every endpoint; set by the pool.
-    bool exceedsGapEverywhere = false;
     /// True if a wait report was issued; set by the pool.
     bool isReported = false;
 };
@@ -96,7 +98,7 @@
     std::size_t ahead = 0;
 };
 
-/// Load that one node places on an endpoint.
+/// Load that the requests of a pool place on an endpoint.
 struct endpoint_load {
     unsigned running = 0;
     /// Pending prefill of requests without a first event, in tokens of short prompts.
@@ -105,6 +107,26 @@
     tokens memory { 0 };
 };
 
+/// Summary of a pool, by which nodes choose among the pools of a service.
+struct pool_load {
+    unsigned slots = 0;
+    unsigned running = 0;
+    unsigned waiting = 0;
+
+    /// Requests per slot.
+    double utilization() const { return slots == 0 ? 1 : static_cast<double>(running + waiting) / slots; }
+};
+
+/// A running request that was granted by another decision maker.
+struct adopted_request {
+    std::uint64_t id = 0;
+    replica_id replica;
+    tokens prompt { 0 };
+    tokens output { 0 };
+    duration expectedFirstEvent {};
+    bool hasFirstEvent = false;
+};
+
 struct pool_limits {
     /// KV cache capacity of one engine; not set for plain services.
     std::optional<tokens> memory;
@@ -118,8 +140,8 @@
     std::vector<wait_report> waitReports;
 };
 
-/// Queue and placement of one service on one node. The load of other nodes is known from their reports. Each node can always use its own
-/// share of an endpoint's slots, and more while the other nodes leave theirs free.
+/// Queue and placement of requests over a set of endpoints of one service. The owner of a pool uses all slots of its endpoints; a node
+/// that decides without the owner uses only its share of them.
 ///
 ///     pool.submit(request);
 ///     for (const auto& granted : pool.decide(now).grants) send(granted);
@@ -133,16 +155,19 @@
 
     void setLimits(const pool_limits& limits) { m_limits = limits; }
     void setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now);
-    /// rank: index of this node among the live ones.
-    void setNodes(std::size_t rank, std::size_t count);
-    void setPeerLoad(const node_id& node, const std::map<replica_id, endpoint_load>& loads);
-    void removePeer(const node_id& node);
-    /// Sets a peer's latency estimate for an endpoint.
-    void setPeerSpeed(const node_id& node, const replica_id& replica, const endpoint_speed& speed);
-    /// Estimates of endpoints that this node has used: all, or those that have changed significantly since the last report.
-    std::map<replica_id, endpoint_speed> reportSpeeds(bool all);
+    /// Limits the slots to this node's share among count nodes. rank: index of this node among them.
+    void setShare(std::size_t rank, std::size_t count);
+    /// Sets a latency estimate that another node has learned, for endpoints that this one has hardly used.
+    void setReportedSpeed(const replica_id& replica, const endpoint_speed& speed);
+    /// Estimate used for predictions; nullopt for an unknown endpoint.
+    std::optional<endpoint_speed> speedOf(const replica_id& replica) const;
+    /// Estimates of the endpoints that have served requests.
+    std::map<replica_id, endpoint_speed> speeds() const;
 
     void submit(waiting_request request);
+    /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
+    /// timed_out. Returns false if the endpoint is unknown or draining.
+    bool adopt(const adopted_request& request, monotonic_time now);
     /// Removes a waiting request; returns false if it is not waiting.
     bool withdraw(std::uint64_t id);
     /// Grants and refuses what can be decided now. A grant for a request that is already running releases its load at the previous endpoint
@@ -157,27 +182,19 @@
     /// Time after which a running request without a first event is given up.
     duration firstEventTimeout(std::uint64_t id) const;
 
-    std::map<replica_id, endpoint_load> ownLoad() const;
-    /// The load to report to the peers, which count it as this node's until the next report.
-    std::map<replica_id, endpoint_load> reportLoad();
+    bool isRunning(std::uint64_t id) const { return m_running.contains(id); }
+    bool isWaiting(std::uint64_t id) const { return std::ranges::find(m_waiting, id, &waiting_request::id) != m_waiting.end(); }
+    std::map<replica_id, endpoint_load> loads() const;
+    pool_load totalLoad() const;
 
 private:
     struct endpoint_state {
         discovery::endpoint_record record;
         latency_model model;
         endpoint_health health;
-        endpoint_load own;
-        endpoint_load peers;
-        /// Running requests that the peers count as this node's.
-        unsigned reportedRunning = 0;
-        endpoint_speed reportedSpeed;
+        endpoint_load load;
         monotonic_time lastProgress {};
         bool isListed = true;
-
-        // Totals over the fleet, as far as reported.
-        unsigned running() const { return own.running + peers.running; }
-        tokens pendingPrefill() const { return tokens { own.pendingPrefill.value + peers.pendingPrefill.value }; }
-        tokens memory() const { return tokens { own.memory.value + peers.memory.value }; }
     };
     struct running_request {
         replica_id replica;
@@ -190,12 +207,14 @@
         std::optional<monotonic_time> firstEventAt;
         duration expectedFirstEvent;
         bool isEventRateRecorded = false;
+        /// Adopted after its first event, which was measured elsewhere; the rest of the response yields no measurements.
+        bool isAdopted = false;
     };
+    /// Position in the queue, without the order among equals.
+    using queue_rank = std::tuple<carawaylink::tier, bool, carawaylink::tier>;
     struct recent_grant {
         monotonic_time time;
-        carawaylink::tier teamTier;
-        bool wasLate;
-        carawaylink::tier tier;
+        queue_rank rank;
     };
     struct candidate {
         endpoint_state* endpoint = nullptr;
@@ -203,26 +222,31 @@
         double score = 0;
     };
 
+    static queue_rank rankOf(const waiting_request& request) { return { request.teamTier, request.isLate, request.tier }; }
+    /// Collects the endpoints that can be used now and the starts of the last second, on which all decisions of one pass are based.
+    void beginPass(monotonic_time now);
+    bool hasFreeSlot(monotonic_time now) const;
     std::optional<candidate> chooseEndpoint(const waiting_request& request, bool mustMeetTarget, monotonic_time now);
     bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request) const;
-    bool isUsable(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    bool isUsable(const endpoint_state& endpoint, monotonic_time now) const;
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
+    bool isExcluded(const endpoint_state& endpoint, const waiting_request& request) const;
     /// Longest expected gap in milliseconds between events of running responses while the prompt is prefilled.
     double expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens pendingPrefill) const;
-    bool exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const;
-    bool canBorrowSlot(const endpoint_state& endpoint) const;
-    unsigned guaranteedSlots(const endpoint_state& endpoint) const;
-    std::optional<duration> minTimeToFirstEvent(const waiting_request& request, monotonic_time now) const;
+    bool exceedsGapOnAllEndpoints(const waiting_request& request) const;
+    /// Slots of the endpoint that this pool may use.
+    unsigned usableSlots(const endpoint_state& endpoint) const;
+    std::optional<duration> minTimeToFirstEvent(const waiting_request& request) const;
     double expectedEvents(const waiting_request& request) const;
     grant startRequest(const waiting_request& request, const candidate& chosen, monotonic_time now);
+    void countRunning(endpoint_state& endpoint, std::uint64_t id, running_request running, monotonic_time now);
     std::optional<refusal> checkRefusal(const waiting_request& request, std::size_t ahead, monotonic_time now);
     duration timeToFinish(const latency_model& model, const waiting_request& request) const;
     bool canFinish(const waiting_request& request, monotonic_time now) const;
-    bool canMeetTarget(const waiting_request& request, monotonic_time now) const;
-    duration expectedWait(const waiting_request& request, std::size_t ahead, monotonic_time now);
+    static bool canMeetTarget(const waiting_request& request, monotonic_time now);
+    duration expectedWait(const waiting_request& request, std::size_t ahead) const;
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
-    void updatePeerLoads();
     void updateModels(latency_model& model, const running_request& running, duration elapsed);
     endpoint_speed meanEndpointSpeed() const;
     double medianFailureRate() const;
@@ -231,14 +255,18 @@
     pool_limits m_limits;
     prefill_cost_model m_prefillCost;
     std::map<replica_id, endpoint_state> m_endpoints;
-    std::map<node_id, std::map<replica_id, endpoint_load>> m_peerLoads;
     std::unordered_map<std::uint64_t, running_request> m_running;
     std::vector<waiting_request> m_waiting;
     std::deque<recent_grant> m_recentGrants;
     std::size_t m_rank = 0;
     std::size_t m_nodeCount = 1;
-    std::size_t m_reportCount = 0;
     double m_medianFailureRate = 1;
+    // Valid during one pass of decide().
+    std::vector<endpoint_state*> m_usable;
+    std::map<queue_rank, std::size_t> m_startsByRank;
+    /// Requests were submitted or slots freed since the last pass.
+    bool m_hasChanged = true;
+    monotonic_time m_lastPassAt {};
 };
 
 } // namespace carawaylink::placement
--- /dev/null
+++ b/libs/placement/include/placement/slot_messages.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "membership/ownership.h"
+#include "placement/service_pool.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace carawaylink::placement {
+
+/// Progress of a running response; events: complete events so far.
+struct progress_report {
+    std::uint64_t id = 0;
+    std::size_t events = 0;
+};
+
+/// The end of a request at an endpoint.
+struct outcome_report {
+    std::uint64_t id = 0;
+    outcome result = outcome::completed;
+    std::size_t events = 0;
+};
+
+/// From a node that serves callers to the owner of a pool. Calls of one session are numbered from 1; the first lists everything that the
+/// node has in the pool, so that an owner without any state can continue.
+struct slot_call {
+    pool_id pool;
+    /// Identifies the run of the node's process and counts its sessions; a new session replaces everything that the owner knows from the
+    /// node.
+    std::uint64_t session = 0;
+    std::uint32_t sequence = 0;
+    /// The owner must reply even if it has no decision for this node.
+    bool wantsReply = false;
+    // The owner applies the lists in this order.
+    std::vector<std::uint64_t> withdrawn;
+    std::vector<progress_report> progress;
+    std::vector<outcome_report> outcomes;
+    /// Requests that run on endpoints of the pool without a grant of this session.
+    std::vector<adopted_request> adopted;
+    std::vector<waiting_request> requests;
+};
+
+enum class call_status {
+    accepted,
+    /// The receiver does not own the pool.
+    not_owner,
+    /// The receiver misses calls of the session; the node must open a new one.
+    unknown_session,
+};
+
+/// A grant and what the owner knows about the speed of the endpoint.
+struct slot_grant {
+    grant granted;
+    endpoint_speed speed;
+};
+
+/// From the owner of a pool to a node. Replies of one session are numbered from 1.
+struct slot_reply {
+    pool_id pool;
+    std::uint64_t session = 0;
+    std::uint32_t sequence = 0;
+    /// Number of the last call that the owner has processed.
+    std::uint32_t processed = 0;
+    call_status status = call_status::accepted;
+    pool_load load;
+    std::vector<slot_grant> grants;
+    std::vector<refusal> refusals;
+    std::vector<wait_report> waitReports;
+};
+
+struct addressed_call {
+    node_id owner;
+    slot_call call;
+};
+
+struct addressed_reply {
+    node_id node;
+    slot_reply reply;
+};
+
+} // namespace carawaylink::placement
--- a/libs/placement/src/latency_model.cpp
+++ b/libs/placement/src/latency_model.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
-#include <ranges>
 
 namespace carawaylink::placement {
 
@@ -133,23 +131,15 @@
     updateCombined();
 }
 
-void latency_model::setPeer(const node_id& node, const endpoint_speed& speed)
+void latency_model::setReported(const endpoint_speed& speed)
 {
-    m_peers[node] = speed;
+    m_reported = speed;
     updateCombined();
 }
 
-void latency_model::removePeer(const node_id& node)
-{
-    if (m_peers.erase(node) > 0)
-        updateCombined();
-}
-
 void latency_model::updateCombined()
 {
-    std::vector<endpoint_speed> others;
-    std::ranges::copy(std::views::values(m_peers), std::back_inserter(others));
-    m_combined = combine(m_own, others);
+    m_combined = m_reported ? combine(m_own, { *m_reported }) : m_own;
 }
 
 } // namespace carawaylink::placement
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -23,14 +23,12 @@
 constexpr double streamingWeight = 0.3;
 // 95 % of responses are at most this many times longer than expected.
 constexpr double lengthMargin = 1.7;
-// Scores within this fraction of the best one, per node, count as equal.
-constexpr double scoreTolerancePerNode = 0.03;
-// Number of nodes that may borrow from an endpoint between two reports, per free slot.
-constexpr std::size_t borrowersPerFreeSlot = 2;
-// Rotates the nodes that may borrow free slots at each report. A prime above the number of nodes, so that every node gets its turn.
-constexpr std::size_t rotationStep = 7919;
+// Scores within this fraction of the best one count as equal.
+constexpr double scoreTolerance = 0.03;
 // Window for measuring the rate at which queued requests start.
 constexpr auto queueRateWindow = std::chrono::seconds(1);
+// Minimum time between two passes over the queue if nothing has changed that could start a request.
+constexpr auto idlePassInterval = std::chrono::milliseconds(10);
 // Minimum number of requests assumed to start per window.
 constexpr double minStartsPerWindow = 2;
 // Safety margin before the latency target.
@@ -76,8 +74,8 @@
             endpoint.model.setInitialEstimate(typical);
         }
     }
-    std::erase_if(m_endpoints, [](const auto& entry) { return !entry.second.isListed && entry.second.own.running == 0; });
-    updatePeerLoads();
+    std::erase_if(m_endpoints, [](const auto& entry) { return !entry.second.isListed && entry.second.load.running == 0; });
+    m_hasChanged = true;
 }
 
 endpoint_speed service_pool::meanEndpointSpeed() const
@@ -90,66 +88,57 @@
     return meanSpeed(speeds);
 }
 
-void service_pool::setNodes(std::size_t rank, std::size_t count)
+void service_pool::setShare(std::size_t rank, std::size_t count)
 {
     m_rank = rank;
     m_nodeCount = std::max<std::size_t>(count, 1);
 }
 
-void service_pool::setPeerLoad(const node_id& node, const std::map<replica_id, endpoint_load>& loads)
-{
-    m_peerLoads[node] = loads;
-    updatePeerLoads();
-}
-
-void service_pool::removePeer(const node_id& node)
-{
-    if (m_peerLoads.erase(node) > 0)
-        updatePeerLoads();
-    for (auto& [id, endpoint] : m_endpoints)
-        endpoint.model.removePeer(node);
-}
-
-void service_pool::setPeerSpeed(const node_id& node, const replica_id& replica, const endpoint_speed& speed)
+void service_pool::setReportedSpeed(const replica_id& replica, const endpoint_speed& speed)
 {
     const auto found = m_endpoints.find(replica);
     if (found != m_endpoints.end())
-        found->second.model.setPeer(node, speed);
+        found->second.model.setReported(speed);
 }
 
-std::map<replica_id, endpoint_speed> service_pool::reportSpeeds(bool all)
+std::optional<endpoint_speed> service_pool::speedOf(const replica_id& replica) const
 {
-    std::map<replica_id, endpoint_speed> speeds;
-    for (auto& [id, endpoint] : m_endpoints) {
-        const auto& own = endpoint.model.own();
-        if (!endpoint.model.hasSamples() || (!all && !differsSignificantly(own, endpoint.reportedSpeed)))
-            continue;
-        endpoint.reportedSpeed = own;
-        speeds.emplace(id, own);
-    }
-    return speeds;
+    const auto found = m_endpoints.find(replica);
+    return found == m_endpoints.end() ? std::nullopt : std::optional(found->second.model.combined());
 }
 
-void service_pool::updatePeerLoads()
+std::map<replica_id, endpoint_speed> service_pool::speeds() const
 {
-    for (auto& [id, endpoint] : m_endpoints)
-        endpoint.peers = {};
-    for (const auto& [node, loads] : m_peerLoads) {
-        for (const auto& [id, load] : loads) {
-            const auto found = m_endpoints.find(id);
-            if (found == m_endpoints.end())
-                continue;
-            auto& peers = found->second.peers;
-            peers.running += load.running;
-            peers.pendingPrefill.value += load.pendingPrefill.value;
-            peers.memory.value += load.memory.value;
-        }
+    std::map<replica_id, endpoint_speed> result;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.model.combined().samples > 0)
+            result.emplace(id, endpoint.model.combined());
     }
+    return result;
 }
 
 void service_pool::submit(waiting_request request)
 {
     m_waiting.push_back(std::move(request));
+    m_hasChanged = true;
+}
+
+bool service_pool::adopt(const adopted_request& request, monotonic_time now)
+{
+    recordOutcome(request.id, outcome::timed_out, 0, now);
+    const auto found = m_endpoints.find(request.replica);
+    if (found == m_endpoints.end())
+        return false;
+    auto& endpoint = found->second;
+    running_request running { request.replica, request.prompt, m_prefillCost.work(request.prompt),
+        tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
+        request.expectedFirstEvent };
+    if (request.hasFirstEvent) {
+        running.firstEventAt = now;
+        running.isAdopted = true;
+    }
+    countRunning(endpoint, request.id, std::move(running), now);
+    return !endpoint.record.draining;
 }
 
 bool service_pool::withdraw(std::uint64_t id)
@@ -162,19 +151,27 @@
     pool_decisions decisions;
     if (m_waiting.empty())
         return decisions;
-    m_medianFailureRate = medianFailureRate();
+    beginPass(now);
+    // Under overload the queue is long and rarely moves, so passes over it are spaced.
+    if (!hasFreeSlot(now) && !m_hasChanged && now - m_lastPassAt < idlePassInterval)
+        return decisions;
+    m_hasChanged = false;
+    m_lastPassAt = now;
     for (auto& request : m_waiting) {
+        request.minTimeToFirstEvent = minTimeToFirstEvent(request);
         request.isLate = !canMeetTarget(request, now);
-        request.exceedsGapEverywhere = exceedsGapOnAllEndpoints(request, now);
     }
     std::ranges::sort(m_waiting, std::ranges::less {}, [](const waiting_request& request) {
         return std::tuple(request.teamTier, request.isLate, request.tier, !request.wasAdmitted, request.target, request.id);
     });
     std::vector<waiting_request> remaining;
+    bool mayStart = hasFreeSlot(now);
     for (auto& request : m_waiting) {
         // A request that cannot meet its target takes the best endpoint that is left.
-        if (const auto chosen = chooseEndpoint(request, !request.isLate, now)) {
+        const auto chosen = mayStart ? chooseEndpoint(request, !request.isLate, now) : std::nullopt;
+        if (chosen) {
             decisions.grants.push_back(startRequest(request, *chosen, now));
+            mayStart = hasFreeSlot(now);
             continue;
         }
         if (const auto refused = checkRefusal(request, remaining.size(), now)) {
@@ -191,20 +188,40 @@
     return decisions;
 }
 
+void service_pool::beginPass(monotonic_time now)
+{
+    m_medianFailureRate = medianFailureRate();
+    m_usable.clear();
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (isUsable(endpoint, now))
+            m_usable.push_back(&endpoint);
+    }
+    while (!m_recentGrants.empty() && now - m_recentGrants.front().time > queueRateWindow)
+        m_recentGrants.pop_front();
+    m_startsByRank.clear();
+    for (const auto& past : m_recentGrants)
+        ++m_startsByRank[past.rank];
+}
+
+bool service_pool::hasFreeSlot(monotonic_time now) const
+{
+    return std::ranges::any_of(m_usable,
+        [&](const endpoint_state* endpoint) { return endpoint->load.running < usableSlots(*endpoint) && isUsable(*endpoint, now); });
+}
+
 // The margin keeps requests that would narrowly miss their target from being ordered before those that can meet it.
-bool service_pool::canMeetTarget(const waiting_request& request, monotonic_time now) const
+bool service_pool::canMeetTarget(const waiting_request& request, monotonic_time now)
 {
-    const auto fastest = minTimeToFirstEvent(request, now);
+    const auto& fastest = request.minTimeToFirstEvent;
     return fastest && now + 3 * *fastest / 2 + targetMargin <= request.target;
 }
 
 bool service_pool::canFinish(const waiting_request& request, monotonic_time now) const
 {
-    return std::ranges::any_of(m_endpoints, [&](const auto& entry) {
-        const auto& model = entry.second.model;
-        return isUsable(entry.second, request, now)
-            && now + model.timeToFirstEvent(tokens { 0 }, m_prefillCost.work(request.prompt)) + timeToFinish(model, request)
-            <= request.deadline;
+    const auto work = m_prefillCost.work(request.prompt);
+    return std::ranges::any_of(m_usable, [&](const endpoint_state* endpoint) {
+        return !isExcluded(*endpoint, request)
+            && now + endpoint->model.timeToFirstEvent(tokens { 0 }, work) + timeToFinish(endpoint->model, request) <= request.deadline;
     });
 }
 
@@ -218,7 +235,7 @@
 {
     wait_report report { request.id, now - request.arrived, ahead };
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (!isUsable(endpoint, request, now))
+        if (!isUsable(endpoint, now) || isExcluded(endpoint, request))
             ++report.unusable;
         else if (!hasCapacity(endpoint, request))
             ++report.full;
@@ -235,41 +252,56 @@
     std::vector<candidate> candidates;
     // If no endpoint is fast enough for the whole response, the length estimate may be wrong, so any endpoint may be tried.
     const bool mustFinish = canFinish(request, now);
-    for (auto& [id, endpoint] : m_endpoints) {
-        if (!isUsable(endpoint, request, now) || !hasCapacity(endpoint, request) || !keepsEventGap(endpoint, request))
+    const auto work = m_prefillCost.work(request.prompt);
+    std::optional<bool> exceedsEverywhere;
+    // A prompt that exceeds the event gap on every endpoint is placed where no other prompt is being prefilled.
+    const auto mayPrefill = [&](const endpoint_state& endpoint) {
+        if (keepsEventGap(endpoint, request))
+            return true;
+        if (endpoint.load.pendingPrefill.value != 0)
+            return false;
+        if (!exceedsEverywhere)
+            exceedsEverywhere = exceedsGapOnAllEndpoints(request);
+        return *exceedsEverywhere;
+    };
+    for (auto* endpoint : m_usable) {
+        if (!hasCapacity(*endpoint, request) || isExcluded(*endpoint, request) || !isUsable(*endpoint, now) || !mayPrefill(*endpoint))
             continue;
-        const auto pendingPrefill = endpoint.pendingPrefill();
-        const auto first = endpoint.model.timeToFirstEvent(pendingPrefill, m_prefillCost.work(request.prompt));
+        const auto first = endpoint->model.timeToFirstEvent(endpoint->load.pendingPrefill, work);
         if (now + first > (mustMeetTarget ? request.target : request.deadline))
             continue;
-        if (mustFinish && now + first + timeToFinish(endpoint.model, request) > request.deadline)
+        if (mustFinish && now + first + timeToFinish(endpoint->model, request) > request.deadline)
             continue;
-        const double load = static_cast<double>(endpoint.running()) / std::max(endpoint.record.slots, 1U);
-        const double score = milliseconds(first) + streamingWeight * milliseconds(endpoint.model.timeToStream(expectedEvents(request)))
+        const double load = static_cast<double>(endpoint->load.running) / std::max(endpoint->record.slots, 1U);
+        const double score = milliseconds(first) + streamingWeight * milliseconds(endpoint->model.timeToStream(expectedEvents(request)))
             + utilizationPenaltyMs * load * load;
-        candidates.push_back({ &endpoint, first, score });
+        candidates.push_back({ endpoint, first, score });
     }
     if (candidates.empty())
         return std::nullopt;
+    // Nodes that decide without the owner have the same view and must not all choose the same endpoint.
     const auto bestCandidate = std::ranges::min(candidates, {}, &candidate::score);
-    // Avoids that many nodes with the same reports all choose the same endpoint.
     std::erase_if(candidates, [&](const candidate& other) {
-        return other.score > bestCandidate.score * (1 + scoreTolerancePerNode * static_cast<double>(m_nodeCount));
+        return other.score > bestCandidate.score * (1 + scoreTolerance * static_cast<double>(m_nodeCount));
     });
     return candidates[m_random() % candidates.size()];
 }
 
-bool service_pool::isUsable(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const
+bool service_pool::isUsable(const endpoint_state& endpoint, monotonic_time now) const
 {
-    if (!endpoint.isListed || endpoint.record.draining || endpoint.health.isReplaced()
-        || std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end())
+    if (!endpoint.isListed || endpoint.record.draining || endpoint.health.isReplaced())
         return false;
-    if (endpoint.own.running >= endpoint.health.concurrencyLimit(now)
+    if (endpoint.load.running >= endpoint.health.concurrencyLimit(now)
         && (endpoint.health.isUnreachable() || endpoint.health.failureRate() > m_medianFailureRate))
         return false;
     return !isStalled(endpoint, now);
 }
 
+bool service_pool::isExcluded(const endpoint_state& endpoint, const waiting_request& request) const
+{
+    return std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
+}
+
 // Median failure rate. If most endpoints of a service fail alike, excluding the failing ones would leave none.
 double service_pool::medianFailureRate() const
 {
@@ -285,28 +317,13 @@
 
 bool service_pool::isStalled(const endpoint_state& endpoint, monotonic_time now) const
 {
-    if (endpoint.own.running == 0)
+    if (endpoint.load.running == 0)
         return false;
-    const auto expected = endpoint.model.timeToFirstEvent(endpoint.pendingPrefill(), tokens { 0 });
+    const auto expected = endpoint.model.timeToFirstEvent(endpoint.load.pendingPrefill, tokens { 0 });
     return now - endpoint.lastProgress > stallTimeout + 2 * expected;
 }
 
-// All nodes see the same free slots until the next report. A rotation admits only a few nodes per report interval.
-// A slot that the peers still count as this node's can be reused by it at once.
-bool service_pool::canBorrowSlot(const endpoint_state& endpoint) const
-{
-    const auto usedSlots = endpoint.peers.running + std::max(endpoint.own.running, endpoint.reportedRunning);
-    if (endpoint.running() >= endpoint.record.slots)
-        return false;
-    if (endpoint.own.running < endpoint.reportedRunning)
-        return true;
-    if (usedSlots >= endpoint.record.slots)
-        return false;
-    const auto position = (m_rank + std::hash<std::string> {}(endpoint.record.id.value) + m_reportCount * rotationStep) % m_nodeCount;
-    return position < (endpoint.record.slots - usedSlots) * borrowersPerFreeSlot;
-}
-
-unsigned service_pool::guaranteedSlots(const endpoint_state& endpoint) const
+unsigned service_pool::usableSlots(const endpoint_state& endpoint) const
 {
     const auto slots = std::max(endpoint.record.slots, 1U);
     const auto baseSlots = static_cast<unsigned>(slots / m_nodeCount);
@@ -317,23 +334,21 @@
 
 bool service_pool::hasCapacity(const endpoint_state& endpoint, const waiting_request& request) const
 {
-    // The guaranteed share may be used even if the endpoint appears full, since peers may have borrowed slots of it.
-    if (endpoint.own.running >= guaranteedSlots(endpoint) && !canBorrowSlot(endpoint))
+    if (endpoint.load.running >= usableSlots(endpoint))
         return false;
     // An idle endpoint accepts a request of any size; one above the memory limit could not be placed otherwise.
-    if (!m_limits.memory || endpoint.running() == 0)
+    if (!m_limits.memory || endpoint.load.running == 0)
         return true;
-    const auto needed = endpoint.memory().value + request.prompt.value + request.output.value;
+    const auto needed = endpoint.load.memory.value + request.prompt.value + request.output.value;
     return static_cast<double>(needed) <= maxMemoryUtilization * static_cast<double>(m_limits.memory->value);
 }
 
 bool service_pool::keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const
 {
-    if (request.maxEventGap == duration {} || endpoint.running() == 0)
+    if (request.maxEventGap == duration {} || endpoint.load.running == 0)
         return true;
-    // A prompt that exceeds the event gap on every endpoint is placed where no other prompt is being prefilled.
-    return expectedEventGapMs(endpoint, request, endpoint.pendingPrefill()) <= maxEventGapUtilization * milliseconds(request.maxEventGap)
-        || (request.exceedsGapEverywhere && endpoint.pendingPrefill().value == 0);
+    return expectedEventGapMs(endpoint, request, endpoint.load.pendingPrefill)
+        <= maxEventGapUtilization * milliseconds(request.maxEventGap);
 }
 
 // Prompts are prefilled in chunks, one per decoding step of the running responses; an event holds several tokens.
@@ -346,21 +361,22 @@
     return milliseconds(endpoint.model.timeToStream(1)) + std::min(prefillMs, slowedEventMs);
 }
 
-bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const
+bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request) const
 {
-    return std::ranges::none_of(m_endpoints, [&](const auto& entry) {
-        return isUsable(entry.second, request, now)
-            && expectedEventGapMs(entry.second, request, tokens { 0 }) <= maxEventGapUtilization * milliseconds(request.maxEventGap);
+    return std::ranges::none_of(m_usable, [&](const endpoint_state* endpoint) {
+        return !isExcluded(*endpoint, request)
+            && expectedEventGapMs(*endpoint, request, tokens { 0 }) <= maxEventGapUtilization * milliseconds(request.maxEventGap);
     });
 }
 
-std::optional<duration> service_pool::minTimeToFirstEvent(const waiting_request& request, monotonic_time now) const
+std::optional<duration> service_pool::minTimeToFirstEvent(const waiting_request& request) const
 {
+    const auto work = m_prefillCost.work(request.prompt);
     std::optional<duration> fastest;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (!isUsable(endpoint, request, now))
+    for (const auto* endpoint : m_usable) {
+        if (isExcluded(*endpoint, request))
             continue;
-        const auto first = endpoint.model.timeToFirstEvent(tokens { 0 }, m_prefillCost.work(request.prompt));
+        const auto first = endpoint->model.timeToFirstEvent(tokens { 0 }, work);
         if (!fastest || first < *fastest)
             fastest = first;
     }
@@ -376,27 +392,32 @@
 {
     recordOutcome(request.id, outcome::timed_out, 0, now);
     auto& endpoint = *chosen.endpoint;
-    const auto pendingPrefill = endpoint.pendingPrefill();
-    const tokens memory { request.prompt.value + request.output.value };
-    if (endpoint.own.running == 0)
+    countRunning(endpoint, request.id,
+        { endpoint.record.id, request.prompt, m_prefillCost.work(request.prompt), tokens { request.prompt.value + request.output.value },
+            endpoint.load.pendingPrefill, now, std::nullopt, chosen.expectedFirstEvent },
+        now);
+    m_recentGrants.push_back({ now, rankOf(request) });
+    return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
+}
+
+void service_pool::countRunning(endpoint_state& endpoint, std::uint64_t id, running_request running, monotonic_time now)
+{
+    if (endpoint.load.running == 0)
         endpoint.lastProgress = now;
-    const auto work = m_prefillCost.work(request.prompt);
-    m_running[request.id]
-        = { endpoint.record.id, request.prompt, work, memory, pendingPrefill, now, std::nullopt, chosen.expectedFirstEvent };
-    ++endpoint.own.running;
-    endpoint.own.pendingPrefill.value += work.value;
-    endpoint.own.memory.value += memory.value;
-    m_recentGrants.push_back({ now, request.teamTier, request.isLate, request.tier });
-    return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.running() };
+    ++endpoint.load.running;
+    endpoint.load.memory.value += running.memory.value;
+    if (!running.firstEventAt)
+        endpoint.load.pendingPrefill.value += running.work.value;
+    m_running[id] = std::move(running);
 }
 
 std::optional<refusal> service_pool::checkRefusal(const waiting_request& request, std::size_t ahead, monotonic_time now)
 {
     if (request.responseStarted)
         return std::nullopt;
-    const auto wait = expectedWait(request, ahead, now);
+    const auto wait = expectedWait(request, ahead);
     const auto retryAfter = std::clamp<duration>(wait, minRetryAfter, maxRetryAfter);
-    const auto fastest = minTimeToFirstEvent(request, now);
+    const auto& fastest = request.minTimeToFirstEvent;
     if (!fastest) {
         const bool missesTarget = now + minRetryAfter > request.target;
         return missesTarget ? std::optional(refusal { request.id, refusal_cause::no_endpoint, retryAfter, ahead }) : std::nullopt;
@@ -413,13 +434,11 @@
 }
 
 // The queue is served in order, so only recent starts at or behind this request's position in that order count.
-duration service_pool::expectedWait(const waiting_request& request, std::size_t ahead, monotonic_time now)
+duration service_pool::expectedWait(const waiting_request& request, std::size_t ahead) const
 {
-    while (!m_recentGrants.empty() && now - m_recentGrants.front().time > queueRateWindow)
-        m_recentGrants.pop_front();
-    const auto starts = std::ranges::count_if(m_recentGrants, [&](const recent_grant& past) {
-        return std::tuple(past.teamTier, past.wasLate, past.tier) >= std::tuple(request.teamTier, request.isLate, request.tier);
-    });
+    std::size_t starts = 0;
+    for (auto entry = m_startsByRank.lower_bound(rankOf(request)); entry != m_startsByRank.end(); ++entry)
+        starts += entry->second;
     const double rate
         = std::max<double>(static_cast<double>(starts), minStartsPerWindow) / std::chrono::duration<double>(queueRateWindow).count();
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
@@ -436,12 +455,12 @@
         return;
     endpoint->second.lastProgress = now;
     if (running.firstEventAt) {
-        if (events > minEventsForRate && !std::exchange(running.isEventRateRecorded, true))
+        if (events > minEventsForRate && !running.isAdopted && !std::exchange(running.isEventRateRecorded, true))
             endpoint->second.model.recordEvents(events - 1, now - *running.firstEventAt);
         return;
     }
     running.firstEventAt = now;
-    endpoint->second.own.pendingPrefill.value -= running.work.value;
+    endpoint->second.load.pendingPrefill.value -= running.work.value;
     updateModels(endpoint->second.model, running, now - running.sent);
 }
 
@@ -465,16 +484,17 @@
     if (position == m_endpoints.end())
         return;
     auto& endpoint = position->second;
-    --endpoint.own.running;
-    endpoint.own.memory.value -= running.memory.value;
+    --endpoint.load.running;
+    endpoint.load.memory.value -= running.memory.value;
     if (!running.firstEventAt)
-        endpoint.own.pendingPrefill.value -= running.work.value;
+        endpoint.load.pendingPrefill.value -= running.work.value;
+    m_hasChanged = true;
     if (result == outcome::completed || result == outcome::failed || result == outcome::rejected)
         endpoint.lastProgress = now;
-    if (result == outcome::completed && running.firstEventAt && events > 1)
+    if (result == outcome::completed && running.firstEventAt && events > 1 && !running.isAdopted)
         endpoint.model.recordEvents(events - 1, now - *running.firstEventAt);
     endpoint.health.record(result, now);
-    if (!endpoint.isListed && endpoint.own.running == 0)
+    if (!endpoint.isListed && endpoint.load.running == 0)
         m_endpoints.erase(position);
 }
 
@@ -486,22 +506,26 @@
     return std::max<duration>(minFirstEventTimeout, firstEventTimeoutFactor * found->second.expectedFirstEvent);
 }
 
-std::map<replica_id, endpoint_load> service_pool::reportLoad()
+std::map<replica_id, endpoint_load> service_pool::loads() const
 {
-    ++m_reportCount;
-    for (auto& [id, endpoint] : m_endpoints)
-        endpoint.reportedRunning = endpoint.own.running;
-    return ownLoad();
+    std::map<replica_id, endpoint_load> result;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.load.running > 0)
+            result.emplace(id, endpoint.load);
+    }
+    return result;
 }
 
-std::map<replica_id, endpoint_load> service_pool::ownLoad() const
+pool_load service_pool::totalLoad() const
 {
-    std::map<replica_id, endpoint_load> loads;
+    pool_load total;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.own.running > 0)
-            loads.emplace(id, endpoint.own);
+        if (endpoint.isListed && !endpoint.record.draining)
+            total.slots += usableSlots(endpoint);
+        total.running += endpoint.load.running;
     }
-    return loads;
+    total.waiting = static_cast<unsigned>(m_waiting.size());
+    return total;
 }
 
 } // namespace carawaylink::placement
