--- /dev/null
+++ b/libs/placement/src/slot_client.cpp
@@ -0,0 +1,466 @@
+#include "placement/slot_client.h"
+
+#include "placement/pool_assignment.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace carawaylink::placement {
+
+namespace {
+
+// An owner that has not replied for this long is bypassed. Above the pauses of a process that has used up its processor quota.
+constexpr auto replyTimeout = std::chrono::milliseconds(120);
+// Interval of calls without content: while requests wait at the owner, and while they only run.
+constexpr auto waitingCallInterval = std::chrono::milliseconds(60);
+constexpr auto runningCallInterval = std::chrono::milliseconds(240);
+// Interval between attempts to reach a silent owner.
+constexpr auto reopenInterval = std::chrono::milliseconds(100);
+// After a longer pause of this process, its grants may have been given to others.
+constexpr auto maxPause = std::chrono::milliseconds(400);
+// The secondary pool is used if the primary one is full and the secondary one has at least this much less load per slot.
+constexpr double minLoadDifference = 0.1;
+// A request waits at least this long in the queue of a full pool before it moves to another, and one request moves at a time.
+constexpr auto rebalanceInterval = std::chrono::milliseconds(25);
+constexpr unsigned sessionCounterBits = 32;
+
+} // namespace
+
+slot_client::slot_client(service_id service, std::uint32_t run, std::uint64_t seed)
+    : m_service(std::move(service))
+    , m_local(seed)
+    , m_links(1)
+    , m_lastSession(static_cast<std::uint64_t>(run) << sessionCounterBits)
+{
+}
+
+void slot_client::setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now)
+{
+    m_local.setEndpoints(records, now);
+    const auto count = poolCount(records.size());
+    m_poolByReplica.clear();
+    for (const auto& record : records)
+        m_poolByReplica.emplace(record.id, poolOf(record.id, count));
+    if (count == m_links.size())
+        return;
+    m_links.assign(count, {});
+    for (auto& [id, entry] : m_running)
+        entry.pool = poolOfReplica(entry.request.replica);
+    std::vector<waiting_request> moved;
+    for (auto& [id, entry] : m_waiting) {
+        if (std::exchange(entry.pool, std::nullopt))
+            moved.push_back(std::move(entry.request));
+    }
+    // Without owners until the next setOwners(), which follows each change of the endpoints.
+    for (auto& request : moved)
+        enqueueLocally(std::move(request));
+}
+
+std::uint32_t slot_client::poolOfReplica(const replica_id& replica) const
+{
+    const auto found = m_poolByReplica.find(replica);
+    return found == m_poolByReplica.end() ? 0 : found->second;
+}
+
+void slot_client::setOwners(const std::vector<std::optional<node_id>>& owners, monotonic_time now)
+{
+    bool changed = false;
+    for (std::size_t number = 0; number < m_links.size(); ++number) {
+        auto& link = m_links[number];
+        const auto owner = number < owners.size() ? owners[number] : std::nullopt;
+        if (link.owner == owner)
+            continue;
+        close(link);
+        link.owner = owner;
+        link.isSilent = false;
+        link.load = {};
+        link.nextOpenAt = now;
+        changed = true;
+    }
+    if (!changed)
+        return;
+    m_hasUrgentCalls = true;
+    returnToOwners(now);
+}
+
+void slot_client::setShare(std::size_t rank, std::size_t count)
+{
+    m_rank = rank;
+    m_local.setShare(rank, count);
+}
+
+// Nodes are spread evenly over the pools by rank. Each also uses a second pool, which differs between the nodes of one primary pool, so
+// that the load of a full pool spreads over all others.
+std::optional<std::uint32_t> slot_client::choosePool() const
+{
+    const auto count = m_links.size();
+    const auto primary = m_rank % count;
+    if (count == 1)
+        return isUsable(m_links[0]) ? std::optional(std::uint32_t { 0 }) : std::nullopt;
+    const auto secondary = (primary + 1 + (m_rank / count) % (count - 1)) % count;
+    const auto& first = m_links[primary];
+    const auto& second = m_links[secondary];
+    const bool isFull = first.load.slots > 0 && first.load.utilization() >= 1;
+    const double secondUtilization = second.load.slots > 0 ? second.load.utilization() : 0;
+    const bool prefersSecond = isFull && secondUtilization + minLoadDifference < first.load.utilization();
+    if (isUsable(first) && !(prefersSecond && isUsable(second)))
+        return static_cast<std::uint32_t>(primary);
+    if (isUsable(second))
+        return static_cast<std::uint32_t>(secondary);
+    return std::nullopt;
+}
+
+void slot_client::submit(waiting_request request, monotonic_time now)
+{
+    enqueue(std::move(request), now);
+}
+
+void slot_client::enqueue(waiting_request request, monotonic_time now)
+{
+    const auto pool = choosePool();
+    if (!pool) {
+        enqueueLocally(std::move(request));
+        return;
+    }
+    auto& link = m_links[*pool];
+    if (link.isOpen) {
+        link.next.requests.push_back(request);
+        link.next.wantsReply = true;
+    } else {
+        link.nextOpenAt = std::min(link.nextOpenAt, now);
+    }
+    const auto id = request.id;
+    m_waiting[id] = { std::move(request), pool, now };
+    m_hasUrgentCalls = true;
+}
+
+void slot_client::enqueueLocally(waiting_request request)
+{
+    const auto id = request.id;
+    m_local.submit(request);
+    m_waiting[id] = { std::move(request), std::nullopt };
+}
+
+void slot_client::returnToOwners(monotonic_time now)
+{
+    std::vector<waiting_request> moved;
+    for (const auto& [id, entry] : m_waiting) {
+        if (!entry.pool)
+            moved.push_back(entry.request);
+    }
+    for (auto& request : moved) {
+        m_local.withdraw(request.id);
+        enqueue(std::move(request), now);
+    }
+}
+
+void slot_client::rebalance(monotonic_time now)
+{
+    if (pools() < 2 || now - m_lastRebalanceAt < rebalanceInterval)
+        return;
+    m_lastRebalanceAt = now;
+    const auto chosen = choosePool();
+    const auto found = std::ranges::find_if(m_waiting, [&](const auto& entry) {
+        return chosen && entry.second.pool && entry.second.pool != chosen && now - entry.second.since > rebalanceInterval;
+    });
+    if (found == m_waiting.end())
+        return;
+    auto request = found->second.request;
+    withdraw(request.id);
+    enqueue(std::move(request), now);
+}
+
+bool slot_client::withdraw(std::uint64_t id)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end())
+        return false;
+    const auto pool = found->second.pool;
+    m_waiting.erase(found);
+    if (!pool)
+        return m_local.withdraw(id);
+    auto& link = m_links[*pool];
+    if (!link.isOpen)
+        return true;
+    const bool wasUnsent = std::erase_if(link.next.requests, [id](const waiting_request& request) { return request.id == id; }) > 0;
+    if (!wasUnsent) {
+        link.next.withdrawn.push_back(id);
+        m_hasUrgentCalls = true;
+    }
+    return true;
+}
+
+void slot_client::recordProgress(std::uint64_t id, std::size_t events, monotonic_time now)
+{
+    m_local.recordProgress(id, events, now);
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    auto& entry = found->second;
+    entry.events = events;
+    // The end of a prefill changes what the owner may place on the endpoint.
+    if (!std::exchange(entry.request.hasFirstEvent, true) && m_links[entry.pool].isOpen) {
+        m_links[entry.pool].next.progress.push_back({ id, events });
+        entry.reportedEvents = events;
+        m_hasUrgentCalls = true;
+    }
+}
+
+void slot_client::recordOutcome(std::uint64_t id, outcome result, std::size_t events, monotonic_time now)
+{
+    m_local.recordOutcome(id, result, events, now);
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    auto& link = m_links[found->second.pool];
+    m_running.erase(found);
+    if (!link.isOpen)
+        return;
+    link.next.outcomes.push_back({ id, result, events });
+    // A free slot matters at once only if a request waits for it.
+    if (link.load.waiting > 0 || link.load.running + 1 >= link.load.slots)
+        m_hasUrgentCalls = true;
+}
+
+void slot_client::receive(const node_id& owner, const slot_reply& reply, monotonic_time now)
+{
+    if (wasPaused(now)) {
+        // Another owner may have taken over during the pause, and this one may have granted these slots to others.
+        for (auto& link : m_links)
+            close(link);
+        m_lastActiveAt = now;
+        return;
+    }
+    if (reply.pool.number >= m_links.size())
+        return;
+    auto& link = m_links[reply.pool.number];
+    if (link.owner != owner || !link.isOpen || reply.session != link.session)
+        return;
+    if (reply.status == call_status::not_owner) {
+        markSilent(reply.pool.number, now);
+        return;
+    }
+    if (reply.status == call_status::unknown_session || reply.sequence != link.lastReply + 1) {
+        close(link);
+        m_hasUrgentCalls = true;
+        return;
+    }
+    link.lastReply = reply.sequence;
+    if (std::exchange(link.isSilent, false))
+        returnToOwners(now);
+    if (reply.processed >= link.awaitedCall)
+        link.awaitingSince.reset();
+    else if (link.awaitingSince)
+        link.awaitingSince = now;
+    link.load = reply.load;
+    for (const auto& granted : reply.grants)
+        onGrant(reply.pool.number, granted, now);
+    for (const auto& refused : reply.refusals) {
+        if (m_waiting.erase(refused.id) > 0)
+            m_received.refusals.push_back(refused);
+    }
+    std::ranges::copy_if(reply.waitReports, std::back_inserter(m_received.waitReports),
+        [this](const wait_report& report) { return m_waiting.contains(report.id); });
+}
+
+void slot_client::onGrant(std::uint32_t pool, const slot_grant& entry, monotonic_time now)
+{
+    const auto& granted = entry.granted;
+    const auto found = m_waiting.find(granted.id);
+    if (found == m_waiting.end() || found->second.pool != pool) {
+        rejectGrant(pool, granted.id);
+        return;
+    }
+    auto request = std::move(found->second.request);
+    m_waiting.erase(found);
+    m_local.setReportedSpeed(granted.replica, entry.speed);
+    const auto previous = m_running.find(granted.id);
+    if (previous != m_running.end() && previous->second.pool != pool)
+        recordOutcome(granted.id, outcome::timed_out, 0, now);
+    if (!m_local.adopt({ granted.id, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now)) {
+        // The owner does not know yet that the endpoint is leaving.
+        m_local.recordOutcome(granted.id, outcome::cancelled, 0, now);
+        rejectGrant(pool, granted.id);
+        request.excluded.push_back(granted.replica);
+        enqueueLocally(std::move(request));
+        return;
+    }
+    startRunning(request, granted, pool);
+    m_received.grants.push_back(granted);
+}
+
+// The request ended, was withdrawn or cannot use the endpoint. The slot is free again; an earlier one that it still holds is not.
+void slot_client::rejectGrant(std::uint32_t pool, std::uint64_t id)
+{
+    auto& next = m_links[pool].next;
+    next.outcomes.push_back({ id, outcome::cancelled, 0 });
+    const auto running = m_running.find(id);
+    if (running != m_running.end() && running->second.pool == pool)
+        next.adopted.push_back(running->second.request);
+    m_hasUrgentCalls = true;
+}
+
+void slot_client::startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool)
+{
+    m_running[granted.id]
+        = { { granted.id, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, pool, 0, 0 };
+}
+
+void slot_client::loseOwner(const node_id& owner, monotonic_time now)
+{
+    for (std::uint32_t pool = 0; pool < pools(); ++pool) {
+        if (m_links[pool].owner == owner)
+            markSilent(pool, now);
+    }
+}
+
+void slot_client::close(owner_link& link)
+{
+    link.isOpen = false;
+    link.awaitingSince.reset();
+    link.next = {};
+}
+
+void slot_client::markSilent(std::uint32_t pool, monotonic_time now)
+{
+    auto& link = m_links[pool];
+    close(link);
+    link.isSilent = true;
+    link.nextOpenAt = now + reopenInterval;
+    std::vector<waiting_request> moved;
+    for (auto& [id, entry] : m_waiting) {
+        if (entry.pool == pool)
+            moved.push_back(entry.request);
+    }
+    for (auto& request : moved)
+        enqueue(std::move(request), now);
+}
+
+void slot_client::detectSilentOwners(monotonic_time now)
+{
+    for (std::uint32_t pool = 0; pool < pools(); ++pool) {
+        const auto& link = m_links[pool];
+        if (link.awaitingSince && now - *link.awaitingSince > replyTimeout)
+            markSilent(pool, now);
+    }
+}
+
+bool slot_client::wasPaused(monotonic_time now) const
+{
+    return m_lastActiveAt && now - *m_lastActiveAt > maxPause;
+}
+
+pool_decisions slot_client::decide(monotonic_time now)
+{
+    // Replies that arrived during a pause of this process are still unread, so the silence was its own.
+    if (!wasPaused(now))
+        detectSilentOwners(now);
+    m_lastActiveAt = now;
+    rebalance(now);
+    auto decisions = std::exchange(m_received, {});
+    auto own = m_local.decide(now);
+    for (const auto& granted : own.grants) {
+        const auto found = m_waiting.find(granted.id);
+        if (found == m_waiting.end())
+            continue;
+        const auto pool = poolOfReplica(granted.replica);
+        const auto previous = m_running.find(granted.id);
+        if (previous != m_running.end() && m_links[previous->second.pool].isOpen)
+            m_links[previous->second.pool].next.outcomes.push_back({ granted.id, outcome::timed_out, 0 });
+        startRunning(found->second.request, granted, pool);
+        if (m_links[pool].isOpen)
+            m_links[pool].next.adopted.push_back(m_running.at(granted.id).request);
+        m_waiting.erase(found);
+    }
+    for (const auto& refused : own.refusals)
+        m_waiting.erase(refused.id);
+    std::ranges::move(own.grants, std::back_inserter(decisions.grants));
+    std::ranges::move(own.refusals, std::back_inserter(decisions.refusals));
+    std::ranges::move(own.waitReports, std::back_inserter(decisions.waitReports));
+    return decisions;
+}
+
+std::vector<addressed_call> slot_client::takeCalls(monotonic_time now)
+{
+    m_hasUrgentCalls = false;
+    std::vector<addressed_call> calls;
+    for (std::uint32_t pool = 0; pool < pools(); ++pool) {
+        if (auto call = nextCall(pool, now))
+            calls.push_back({ *m_links[pool].owner, std::move(*call) });
+    }
+    return calls;
+}
+
+std::optional<slot_call> slot_client::nextCall(std::uint32_t pool, monotonic_time now)
+{
+    auto& link = m_links[pool];
+    if (!link.owner)
+        return std::nullopt;
+    if (!link.isOpen) {
+        if (now < link.nextOpenAt || isIdle(pool))
+            return std::nullopt;
+        openSession(pool);
+        link.nextOpenAt = now + reopenInterval;
+    } else {
+        const bool waitsForOwner = std::ranges::any_of(m_waiting, [&](const auto& entry) { return entry.second.pool == pool; });
+        const bool isCallDue = now - link.lastCallAt >= (waitsForOwner ? duration(waitingCallInterval) : duration(runningCallInterval));
+        if (isCallDue && !isIdle(pool)) {
+            collectProgress(pool);
+            link.next.wantsReply = true;
+        }
+        const auto& next = link.next;
+        if (!next.wantsReply && next.withdrawn.empty() && next.progress.empty() && next.outcomes.empty() && next.adopted.empty())
+            return std::nullopt;
+    }
+    auto call = std::exchange(link.next, {});
+    call.pool = { m_service, pool };
+    call.session = link.session;
+    call.sequence = ++link.lastCall;
+    link.lastCallAt = now;
+    if (call.wantsReply && !link.awaitingSince) {
+        link.awaitingSince = now;
+        link.awaitedCall = call.sequence;
+    }
+    return call;
+}
+
+// A silent owner is called even without requests for it, to find out when it replies again.
+bool slot_client::isIdle(std::uint32_t pool) const
+{
+    const auto uses = [pool](const auto& entry) { return entry.second.pool == pool; };
+    return !m_links[pool].isSilent && std::ranges::none_of(m_waiting, uses) && std::ranges::none_of(m_running, uses);
+}
+
+void slot_client::openSession(std::uint32_t pool)
+{
+    auto& link = m_links[pool];
+    link.session = ++m_lastSession;
+    link.lastCall = 0;
+    link.lastReply = 0;
+    link.isOpen = true;
+    link.next = {};
+    link.next.wantsReply = true;
+    for (auto& [id, entry] : m_running) {
+        if (entry.pool != pool)
+            continue;
+        link.next.adopted.push_back(entry.request);
+        entry.reportedEvents = entry.events;
+    }
+    for (const auto& [id, entry] : m_waiting) {
+        if (entry.pool == pool)
+            link.next.requests.push_back(entry.request);
+    }
+}
+
+void slot_client::collectProgress(std::uint32_t pool)
+{
+    for (auto& [id, entry] : m_running) {
+        if (entry.pool != pool || entry.events <= entry.reportedEvents)
+            continue;
+        entry.reportedEvents = entry.events;
+        m_links[pool].next.progress.push_back({ id, entry.events });
+    }
+}
+
+} // namespace carawaylink::placement
--- /dev/null
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -0,0 +1,229 @@
+#pragma once
+
+#include "placement/owned_pools.h"
+#include "placement/slot_client.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawaylink::placement {
+
+using namespace std::chrono_literals;
+
+inline const service_id engineService { "engine" };
+
+inline node_id nodeNumber(std::size_t number)
+{
+    return node_id { "10.0." + std::to_string(number / 200) + "." + std::to_string(number % 200) + ":1" };
+}
+
+inline std::vector<discovery::endpoint_record> engineRecords(std::size_t count, unsigned slots)
+{
+    std::vector<discovery::endpoint_record> records;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto name = "engine-" + std::to_string(i);
+        records.push_back({ replica_id { name }, engineService, endpoint_id { name + ":80" }, failure_domain { "a" }, slots, false, 1 });
+    }
+    return records;
+}
+
+/// Nodes and owners in one process: messages arrive after a fixed delay, unless their sender or receiver is cut off. Time is virtual.
+class slot_test_fleet {
+public:
+    slot_test_fleet(std::size_t nodes, std::vector<discovery::endpoint_record> records)
+        : m_records(std::move(records))
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+            m_nodes.push_back(std::make_unique<node_state>(nodeNumber(i), i));
+        updateViews();
+    }
+
+    /// Submits a request with the tier at a node; returns its id, which is unique in the fleet.
+    std::uint64_t submit(std::size_t node, std::uint8_t level = 0, duration target = 2s, duration deadline = 8s)
+    {
+        waiting_request request;
+        request.id = m_nextId++;
+        request.tier = tier { level };
+        request.prompt = tokens { 1000 };
+        request.output = tokens { 90 };
+        request.arrived = now;
+        request.target = now + target;
+        request.deadline = now + deadline;
+        m_home[request.id] = node;
+        m_nodes[node]->client.submit(request, now);
+        return request.id;
+    }
+
+    void finish(std::uint64_t id)
+    {
+        auto& client = m_nodes[m_home.at(id)]->client;
+        client.recordProgress(id, 1, now);
+        client.recordOutcome(id, outcome::completed, 1, now);
+        grants.erase(id);
+    }
+
+    /// Lets time pass in steps of a millisecond.
+    void run(duration span)
+    {
+        for (const auto end = now + span; now < end; now += 1ms) {
+            deliver();
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                if (!m_frozen.contains(i))
+                    step(i);
+            }
+        }
+    }
+
+    /// A frozen node does nothing; what it is sent waits for it.
+    void freeze(std::size_t node) { m_frozen.insert(node); }
+    void thaw(std::size_t node) { m_frozen.erase(node); }
+    /// Messages from and to the node are lost.
+    void cut(std::size_t node) { m_cut.insert(node); }
+    void heal(std::size_t node) { m_cut.erase(node); }
+
+    /// Sets which nodes each node takes for live; all by default.
+    void setLive(const std::set<std::size_t>& live)
+    {
+        m_live = live;
+        updateViews();
+    }
+    void setRecords(std::vector<discovery::endpoint_record> records)
+    {
+        m_records = std::move(records);
+        updateViews();
+    }
+
+    std::size_t ownerOfPool(std::uint32_t number = 0) const
+    {
+        const auto owner = ownerOf({ engineService, number }, candidates());
+        const auto found = std::ranges::find_if(m_nodes, [&](const auto& node) { return node->id == *owner; });
+        return static_cast<std::size_t>(found - m_nodes.begin());
+    }
+
+    std::map<std::string, unsigned> grantsByEndpoint() const
+    {
+        std::map<std::string, unsigned> counts;
+        for (const auto& [id, granted] : grants)
+            ++counts[granted.replica.value];
+        return counts;
+    }
+
+    slot_client& client(std::size_t node) { return m_nodes[node]->client; }
+    owned_pools& owned(std::size_t node) { return m_nodes[node]->owned; }
+
+    monotonic_time now { 100s };
+    /// Grants of unfinished requests.
+    std::map<std::uint64_t, grant> grants;
+    std::vector<refusal> refusals;
+    std::size_t messages = 0;
+
+private:
+    struct node_state {
+        node_state(node_id name, std::size_t seed)
+            : id(std::move(name))
+            , client(engineService, static_cast<std::uint32_t>(seed + 1), seed)
+            , owned(id, seed)
+        {
+        }
+        node_id id;
+        slot_client client;
+        owned_pools owned;
+        monotonic_time nextTick {};
+    };
+    struct message {
+        monotonic_time arrives;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::optional<slot_call> call;
+        std::optional<slot_reply> reply;
+    };
+
+    std::vector<owner_candidate> candidates() const
+    {
+        std::vector<owner_candidate> result;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_live.empty() || m_live.contains(i))
+                result.push_back({ m_nodes[i]->id, 500 });
+        }
+        return result;
+    }
+
+    void updateViews()
+    {
+        const auto live = candidates();
+        const auto count = poolCount(m_records.size());
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            auto& node = *m_nodes[i];
+            node.client.setShare(i, live.size());
+            node.client.setEndpoints(m_records, now);
+            node.client.setOwners(ownersOf(engineService, count, live), now);
+            node.owned.update(
+                { { engineService, m_records } }, live, [&](const service_id&) { return node.client.local().speeds(); }, now);
+        }
+    }
+
+    std::size_t indexOf(const node_id& id) const
+    {
+        return static_cast<std::size_t>(std::ranges::find_if(m_nodes, [&](const auto& node) { return node->id == id; }) - m_nodes.begin());
+    }
+
+    void step(std::size_t index)
+    {
+        auto& node = *m_nodes[index];
+        const bool isTick = now >= node.nextTick;
+        if (isTick)
+            node.nextTick = now + 25ms;
+        for (auto& entry : node.owned.takeReplies(now))
+            post({ now + messageDelay, index, indexOf(entry.node), std::nullopt, std::move(entry.reply) });
+        const auto decisions = node.client.decide(now);
+        for (const auto& granted : decisions.grants)
+            grants.insert_or_assign(granted.id, granted);
+        refusals.insert(refusals.end(), decisions.refusals.begin(), decisions.refusals.end());
+        if (!isTick && !node.client.hasUrgentCalls())
+            return;
+        for (auto& entry : node.client.takeCalls(now))
+            post({ now + messageDelay, index, indexOf(entry.owner), std::move(entry.call), std::nullopt });
+    }
+
+    void post(message sent)
+    {
+        ++messages;
+        if (!m_cut.contains(sent.from) && !m_cut.contains(sent.to))
+            m_messages.push_back(std::move(sent));
+    }
+
+    void deliver()
+    {
+        std::vector<message> waiting;
+        for (auto& arrived : m_messages) {
+            if (arrived.arrives > now || m_frozen.contains(arrived.to)) {
+                waiting.push_back(std::move(arrived));
+                continue;
+            }
+            auto& receiver = *m_nodes[arrived.to];
+            if (arrived.call)
+                receiver.owned.receive(m_nodes[arrived.from]->id, *arrived.call, now);
+            else
+                receiver.client.receive(m_nodes[arrived.from]->id, *arrived.reply, now);
+        }
+        m_messages = std::move(waiting);
+    }
+
+    static constexpr auto messageDelay = 1ms;
+
+    std::vector<discovery::endpoint_record> m_records;
+    std::vector<std::unique_ptr<node_state>> m_nodes;
+    std::vector<message> m_messages;
+    std::map<std::uint64_t, std::size_t> m_home;
+    std::set<std::size_t> m_live;
+    std::set<std::size_t> m_frozen;
+    std::set<std::size_t> m_cut;
+    std::uint64_t m_nextId = 1;
+};
+
+} // namespace carawaylink::placement
