Avoid an endpoint whose last request failed while others are free

Cause: a request that a stopped endpoint refuses at once leaves the endpoint's estimates unchanged, and options with equal scores are taken in the order of their addresses. If the stopped endpoint has the lower port, it is chosen first each time until its circuit opens after five failures; the first request uses up the retry budget, the next four are answered 503.

Change: among options that fit, one whose last request failed comes after those whose last request did not.

Measured: the new test of pool_scheduler failed before (e1 chosen again twice) and passes now; all 62 tests of the library pass.

--- a/libs/scheduling/include/scheduling/retry_budget.h
+++ b/libs/scheduling/include/scheduling/retry_budget.h
@@ -47,6 +47,8 @@
     void recordSuccess();
     void recordFailure(monotonic_time now);
     circuit_state state(monotonic_time now) const;
+    /// Whether the last request failed.
+    bool lastFailed() const { return m_failures > 0; }
 
 private:
     std::size_t m_failures = 0;
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace carawaylink {
 
@@ -18,6 +19,12 @@
 constexpr double minModerateUtilization = 0.3;
 constexpr double maxModerateUtilization = 0.95;
 
+// An endpoint that fails requests at once keeps its estimates and would be chosen again until its circuit opens.
+bool isBetter(const placement_option& choice, const placement_option& best)
+{
+    return !best.endpoint || std::tie(choice.lastFailed, choice.score) < std::tie(best.lastFailed, best.score);
+}
+
 double occupancy(const endpoint_state& target)
 {
     return static_cast<double>(target.running) / static_cast<double>(std::max<std::size_t>(1, target.description.maxRunning));
@@ -80,6 +87,7 @@
     const auto models = modelsOf(target);
     placement_option result;
     result.endpoint = &target;
+    result.lastFailed = target.breaker.lastFailed();
     // The last prompt token is always computed, even if the prompt is completely cached.
     result.cachedTokens = std::clamp<std::int64_t>(blocks * tokensPerBlock, 0, std::max<std::int64_t>(0, prompt - 1));
     const double first = models.firstTokenSeconds(static_cast<double>(prompt - result.cachedTokens));
@@ -252,7 +260,7 @@
         if (spreadByOccupancy && hasDeadlineSlack(now, record, choice))
             choice.score += choice.firstToken + occupancy(*entry) - choice.cost;
         auto& best = isFree ? bestFree : bestFull;
-        if (fits(choice) && (!best.endpoint || choice.score < best.score))
+        if (fits(choice) && isBetter(choice, best))
             best = choice;
     }
     if (!anyFree)
--- a/libs/scheduling/src/pool_state.h
+++ b/libs/scheduling/src/pool_state.h
@@ -27,6 +27,8 @@
     /// Lower is better.
     double score = 0;
     std::int64_t cachedTokens = 0;
+    /// The last request to the endpoint failed.
+    bool lastFailed = false;
 };
 
 /// Time from a preemption until its slot is free: the message to the home node, the cancellation, the release, and up to one period of
--- a/libs/scheduling/tests/pool_scheduler_tests.cpp
+++ b/libs/scheduling/tests/pool_scheduler_tests.cpp
@@ -66,6 +66,29 @@
     EXPECT_LT(driver.results[late].granted, driver.results[low].granted);
 }
 
+// Guards against a stopped endpoint that is chosen first each time, because its failures leave its estimates unchanged: half of the
+// requests failed until its circuit opened, and the retry budget was used up by the first of them.
+TEST_F(pool_scheduling, endpoint_whose_last_request_failed_is_avoided_while_others_are_free)
+{
+    pool_driver driver;
+    driver.addEndpoint("e1", 2);
+    driver.addEndpoint("e2", 2);
+    const auto first = driver.make("a", 0, 100, 20);
+    const auto endpointOf = [](const std::vector<scheduling_action>& actions) { return std::get<slot_grant>(actions.at(0)).endpoint; };
+    const auto failed = endpointOf(driver.pool.submit(driver.now, first));
+    const auto fail = [&](const request_id& id) {
+        slot_release release;
+        release.request = id;
+        release.outcome = release_outcome::rejected;
+        driver.pool.release(driver.now, release);
+    };
+    fail(first.id);
+    for (int i = 0; i < 2; ++i)
+        EXPECT_NE(endpointOf(driver.pool.submit(driver.now, driver.make("a", 0, 100, 20))), failed);
+    // With the other endpoint full, the one that failed is tried again.
+    EXPECT_EQ(endpointOf(driver.pool.submit(driver.now, driver.make("a", 0, 100, 20))), failed);
+}
+
 // Guards against spending prefill on a request that cannot finish in time.
 TEST_F(pool_scheduling, unreachable_deadline_is_refused_before_grant)
 {
