Prefer endpoints with an idle connection and in the caller's domain

Cause: the owner of a pool chose at random among endpoints within three per cent of the best score, so that requests of one node spread over all endpoints.

Change: the owner takes the best score; a handshake and the way to another failure domain count with their time. The random choice remains for nodes that decide without the owner, which share one view.

--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -115,6 +115,7 @@
     message.session = call.session;
     message.sequence = call.sequence;
     message.wants_reply = call.wantsReply;
+    message.domain = call.domain.value;
     message.withdrawn = call.withdrawn;
     for (const auto& report : call.progress)
         message.progress.emplace_back(report.id, saturated<std::uint32_t>(static_cast<std::int64_t>(report.events)));
@@ -138,13 +139,14 @@
     call.session = message.session;
     call.sequence = message.sequence;
     call.wantsReply = message.wants_reply;
+    call.domain = failure_domain { message.domain };
     call.withdrawn = message.withdrawn;
     for (const auto& report : message.progress)
         call.progress.push_back({ report.id(), report.events() });
     for (const auto& report : message.outcomes)
         call.outcomes.push_back({ report.id(), decodeEnum(report.result(), placement::outcome::cancelled), report.events() });
     for (const auto& held : message.adopted) {
-        call.adopted.push_back({ held.id(), replicaOf(held.replica(), lookup), tokens { held.prompt() }, tokens { held.output() },
+        call.adopted.push_back({ held.id(), {}, replicaOf(held.replica(), lookup), tokens { held.prompt() }, tokens { held.output() },
             decodeSpan(held.expected_first_us()), held.has_first_event() });
     }
     for (const auto& request : message.requests) {
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -69,7 +69,7 @@
     , m_metrics(metrics)
     , m_random(randomSeed())
     , m_self(settings.peerAddress)
-    , m_slots(context, m_self, log, m_random())
+    , m_slots(context, m_self, settings.domain, log, m_random())
     , m_quotas(m_self, m_random(), settings.isFirstStart, settings.quotaWindow, std::chrono::steady_clock::now(),
           [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -6,9 +6,11 @@
 
 namespace carawaylink::gateway {
 
-slot_coordinator::slot_coordinator(boost::asio::io_context& context, node_id self, decision_log& log, std::uint64_t seed)
+slot_coordinator::slot_coordinator(
+    boost::asio::io_context& context, node_id self, failure_domain domain, decision_log& log, std::uint64_t seed)
     : m_context(context)
     , m_self(std::move(self))
+    , m_domain(std::move(domain))
     , m_log(log)
     , m_random(seed)
     , m_run(static_cast<std::uint32_t>(m_random()))
@@ -22,7 +24,7 @@
 {
     auto& state = m_services[name];
     if (!state) {
-        state = std::make_unique<service_state>(name, m_run, m_random());
+        state = std::make_unique<service_state>(name, m_domain, m_run, m_random());
         state->client.setShare(m_rank, m_nodes.size());
     }
     return *state;
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -24,7 +24,7 @@
         std::function<void(const node_id& owner)> onOwnerSilent;
     };
 
-    slot_coordinator(boost::asio::io_context& context, node_id self, decision_log& log, std::uint64_t seed);
+    slot_coordinator(boost::asio::io_context& context, node_id self, failure_domain domain, decision_log& log, std::uint64_t seed);
 
     void setHandlers(handlers given) { m_handlers = std::move(given); }
     void setLimits(const service_id& service, const placement::pool_limits& limits);
@@ -52,8 +52,8 @@
 
 private:
     struct service_state {
-        service_state(const service_id& name, std::uint32_t run, std::uint64_t seed)
-            : client(name, run, seed)
+        service_state(const service_id& name, const failure_domain& domain, std::uint32_t run, std::uint64_t seed)
+            : client(name, domain, run, seed)
         {
         }
         placement::slot_client client;
@@ -73,6 +73,7 @@
 
     boost::asio::io_context& m_context;
     node_id m_self;
+    failure_domain m_domain;
     decision_log& m_log;
     handlers m_handlers;
     random_source m_random;
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -15,10 +15,10 @@
 constexpr auto endpointInterval = std::chrono::milliseconds(800);
 constexpr auto configurationWait = std::chrono::milliseconds(1500);
 constexpr auto nodesInterval = std::chrono::seconds(4);
-// Of nodes that get the changes from readers.
-constexpr auto passiveEndpointInterval = std::chrono::seconds(15);
-constexpr auto passiveConfigurationWait = std::chrono::seconds(15);
-constexpr auto passiveNodesInterval = std::chrono::seconds(30);
+// Of nodes that get the changes from readers, and know the other nodes by the failure detector.
+constexpr auto passiveEndpointInterval = std::chrono::seconds(30);
+constexpr auto passiveConfigurationWait = std::chrono::seconds(30);
+constexpr auto passiveNodesInterval = std::chrono::minutes(5);
 // A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint must
 // stop receiving requests.
 constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
--- a/libs/gateway/tests/slot_coordinator_tests.cpp
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -20,7 +20,7 @@
     struct fleet_node {
         fleet_node(boost::asio::io_context& context, const std::string& name, decision_log& log, std::uint64_t seed)
             : id(name)
-            , slots(context, id, log, seed)
+            , slots(context, id, failure_domain { "a" }, log, seed)
         {
         }
         node_id id;
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "discovery/endpoint_table.h"
+#include "placement/connection_estimate.h"
 #include "placement/endpoint_health.h"
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
@@ -39,6 +40,9 @@
     duration maxEventGap {};
     /// Endpoints that the request was already sent to.
     std::vector<replica_id> excluded;
+    /// Node that will send the request, and its failure domain; empty if unknown.
+    node_id sender;
+    failure_domain domain;
     /// True for a request that was admitted before, by this node or after a refusal; ordered before new ones of its tier.
     bool wasAdmitted = false;
     /// True if part of the response has reached the caller; such a request is not refused before its deadline.
@@ -120,6 +124,7 @@
 /// A running request that was granted by another decision maker.
 struct adopted_request {
     std::uint64_t id = 0;
+    node_id sender;
     replica_id replica;
     tokens prompt { 0 };
     tokens output { 0 };
@@ -198,6 +203,7 @@
     };
     struct running_request {
         replica_id replica;
+        node_id sender;
         tokens prompt;
         /// Prefill work of the prompt, in tokens of short prompts.
         tokens work;
@@ -239,6 +245,8 @@
     unsigned usableSlots(const endpoint_state& endpoint) const;
     std::optional<duration> minTimeToFirstEvent(const waiting_request& request) const;
     double expectedEvents(const waiting_request& request) const;
+    /// Lower is better. first: expected time to the first event.
+    double scoreOf(const endpoint_state& endpoint, const waiting_request& request, duration first, monotonic_time now) const;
     grant startRequest(const waiting_request& request, const candidate& chosen, monotonic_time now);
     void countRunning(endpoint_state& endpoint, std::uint64_t id, running_request running, monotonic_time now);
     std::optional<refusal> checkRefusal(const waiting_request& request, std::size_t ahead, monotonic_time now);
@@ -254,6 +262,8 @@
     random_source m_random;
     pool_limits m_limits;
     prefill_cost_model m_prefillCost;
+    connection_estimate m_connections;
+    monotonic_time m_connectionsExpiredAt {};
     std::map<replica_id, endpoint_state> m_endpoints;
     std::unordered_map<std::uint64_t, running_request> m_running;
     std::vector<waiting_request> m_waiting;
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -16,8 +16,8 @@
 ///     for (const auto& granted : client.decide(now).grants) dispatch(granted);
 class slot_client {
 public:
-    /// run: identifies this run of the process among all runs of the node.
-    slot_client(service_id service, std::uint32_t run, std::uint64_t seed);
+    /// domain: failure domain of this node. run: identifies this run of the process among all runs of the node.
+    slot_client(service_id service, failure_domain domain, std::uint32_t run, std::uint64_t seed);
 
     void setLimits(const pool_limits& limits) { m_local.setLimits(limits); }
     void setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now);
@@ -108,6 +108,7 @@
     std::optional<slot_call> nextCall(std::uint32_t pool, monotonic_time now);
 
     service_id m_service;
+    failure_domain m_domain;
     service_pool m_local;
     std::vector<owner_link> m_links;
     std::map<replica_id, std::uint32_t> m_poolByReplica;
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -31,6 +31,7 @@
     std::uint32_t sequence = 0;
     /// The owner must reply even if it has no decision for this node.
     bool wantsReply = false;
+    failure_domain domain;
     // The owner applies the lists in this order.
     std::vector<std::uint64_t> withdrawn;
     std::vector<progress_report> progress;
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -23,8 +23,13 @@
 constexpr double streamingWeight = 0.3;
 // 95 % of responses are at most this many times longer than expected.
 constexpr double lengthMargin = 1.7;
-// Scores within this fraction of the best one count as equal.
-constexpr double scoreTolerance = 0.03;
+// Scores within this fraction of the best one count as equal for nodes that decide without the owner.
+constexpr double scoreTolerancePerNode = 0.03;
+// Time that a request loses by a handshake with its endpoint, and by the way to another failure domain and back.
+constexpr double handshakeMs = 3;
+constexpr double otherDomainMs = 3;
+// Interval at which outdated estimates of connections are dropped.
+constexpr auto connectionExpiryInterval = std::chrono::seconds(2);
 // Window for measuring the rate at which queued requests start.
 constexpr auto queueRateWindow = std::chrono::seconds(1);
 // Minimum time between two passes over the queue if nothing has changed that could start a request.
@@ -130,7 +135,7 @@
     if (found == m_endpoints.end())
         return false;
     auto& endpoint = found->second;
-    running_request running { request.replica, request.prompt, m_prefillCost.work(request.prompt),
+    running_request running { request.replica, request.sender, request.prompt, m_prefillCost.work(request.prompt),
         tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
         request.expectedFirstEvent };
     if (request.hasFirstEvent) {
@@ -196,6 +201,10 @@
         if (isUsable(endpoint, now))
             m_usable.push_back(&endpoint);
     }
+    if (now - m_connectionsExpiredAt > connectionExpiryInterval) {
+        m_connectionsExpiredAt = now;
+        m_connections.expire(now);
+    }
     while (!m_recentGrants.empty() && now - m_recentGrants.front().time > queueRateWindow)
         m_recentGrants.pop_front();
     m_startsByRank.clear();
@@ -272,21 +281,29 @@
             continue;
         if (mustFinish && now + first + timeToFinish(endpoint->model, request) > request.deadline)
             continue;
-        const double load = static_cast<double>(endpoint->load.running) / std::max(endpoint->record.slots, 1U);
-        const double score = milliseconds(first) + streamingWeight * milliseconds(endpoint->model.timeToStream(expectedEvents(request)))
-            + utilizationPenaltyMs * load * load;
-        candidates.push_back({ endpoint, first, score });
+        candidates.push_back({ endpoint, first, scoreOf(*endpoint, request, first, now) });
     }
     if (candidates.empty())
         return std::nullopt;
     // Nodes that decide without the owner have the same view and must not all choose the same endpoint.
     const auto bestCandidate = std::ranges::min(candidates, {}, &candidate::score);
-    std::erase_if(candidates, [&](const candidate& other) {
-        return other.score > bestCandidate.score * (1 + scoreTolerance * static_cast<double>(m_nodeCount));
-    });
+    const double tolerance = scoreTolerancePerNode * static_cast<double>(m_nodeCount - 1);
+    std::erase_if(candidates, [&](const candidate& other) { return other.score > bestCandidate.score * (1 + tolerance); });
     return candidates[m_random() % candidates.size()];
 }
 
+double service_pool::scoreOf(const endpoint_state& endpoint, const waiting_request& request, duration first, monotonic_time now) const
+{
+    const double load = static_cast<double>(endpoint.load.running) / std::max(endpoint.record.slots, 1U);
+    double score = milliseconds(first) + streamingWeight * milliseconds(endpoint.model.timeToStream(expectedEvents(request)))
+        + utilizationPenaltyMs * load * load;
+    if (!m_connections.hasIdle(request.sender, endpoint.record.id, now))
+        score += handshakeMs;
+    if (endpoint.record.domain != request.domain)
+        score += otherDomainMs;
+    return score;
+}
+
 bool service_pool::isUsable(const endpoint_state& endpoint, monotonic_time now) const
 {
     if (!endpoint.isListed || endpoint.record.draining || endpoint.health.isReplaced())
@@ -393,9 +410,11 @@
     recordOutcome(request.id, outcome::timed_out, 0, now);
     auto& endpoint = *chosen.endpoint;
     countRunning(endpoint, request.id,
-        { endpoint.record.id, request.prompt, m_prefillCost.work(request.prompt), tokens { request.prompt.value + request.output.value },
-            endpoint.load.pendingPrefill, now, std::nullopt, chosen.expectedFirstEvent },
+        { endpoint.record.id, request.sender, request.prompt, m_prefillCost.work(request.prompt),
+            tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
+            chosen.expectedFirstEvent },
         now);
+    m_connections.use(request.sender, endpoint.record.id);
     m_recentGrants.push_back({ now, rankOf(request) });
     return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
 }
@@ -494,6 +513,8 @@
     if (result == outcome::completed && running.firstEventAt && events > 1 && !running.isAdopted)
         endpoint.model.recordEvents(events - 1, now - *running.firstEventAt);
     endpoint.health.record(result, now);
+    if (result == outcome::completed)
+        m_connections.release(running.sender, running.replica, now);
     if (!endpoint.isListed && endpoint.load.running == 0)
         m_endpoints.erase(position);
 }
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-slot_client::slot_client(service_id service, std::uint32_t run, std::uint64_t seed)
+slot_client::slot_client(service_id service, failure_domain domain, std::uint32_t run, std::uint64_t seed)
     : m_service(std::move(service))
+    , m_domain(std::move(domain))
     , m_local(seed)
     , m_links(1)
     , m_lastSession(static_cast<std::uint64_t>(run) << sessionCounterBits)
@@ -113,6 +114,7 @@
 
 void slot_client::submit(waiting_request request, monotonic_time now)
 {
+    request.domain = m_domain;
     enqueue(std::move(request), now);
 }
 
@@ -278,7 +280,7 @@
     const auto previous = m_running.find(granted.id);
     if (previous != m_running.end() && previous->second.pool != pool)
         recordOutcome(granted.id, outcome::timed_out, 0, now);
-    if (!m_local.adopt({ granted.id, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now)) {
+    if (!m_local.adopt({ granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now)) {
         // The owner does not know yet that the endpoint is leaving.
         m_local.recordOutcome(granted.id, outcome::cancelled, 0, now);
         rejectGrant(pool, granted.id);
@@ -304,7 +306,7 @@
 void slot_client::startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool)
 {
     m_running[granted.id]
-        = { { granted.id, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, pool, 0, 0 };
+        = { { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, pool, 0, 0 };
 }
 
 void slot_client::loseOwner(const node_id& owner, monotonic_time now)
@@ -415,6 +417,7 @@
     }
     auto call = std::exchange(link.next, {});
     call.pool = { m_service, pool };
+    call.domain = m_domain;
     call.session = link.session;
     call.sequence = ++link.lastCall;
     link.lastCallAt = now;
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -100,11 +100,14 @@
         forgetIfEnded(session, report.id);
     }
     for (auto adopted : call.adopted) {
+        adopted.sender = node;
         const auto id = std::exchange(adopted.id, poolRequest(node, session, adopted.id));
         m_pool.adopt(adopted, now);
         forgetIfEnded(session, id);
     }
     for (auto request : call.requests) {
+        request.sender = node;
+        request.domain = call.domain;
         request.id = poolRequest(node, session, request.id);
         m_pool.withdraw(request.id);
         m_pool.submit(std::move(request));
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -236,7 +236,7 @@
 {
     // A new owner that ignores the slots held from its predecessor would grant them twice.
     listEndpoints({ "fast" }, 1);
-    EXPECT_TRUE(m_pool.adopt({ 1, replica_id { "fast" }, tokens { 1000 }, tokens { 90 }, 100ms, true }, m_now));
+    EXPECT_TRUE(m_pool.adopt({ 1, {}, replica_id { "fast" }, tokens { 1000 }, tokens { 90 }, 100ms, true }, m_now));
     EXPECT_FALSE(place(request(2)));
     m_pool.recordOutcome(1, outcome::completed, 10, m_now + 10ms);
     EXPECT_EQ(grantedIds(m_pool.decide(m_now + 10ms)), std::vector<std::uint64_t> { 2 });
@@ -246,8 +246,8 @@
 {
     // Counting the whole prompt of a running response would keep other prompts off the endpoint for its whole duration.
     listEndpoints({ "fast" }, 8);
-    ASSERT_TRUE(m_pool.adopt({ 1, replica_id { "fast" }, tokens { 50000 }, tokens { 90 }, 100ms, true }, m_now));
-    ASSERT_TRUE(m_pool.adopt({ 2, replica_id { "fast" }, tokens { 300 }, tokens { 90 }, 100ms, false }, m_now));
+    ASSERT_TRUE(m_pool.adopt({ 1, {}, replica_id { "fast" }, tokens { 50000 }, tokens { 90 }, 100ms, true }, m_now));
+    ASSERT_TRUE(m_pool.adopt({ 2, {}, replica_id { "fast" }, tokens { 300 }, tokens { 90 }, 100ms, false }, m_now));
     EXPECT_LT(m_pool.loads().at(replica_id { "fast" }).pendingPrefill.value, 400);
     EXPECT_GT(m_pool.loads().at(replica_id { "fast" }).memory.value, 50000);
 }
@@ -468,5 +468,51 @@
     EXPECT_TRUE(m_pool.loads().empty());
 }
 
+TEST_F(service_pool_test, amongEqualEndpoints_oneWithIdleConnectionIsChosen)
+{
+    // A node that spreads its requests over all endpoints opened a new connection for every second request.
+    listEndpoints({ "a", "b", "c", "d", "e", "f" }, 9);
+    std::string first;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        auto next = request(id);
+        next.sender = node_id { "n" };
+        const auto granted = place(next);
+        ASSERT_TRUE(granted);
+        if (first.empty())
+            first = granted->replica.value;
+        EXPECT_EQ(granted->replica.value, first);
+        m_now += 10ms;
+        m_pool.recordOutcome(id, outcome::completed, 1, m_now);
+    }
+}
+
+TEST_F(service_pool_test, amongEqualEndpoints_oneInTheSameFailureDomainIsChosen)
+{
+    // Requests and responses that cross failure domains are slower and cost their bandwidth.
+    listEndpoints({ "a", "b", "c" }, 9);
+    m_records[1].domain = failure_domain { "near" };
+    m_pool.setEndpoints(m_records, m_now);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        auto next = request(id);
+        next.domain = failure_domain { "near" };
+        EXPECT_EQ(place(next)->replica.value, "b");
+        m_pool.recordOutcome(id, outcome::completed, 1, m_now);
+    }
+}
+
+TEST_F(service_pool_test, connectionThatWasIdleForLong_countsAsClosed)
+{
+    // Endpoints close idle connections; an estimate that ignores it would keep sending to an endpoint for no benefit.
+    connection_estimate connections;
+    const node_id node { "n" };
+    const replica_id endpoint { "a" };
+    connections.release(node, endpoint, m_now);
+    EXPECT_TRUE(connections.hasIdle(node, endpoint, m_now + 1s));
+    EXPECT_FALSE(connections.hasIdle(node, endpoint, m_now + 5s));
+    EXPECT_FALSE(connections.hasIdle(node_id { "m" }, endpoint, m_now));
+    connections.use(node, endpoint);
+    EXPECT_FALSE(connections.hasIdle(node, endpoint, m_now));
+}
+
 } // namespace
 } // namespace carawaylink::placement
--- a/libs/placement/tests/slot_client_tests.cpp
+++ b/libs/placement/tests/slot_client_tests.cpp
@@ -232,7 +232,7 @@
 TEST_F(slot_client_test, grantForLeavingEndpoint_isNotUsed)
 {
     // The owner may learn later than this node that an endpoint drains; requests must not reach it.
-    slot_client client(engineService, 1, 1);
+    slot_client client(engineService, failure_domain { "a" }, 1, 1);
     auto records = engineRecords(1, 2);
     monotonic_time now { 100s };
     records.front().draining = true;
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -126,7 +126,7 @@
     struct node_state {
         node_state(node_id name, std::size_t seed)
             : id(std::move(name))
-            , client(engineService, static_cast<std::uint32_t>(seed + 1), seed)
+            , client(engineService, failure_domain { "a" }, static_cast<std::uint32_t>(seed + 1), seed)
             , owned(id, seed)
         {
         }
