End answers without end, and streams that send a byte now and then

Cause: a model endpoint that sends bytes without the end of an event filled the memory of the node until the request's deadline, since the partial event had no limit. Bytes that complete no event counted as progress, so that a stalled stream with a byte now and then was never moved elsewhere. A whole response that arrives byte by byte kept the idle timeout of a store call from expiring, and the follower of that topic waited for ever.

Change: an event is limited to 256 KiB; only heads, complete events and parts of buffered bodies count as progress; send() has a total timeout, which the followers of the store set.

Before the change, the tests of the endless event, of the trickling stream and of the trickling body did not exist; the first two hang until the deadline without it by reading (a partial event was appended without limit, each byte reset the time of progress).

--- a/libs/gateway/include/gateway/event_splitter.h
+++ b/libs/gateway/include/gateway/event_splitter.h
@@ -14,7 +14,7 @@
     /// Events with ids up to and including lastDelivered are skipped.
     explicit event_splitter(std::optional<std::uint64_t> lastDelivered = std::nullopt);
 
-    /// Returns the events completed by these bytes, unmodified.
+    /// Returns the events completed by these bytes, unmodified. Keeps nothing once an event exceeds the size limit.
     std::string append(std::string_view bytes);
     /// Prepares for the next response; drops the partial event of the previous one.
     void restart();
@@ -25,12 +25,15 @@
     bool hasPartialEvent() const { return !m_partial.empty(); }
     /// Whether an event id was skipped.
     bool hasGap() const { return m_hasGap; }
+    /// Whether an event exceeded the size limit; the rest of the stream cannot be split.
+    bool hasOversizedEvent() const { return m_hasOversizedEvent; }
 
 private:
     std::string m_partial;
     std::optional<std::uint64_t> m_lastId;
     std::size_t m_eventCount = 0;
     bool m_hasGap = false;
+    bool m_hasOversizedEvent = false;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+// Larger than any event of a model engine; a stream without the end of an event must not fill the memory.
+constexpr std::size_t maxEventBytes = 256 * 1024;
 
 // Position after the blank line that terminates the first event; npos if there is none.
 std::size_t endOfEvent(std::string_view text)
@@ -45,6 +47,8 @@
 
 std::string event_splitter::append(std::string_view bytes)
 {
+    if (m_hasOversizedEvent)
+        return {};
     m_partial += bytes;
     std::string completeEvents;
     std::string_view rest = m_partial;
@@ -64,6 +68,10 @@
         completeEvents += event;
     }
     m_partial.erase(0, m_partial.size() - rest.size());
+    if (m_partial.size() > maxEventBytes) {
+        m_hasOversizedEvent = true;
+        m_partial.clear();
+    }
     return completeEvents;
 }
 
@@ -71,6 +79,7 @@
 {
     m_partial.clear();
     m_hasGap = false;
+    m_hasOversizedEvent = false;
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t maxBufferedBytes = 8U << 20;
 // Reading from the endpoint pauses while more than this is pending for a slow caller.
 constexpr std::size_t maxPendingBytes = 256 * 1024;
-// A resumable stream that delivers no bytes for this long is moved to another endpoint.
+// A resumable stream that delivers no event for this long is moved to another endpoint.
 constexpr auto streamIdleTimeout = std::chrono::milliseconds(1200);
 // Delay before another replacement is requested for an unresponsive endpoint.
 constexpr auto replacementInterval = std::chrono::milliseconds(400);
@@ -106,7 +106,7 @@
     const auto now = std::chrono::steady_clock::now();
     // By granting a replacement, the pool already removed the load of the unresponsive endpoint.
     if (std::exchange(m_isReplacementPending, false))
-        endAttempt(placement::outcome::timed_out, "no bytes within the expected time", true);
+        endAttempt(placement::outcome::timed_out, "no progress within the expected time", true);
     m_holdsRetry = false;
     if (m_admitted.team && !std::exchange(m_isQuotaCommitted, true))
         m_dispatcher.commitQuota(*m_admitted.team, m_admitted.quotaUnits);
@@ -118,7 +118,7 @@
     m_splitter.restart();
     m_eventsBeforeAttempt = m_splitter.eventCount();
     m_sentAt = now;
-    m_lastByteAt = now;
+    m_lastProgressAt = now;
     m_dispatcher.log()
         .event("request_sent")
         .field("request", m_admitted.metadata.attempt)
@@ -187,7 +187,7 @@
 void exchange::onResponseHead(const http_response& head)
 {
     m_head = head;
-    m_lastByteAt = std::chrono::steady_clock::now();
+    m_lastProgressAt = std::chrono::steady_clock::now();
     m_headMetadata = m_dispatcher.codec().decodeResponse(head, m_admitted.metadata.attempt);
     if (m_headMetadata.isMismatched) {
         attemptFailed(placement::outcome::invalid, "response to another attempt");
@@ -199,9 +199,10 @@
 
 void exchange::onResponseData(std::string_view bytes)
 {
-    m_lastByteAt = std::chrono::steady_clock::now();
-    cancelReplacement();
+    const auto now = std::chrono::steady_clock::now();
     if (m_state == state::buffering) {
+        m_lastProgressAt = now;
+        cancelReplacement();
         m_body += bytes;
         if (m_body.size() > maxBufferedBytes)
             attemptFailed(placement::outcome::invalid, "response body exceeds the limit");
@@ -209,24 +210,30 @@
     }
     if (m_state != state::streaming)
         return;
+    // Bytes that complete no event are no progress: a stalled endpoint may send one now and then.
     auto events = m_splitter.append(bytes);
-    if (!events.empty())
+    if (!events.empty()) {
+        m_lastProgressAt = now;
+        cancelReplacement();
         forward(std::move(events));
+    }
     if (m_splitter.hasGap())
         attemptFailed(placement::outcome::invalid, "event id missing in the stream");
+    else if (m_splitter.hasOversizedEvent())
+        attemptFailed(placement::outcome::invalid, "event exceeds the size limit");
 }
 
 void exchange::forward(std::string events)
 {
     m_dispatcher.recordProgress(*this, m_splitter.eventCount() - m_eventsBeforeAttempt);
     if (!m_firstEventAt)
-        m_firstEventAt = m_lastByteAt;
+        m_firstEventAt = m_lastProgressAt;
     else
-        m_longestEventGap = std::max(m_longestEventGap, m_lastByteAt - m_lastForwardedAt);
-    m_lastForwardedAt = m_lastByteAt;
+        m_longestEventGap = std::max(m_longestEventGap, m_lastProgressAt - m_lastForwardedAt);
+    m_lastForwardedAt = m_lastProgressAt;
     if (!m_headForwarded) {
         m_headForwarded = true;
-        m_dispatcher.metrics().firstEvent(m_lastByteAt - m_admitted.arrived);
+        m_dispatcher.metrics().firstEvent(m_lastProgressAt - m_admitted.arrived);
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
     m_responder->write(events);
@@ -398,7 +405,7 @@
             return;
         }
         // A response that is merely long does not indicate a failing endpoint.
-        const bool isUnresponsive = now - m_lastByteAt > m_dispatcher.firstEventTimeout(*this);
+        const bool isUnresponsive = now - m_lastProgressAt > m_dispatcher.firstEventTimeout(*this);
         attemptFailed(isUnresponsive ? placement::outcome::timed_out : placement::outcome::cancelled, "deadline exceeded");
         return;
     }
@@ -406,7 +413,7 @@
         return;
     const bool hasEvents = m_splitter.eventCount() > m_eventsBeforeAttempt;
     const auto limit = hasEvents ? duration(streamIdleTimeout) : m_dispatcher.firstEventTimeout(*this);
-    if (now - m_lastByteAt > limit)
+    if (now - m_lastProgressAt > limit)
         requestReplacement(now);
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -109,7 +109,8 @@
     monotonic_time m_lastForwardedAt {};
     /// Longest time between two forwarded events.
     duration m_longestEventGap {};
-    monotonic_time m_lastByteAt;
+    /// Time of the last response head, complete event or part of a buffered body.
+    monotonic_time m_lastProgressAt;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -8,6 +8,8 @@
 
 // Time allowed for a response on top of the requested wait; detects connections that stopped responding.
 constexpr auto responseTimeout = std::chrono::milliseconds(900);
+// Time allowed for a whole response on top of the requested wait; ends one that arrives byte by byte.
+constexpr auto totalResponseTimeout = std::chrono::seconds(4);
 constexpr auto storeConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto retryDelay = std::chrono::milliseconds(250);
 constexpr unsigned statusOk = 200;
@@ -53,6 +55,7 @@
     http_call_options options;
     options.connectTimeout = storeConnectTimeout;
     options.idleTimeout = m_options.wait + responseTimeout;
+    options.totalTimeout = m_options.wait + totalResponseTimeout;
     // The connection of a failed request may never respond again.
     options.reuseConnection = m_isReachable;
     m_client.send(
--- a/libs/gateway/tests/event_splitter_tests.cpp
+++ b/libs/gateway/tests/event_splitter_tests.cpp
@@ -47,5 +47,18 @@
     EXPECT_EQ(splitter.lastId(), 1U);
 }
 
+TEST(event_splitter_test, eventWithoutEnd_isDroppedAtTheSizeLimit)
+{
+    // An endpoint in trouble sent bytes without the end of an event; at the speed of a link they filled the memory of a vm in seconds.
+    event_splitter splitter;
+    const std::string chunk(65536, 'x');
+    for (int i = 0; i < 1000; ++i)
+        EXPECT_EQ(splitter.append(chunk), "");
+    EXPECT_TRUE(splitter.hasOversizedEvent());
+    EXPECT_FALSE(splitter.hasPartialEvent()) << "the bytes are still held";
+    splitter.restart();
+    EXPECT_EQ(splitter.append("id: 1\n\n"), "id: 1\n\n");
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -327,6 +327,48 @@
     EXPECT_EQ(requestsAt(0) + requestsAt(1), 1);
 }
 
+// Sends the head of a stream and then a byte now and then, without ever completing an event.
+void trickle(boost::asio::io_context& context, const std::shared_ptr<http_responder>& responder)
+{
+    if (responder->closed())
+        return;
+    responder->write("x");
+    auto timer = std::make_shared<boost::asio::steady_timer>(context, 50ms);
+    timer->async_wait([&context, responder, timer](boost::system::error_code status) {
+        if (!status)
+            trickle(context, responder);
+    });
+}
+
+TEST_F(request_dispatcher_test, streamThatSendsAByteNowAndThen_isContinuedElsewhere)
+{
+    // A stalled endpoint whose bytes complete no event passed for a live one, and its caller waited until the deadline.
+    endpoint("one", [this](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        trickle(m_threads.context(0), responder);
+    });
+    endpoint("two", streamEvents(3, true));
+    start(true, true, 2, 9s);
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 2; ++i)
+        EXPECT_NE(send("GET").body.find("id: 3"), std::string::npos);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 5s);
+}
+
+TEST_F(request_dispatcher_test, eventWithoutEnd_endsTheAttempt)
+{
+    // Bytes without end inside one event would be held until the deadline.
+    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        for (int i = 0; i < 64; ++i)
+            responder->write(std::string(65536, 'x'));
+    });
+    start(false, true, 1, 9s);
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(send("GET").status, 502U);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 5s);
+}
+
 // Sends one event, pauses (for longer than the idle timeout of streams), then sends the rest.
 http_handler streamWithPause(boost::asio::io_context& context, duration pause)
 {
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -51,6 +51,9 @@
     duration connectTimeout = std::chrono::seconds(1);
     /// Longest time without progress while writing the request or while waiting for and reading the response.
     duration idleTimeout = std::chrono::seconds(30);
+    /// Longest time for a whole call of send(), so that a peer that sends a byte now and then does not hold it for ever; streamed calls
+    /// are not limited.
+    duration totalTimeout = std::chrono::minutes(2);
     /// Limit of the response body of send(); streamed bodies are not limited.
     std::size_t maxBodyBytes = 64U << 20;
     /// Reuses an idle keep-alive connection if one is available.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -366,9 +366,16 @@
     struct collector {
         std::string body;
         bool tooLarge = false;
+        bool tookTooLong = false;
         std::weak_ptr<http_call> call;
+        asio::steady_timer timer;
+
+        explicit collector(asio::io_context& context)
+            : timer(context)
+        {
+        }
     };
-    auto state = std::make_shared<collector>();
+    auto state = std::make_shared<collector>(m_cache->context);
     http_stream_handlers handlers;
     handlers.onData = [state, limit = options.maxBodyBytes](std::string_view bytes) {
         if (state->body.size() + bytes.size() <= limit) {
@@ -380,8 +387,13 @@
             call->cancel();
     };
     handlers.onDone = [state, onDone = std::move(onDone)](const http_result& result) {
+        state->timer.cancel();
         http_result fullResult = result;
         fullResult.response.body = std::move(state->body);
+        if (state->tookTooLong) {
+            fullResult.failure = http_failure::idle;
+            fullResult.detail = "the response was not complete within the time limit of the call";
+        }
         if (state->tooLarge) {
             fullResult.failure = http_failure::invalid;
             fullResult.detail = "response body exceeds the size limit";
@@ -390,6 +402,14 @@
     };
     auto call = stream(address, std::move(request), options, std::move(handlers));
     state->call = call;
+    state->timer.expires_after(options.totalTimeout);
+    state->timer.async_wait([state](boost::system::error_code status) {
+        const auto running = state->call.lock();
+        if (status || !running)
+            return;
+        state->tookTooLong = true;
+        running->cancel();
+    });
     return call;
 }
 
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -1,6 +1,8 @@
 #include "http/client.h"
 
 #include <boost/asio.hpp>
+#include <atomic>
+#include <functional>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -88,5 +90,129 @@
     EXPECT_TRUE(result.ok()) << result.detail;
 }
 
+/// A server with a script for each of its connections; counts the connections.
+class scripted_server {
+public:
+    using script = std::function<void(tcp::socket& peer, std::size_t connection)>;
+
+    explicit scripted_server(script perform)
+        : m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_thread([this, perform = std::move(perform)] {
+            for (std::size_t connection = 0; !m_stopped; ++connection) {
+                boost::system::error_code status;
+                tcp::socket peer(m_context);
+                m_acceptor.accept(peer, status);
+                if (!status && !m_stopped)
+                    m_peers.emplace_back([&perform, connection, socket = std::move(peer)]() mutable { perform(socket, connection); });
+            }
+            for (auto& peer : m_peers)
+                peer.join();
+        })
+    {
+    }
+    ~scripted_server()
+    {
+        m_stopped = true;
+        asio::io_context context;
+        tcp::socket wake(context);
+        boost::system::error_code ignored;
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+private:
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopped = false;
+    std::vector<std::thread> m_peers;
+    std::thread m_thread;
+};
+
+std::string readRequest(tcp::socket& peer)
+{
+    std::string text;
+    boost::system::error_code status;
+    const auto size = asio::read_until(peer, asio::dynamic_buffer(text), "\r\n\r\n", status);
+    return text.substr(0, size);
+}
+
+std::string answer(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class client_in_trouble_test : public testing::Test {
+protected:
+    http_result call(const std::string& address, const std::string& target, http_call_options options = {})
+    {
+        std::optional<http_result> result;
+        m_client.send(address, { "GET", target, {}, {} }, options, [&](http_result done) { result = std::move(done); });
+        m_context.restart();
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (!result && m_context.run_one_until(end) > 0) { }
+        return result.value_or(http_result {});
+    }
+
+    asio::io_context m_context { 1 };
+    http_client m_client { m_context };
+};
+
+// Guards against an answer that goes to the next caller: a server sent a second copy of it, late, on a connection in use again.
+TEST_F(client_in_trouble_test, connection_with_a_second_copy_of_an_answer_is_not_used_again)
+{
+    scripted_server server([](tcp::socket& peer, std::size_t connection) {
+        boost::system::error_code ignored;
+        readRequest(peer);
+        const auto body = "connection " + std::to_string(connection);
+        asio::write(peer, asio::buffer(answer(body)), ignored);
+        asio::write(peer, asio::buffer(answer(body)), ignored);
+        readRequest(peer);
+    });
+    EXPECT_EQ(call(server.address(), "/a").response.body, "connection 0");
+    std::this_thread::sleep_for(50ms);
+    EXPECT_EQ(call(server.address(), "/b").response.body, "connection 1");
+}
+
+// Guards against a call that never ends: a body that arrives byte by byte keeps the idle timeout from expiring.
+TEST_F(client_in_trouble_test, body_that_arrives_byte_by_byte_ends_at_the_total_timeout)
+{
+    scripted_server server([](tcp::socket& peer, std::size_t) {
+        boost::system::error_code status;
+        readRequest(peer);
+        asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")), status);
+        while (!status) {
+            asio::write(peer, asio::buffer("x", 1), status);
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    http_call_options options;
+    options.idleTimeout = 200ms;
+    options.totalTimeout = 500ms;
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = call(server.address(), "/", options);
+    EXPECT_EQ(httpFailureNames.name(result.failure), "idle");
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 5s);
+}
+
+// Guards against memory that fills up with bytes that are no answer: they may come without end, in a head or in a body.
+TEST_F(client_in_trouble_test, endless_head_and_endless_body_end_the_call)
+{
+    for (const std::string start : { "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" }) {
+        const bool isChunked = start.find("chunked") != std::string::npos;
+        scripted_server server([&](tcp::socket& peer, std::size_t) {
+            boost::system::error_code status;
+            readRequest(peer);
+            asio::write(peer, asio::buffer(start), status);
+            const auto chunk = isChunked ? "400\r\n" + std::string(1024, 'x') + "\r\n" : std::string(1024, 'x');
+            while (!status)
+                asio::write(peer, asio::buffer(chunk), status);
+        });
+        http_call_options options;
+        options.maxBodyBytes = 1 << 20;
+        EXPECT_EQ(httpFailureNames.name(call(server.address(), "/", options).failure), "invalid") << start;
+    }
+}
+
 } // namespace
 } // namespace carawaylink
