--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -28,6 +28,8 @@
         if (!listed.contains(id))
             m_changedAt[id.value] = offset;
     }
+    if (!m_isLoaded)
+        m_completeSince = offset;
     const bool changed = m_table.replaceAll(changes, now) || !m_isLoaded;
     m_isLoaded = true;
     if (changed) {
@@ -133,6 +135,7 @@
 void endpoint_registry::fillUpdate(peer::store_updateT& update, monotonic_time now) const
 {
     update.removals_held_ms = removalsHeldMs(now);
+    update.base_offset = std::max(update.base_offset, m_completeSince);
     for (const auto& [key, offset] : m_changedAt) {
         if (offset <= update.base_offset)
             continue;
--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -33,7 +33,8 @@
     void onStoreReconnected(duration outage, monotonic_time now);
     /// Applies deferred removals that are due; returns whether the usable endpoints changed.
     bool expire(std::uint64_t offset, monotonic_time now);
-    /// Fills an update for peers with the changes after update.base_offset.
+    /// Fills an update for peers with the changes after update.base_offset, which is raised to the offset from which this node knows all
+    /// changes.
     void fillUpdate(peer::store_updateT& update, monotonic_time now) const;
     /// Forgets which endpoints changed at or before the offset.
     void forgetChangesUpTo(std::uint64_t offset);
@@ -60,6 +61,8 @@
     // Offset up to which the log was read when the endpoint last changed.
     std::map<std::string, std::uint64_t> m_changedAt;
     std::uint64_t m_changedOffset = 0;
+    // Offset of the first snapshot or copy. What was removed before is unknown here.
+    std::uint64_t m_completeSince = 0;
     bool m_isLoaded = false;
 };
 
--- a/libs/gateway/tests/endpoint_registry_tests.cpp
+++ b/libs/gateway/tests/endpoint_registry_tests.cpp
@@ -131,6 +131,20 @@
     EXPECT_EQ(m_receiver.changedOffset(), 20U);
 }
 
+TEST_F(endpoint_registry_test, updateOfRestartedReader_claimsNothingAboutRemovalsBeforeItsStart)
+{
+    // A restarted reader passed on its snapshot as all changes since the beginning. Nodes that had not read the removal of an endpoint yet
+    // took it for complete, and sent requests 2.2 s after the endpoint had left (platecommons lost-readers, seed 1072832969117).
+    m_receiver.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_reader.replaceAll({ { "a", "ready" } }, 11, m_now);
+    peer::store_updateT update;
+    update.base_offset = 0;
+    update.offset = 11;
+    m_reader.fillUpdate(update, m_now);
+    EXPECT_EQ(update.base_offset, 11U) << "a receiver at offset 10 must read the store itself";
+    EXPECT_TRUE(update.changes.empty());
+}
+
 TEST_F(endpoint_registry_test, removalInUpdateOfReaderWithoutOutage_takesEffectImmediately)
 {
     // As for copies: a removal deferred on top of the read interval lets requests reach an endpoint that has left.
