--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -159,7 +159,7 @@
         .field("left", m_quotas.remaining(team.name, now))
         .field("rate_per_s", team.ratePerSecond)
         .field("burst", team.burst)
-        .field("reachable_nodes", m_fleet.reachable)
+        .field("reporting_nodes", m_fleet.reachable)
         .field("possible_nodes", m_fleet.possible);
 }
 
