Refuse grants for endpoints that left while requests still run there

Cause: an endpoint that is no longer listed stays in the pool until its running requests have ended. A grant of an owner that learned of the removal later than this node would have been accepted as long as another request ran there.

Change: adopt() refuses endpoints that are not listed.

Test: service_pool_test.requestForEndpointThatLeft_isNotAdoptedWhileOthersStillRunThere.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -171,7 +171,7 @@
 
     void submit(waiting_request request);
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
-    /// timed_out. Returns false if the endpoint is unknown or draining.
+    /// timed_out. Returns false if the endpoint is draining or no longer listed.
     bool adopt(const adopted_request& request, monotonic_time now);
     /// Removes a waiting request; returns false if it is not waiting.
     bool withdraw(std::uint64_t id);
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -143,7 +143,7 @@
         running.isAdopted = true;
     }
     countRunning(endpoint, request.id, std::move(running), now);
-    return !endpoint.record.draining;
+    return endpoint.isListed && !endpoint.record.draining;
 }
 
 bool service_pool::withdraw(std::uint64_t id)
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -242,6 +242,15 @@
     EXPECT_EQ(grantedIds(m_pool.decide(m_now + 10ms)), std::vector<std::uint64_t> { 2 });
 }
 
+TEST_F(service_pool_test, requestForEndpointThatLeft_isNotAdoptedWhileOthersStillRunThere)
+{
+    // An endpoint that leaves without notice keeps serving what it has; an owner that learns of it later must not add to that.
+    listEndpoints({ "fast", "slow" }, 4);
+    ASSERT_TRUE(m_pool.adopt({ 1, {}, replica_id { "fast" }, tokens { 1000 }, tokens { 90 }, 100ms, true }, m_now));
+    listEndpoints({ "slow" }, 4);
+    EXPECT_FALSE(m_pool.adopt({ 2, {}, replica_id { "fast" }, tokens { 1000 }, tokens { 90 }, 100ms, false }, m_now));
+}
+
 TEST_F(service_pool_test, adoptedRequest_afterItsFirstEvent_countsNoPrefill)
 {
     // Counting the whole prompt of a running response would keep other prompts off the endpoint for its whole duration.
