Let the scripted server of the client tests end its open connections

The server's script waited for a request on a connection that the client had kept, since the second copy of the answer had not arrived yet when the first was complete; the server joined that script before the client was destroyed. The fault is in the test's server, not in the client.

Change: the server shuts its connections down before it joins their scripts.

--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -100,13 +100,16 @@
         , m_thread([this, perform = std::move(perform)] {
             for (std::size_t connection = 0; !m_stopped; ++connection) {
                 boost::system::error_code status;
-                tcp::socket peer(m_context);
-                m_acceptor.accept(peer, status);
+                auto peer = std::make_shared<tcp::socket>(m_context);
+                m_acceptor.accept(*peer, status);
                 if (!status && !m_stopped)
-                    m_peers.emplace_back([&perform, connection, socket = std::move(peer)]() mutable { perform(socket, connection); });
+                    m_peers.push_back({ peer, std::thread([&perform, connection, peer] { perform(*peer, connection); }) });
+            }
+            // A script may still wait for a request on a connection that the client keeps.
+            for (auto& peer : m_peers) {
+                ::shutdown(peer.socket->native_handle(), SHUT_RDWR);
+                peer.thread.join();
             }
-            for (auto& peer : m_peers)
-                peer.join();
         })
     {
     }
@@ -122,10 +125,15 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
 
 private:
+    struct peer_connection {
+        std::shared_ptr<tcp::socket> socket;
+        std::thread thread;
+    };
+
     asio::io_context m_context;
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopped = false;
-    std::vector<std::thread> m_peers;
+    std::vector<peer_connection> m_peers;
     std::thread m_thread;
 };
 
