Count members without copying them, and keep one copy of the session id's layout

Found when the whole change was read again; behaviour stays as it is. - store_sync::rank() copied and sorted the ids of all reachable nodes on each tick, and fleet_members::size() built a set of all possible nodes; both ran 40 times a second on every node and grow with the fleet. They count now. - The layout of a session id stood in slot_client.cpp and slot_owner.cpp; it moves to slot_messages.h. - slot_owner::nodeCount, fleet_members::isReachable(node) and setRecords of the test fleet were not used.

--- a/libs/gateway/src/fleet_members.cpp
+++ b/libs/gateway/src/fleet_members.cpp
@@ -41,11 +41,10 @@
 fleet_size fleet_members::size(monotonic_time now) const
 {
     fleet_size result;
-    std::set<node_id> possible { m_self };
     for (const auto& [node, member] : m_members) {
         const bool hasEnded = member.info.state == member_state::left || (member.info.draining && !member.isReachable());
         if (member.isReachable() || (!hasEnded && now - member.since < possibleNodeTimeout))
-            possible.insert(node);
+            ++result.possible;
         if (member.isReachable())
             ++result.reachable;
         if (!member.isServing())
@@ -55,10 +54,9 @@
             ++result.rank;
     }
     if (now - m_startedAt < possibleNodeTimeout) {
-        std::ranges::copy_if(
-            m_listed, std::inserter(possible, possible.end()), [this](const node_id& node) { return !m_members.contains(node); });
+        result.possible += static_cast<std::size_t>(
+            std::ranges::count_if(m_listed, [this](const node_id& node) { return node != m_self && !m_members.contains(node); }));
     }
-    result.possible = std::max(possible.size(), result.reachable);
     return result;
 }
 
@@ -108,10 +106,10 @@
     return found == m_members.end() ? incarnation {} : found->second.info.run;
 }
 
-bool fleet_members::isReachable(const node_id& node) const
+std::size_t fleet_members::reachableBefore() const
 {
-    const auto found = m_members.find(node);
-    return found != m_members.end() && found->second.isReachable();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_members, [this](const auto& entry) { return entry.first < m_self && entry.second.isReachable(); }));
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/fleet_members.h
+++ b/libs/gateway/src/fleet_members.h
@@ -46,7 +46,8 @@
     node_id nodeFor(std::uint64_t key) const;
     /// Identity of the node's latest process.
     incarnation runOf(const node_id& node) const;
-    bool isReachable(const node_id& node) const;
+    /// Number of reachable nodes with lower addresses than this one.
+    std::size_t reachableBefore() const;
     /// Increases whenever a node becomes reachable or unreachable, or begins or stops to accept callers.
     std::uint64_t version() const { return m_version; }
 
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -163,9 +163,10 @@
     if (m_endpoints.expire(m_endpointFollower->offset(), now))
         onEndpointsChanged();
     const bool wasReader = m_isReader;
-    m_isReader = reachesStore() && m_readers.shouldRead(m_self, rank(), now);
+    const auto rank = m_members.reachableBefore();
+    m_isReader = reachesStore() && m_readers.shouldRead(m_self, rank, now);
     if (m_isReader != wasReader)
-        m_log.event(m_isReader ? "reads_store_for_all" : "reads_store_no_longer").field("rank", rank());
+        m_log.event(m_isReader ? "reads_store_for_all" : "reads_store_no_longer").field("rank", rank);
     adjustReadTiming(now);
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
@@ -174,12 +175,6 @@
         requestCopy(now);
 }
 
-std::size_t store_sync::rank() const
-{
-    const auto nodes = m_members.reachable();
-    return static_cast<std::size_t>(std::ranges::lower_bound(nodes, m_self) - nodes.begin());
-}
-
 void store_sync::adjustReadTiming(monotonic_time now)
 {
     const bool readsAtFullRate = m_isReader || !reachesStore();
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -59,7 +59,6 @@
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
     void requestCopy(monotonic_time now);
-    std::size_t rank() const;
 
     boost::asio::io_context& m_context;
     const gateway_settings& m_settings;
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -8,6 +8,9 @@
 
 namespace carawaylink::placement {
 
+/// A session id counts the sessions of a process in its lower bits; the others identify the run of the process.
+inline constexpr unsigned sessionCounterBits = 32;
+
 /// Progress of a running response; events: complete events so far.
 struct progress_report {
     std::uint64_t id = 0;
--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -29,7 +29,6 @@
     std::vector<addressed_reply> takeReplies(monotonic_time now);
 
     pool_load load() const { return m_pool.totalLoad(); }
-    std::size_t nodeCount() const { return m_nodes.size(); }
 
 private:
     /// State of one node's session.
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -23,7 +23,6 @@
 constexpr double minLoadDifference = 0.1;
 // A request waits at least this long in the queue of a full pool before it moves to another, and one request moves at a time.
 constexpr auto rebalanceInterval = std::chrono::milliseconds(25);
-constexpr unsigned sessionCounterBits = 32;
 
 } // namespace
 
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -15,8 +15,6 @@
 constexpr auto maxPause = std::chrono::milliseconds(400);
 // Weight of a speed that the owner did not measure itself.
 constexpr std::uint32_t initialSpeedSamples = 3;
-// The upper half of a session id identifies the run of the node's process, the lower half counts its sessions.
-constexpr unsigned sessionCounterBits = 32;
 
 // A call of an earlier session of the same process may arrive late, over a connection that was replaced.
 bool opensNewSession(std::uint64_t session, std::uint64_t current)
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -92,11 +92,6 @@
         m_live = live;
         updateViews();
     }
-    void setRecords(std::vector<discovery::endpoint_record> records)
-    {
-        m_records = std::move(records);
-        updateViews();
-    }
 
     std::size_t ownerOfPool(std::uint32_t number = 0) const
     {
