--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -24,6 +24,8 @@
     /// Id of the last event that the caller received from this stream.
     std::optional<std::uint64_t> lastEventId;
     std::string key;
+    /// Ids of the prompt's parts that other requests may share, in order; the last part, which is the request's own, is left out.
+    std::vector<std::string> sharedParts;
 };
 
 /// Values that the gateway adds to a request when it dispatches it to an endpoint.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -53,6 +53,14 @@
     return result.sent ? placement::outcome::broken : placement::outcome::unreachable;
 }
 
+std::string commaSeparated(const std::vector<std::string>& entries)
+{
+    std::string text;
+    for (const auto& entry : entries)
+        text.append(text.empty() ? "" : ",").append(entry);
+    return text;
+}
+
 } // namespace
 
 exchange::exchange(request_dispatcher& dispatcher, admitted_request admitted, std::shared_ptr<http_responder> responder)
@@ -341,6 +349,7 @@
         .field("after_ms", inMilliseconds(std::chrono::steady_clock::now() - m_sentAt))
         .field("events", m_splitter.eventCount())
         .field("again", willRetry)
+        .field("shared_parts", commaSeparated(m_admitted.metadata.sharedParts))
         .field("detail", '"' + detail + '"');
     m_dispatcher.metrics().attemptFailed(result);
 }
