--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -7,7 +7,7 @@
 
 namespace carawaylink::gateway {
 
-/// Codec for tests. Callers send the headers "attempt", "left" (ms) and "key"; endpoints respond with "ran: no" if they did not
+/// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond with "ran: no" if they did not
 /// execute the request and with "other: yes" if they are not the addressed replica.
 class test_codec : public protocol_codec {
 public:
@@ -18,12 +18,16 @@
         if (const auto left = request.header("left"))
             metadata.timeLeft = std::chrono::milliseconds(std::stoi(std::string(*left)));
         metadata.key = request.header("key").value_or("");
+        if (const auto part = request.header("part"))
+            metadata.sharedParts = { "common", std::string(*part) };
         return metadata;
     }
     std::vector<http_header> endpointHeaders(const http_request& request, const dispatch_metadata& metadata) const override
     {
         std::vector<http_header> headers { { "attempt", std::string(request.header("attempt").value_or("")) },
             { "replica", metadata.replica.value } };
+        if (const auto part = request.header("part"))
+            headers.push_back({ "part", std::string(*part) });
         if (metadata.lastEventId)
             headers.push_back({ "after", std::to_string(*metadata.lastEventId) });
         return headers;
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <numeric>
+#include <thread>
 
 namespace carawaylink::gateway {
 namespace {
@@ -120,6 +122,32 @@
         return blocking_http_client().send(m_address, request, responseTimeout);
     }
 
+    http_response sendWithPart(const std::string& part)
+    {
+        const http_request request { "GET", "/p/x", { { "Host", "host" }, { "attempt", "a1" }, { "part", part } }, {} };
+        return blocking_http_client().send(m_address, request, responseTimeout);
+    }
+
+    // Ends with its process as soon as it gets a request with the part "deadly".
+    void mortalEndpoint(const std::string& name)
+    {
+        const auto index = m_endpoints.size();
+        endpoint(name, [this, index](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+            if (request.header("part") != "deadly") {
+                responder->send({ 200, {}, "whole" });
+                return;
+            }
+            m_endpoints[index]->server.stopAccepting();
+            responder->abort();
+        });
+    }
+
+    int requestsAtAll() const
+    {
+        return std::accumulate(m_endpoints.begin(), m_endpoints.end(), 0,
+            [](int total, const auto& entry) { return total + entry->requests; });
+    }
+
     int requestsAt(std::size_t index) const { return m_endpoints[index]->requests; }
 
     static http_handler respondWith(unsigned status, std::vector<http_header> headers = {}, std::string body = "whole")
@@ -416,5 +444,22 @@
     EXPECT_EQ(response.body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n");
 }
 
+TEST_F(request_dispatcher_test, promptPartThatCrashesEndpoints_isKeptFromTheOthers)
+{
+    // Requests of one kind crashed one endpoint after the other, since each crash only moved the next such request to a sound endpoint.
+    for (int i = 0; i < 16; ++i)
+        mortalEndpoint("endpoint-" + std::to_string(i));
+    start(true, false, 1);
+    for (int i = 0; i < 10; ++i) {
+        sendWithPart("deadly");
+        std::this_thread::sleep_for(250ms);
+        EXPECT_EQ(sendWithPart("sound").status, 200U);
+    }
+    EXPECT_LE(requestsAtAll() - 10, 5);
+    const auto refusal = sendWithPart("deadly");
+    EXPECT_EQ(refusal.status, 503U);
+    EXPECT_TRUE(refusal.header("Retry-After"));
+}
+
 } // namespace
 } // namespace carawaylink::gateway
