Quarantine prompt parts that crash the endpoints that answer them

Cause: the end of an endpoint was blamed on the endpoint alone; the request that caused it was sent to the next sound endpoint, again and again, and no node knew what the others had seen.

Now a node that loses a request before the first event of its answer finds out by a connection whether the endpoint has ended, and reports the shared parts of the requests lost there to two nodes that correlate the crashes of the service. A part that stands in crashes at three separate moments, without an answer on any node since the first, is quarantined for a minute (twice as long each further time): its requests are refused as not executed, those that wait or run without an answer end at once. Nodes that start or come back learn the parts in force from those before them within a second. The deepest part goes first, so that the parts that sound requests share stay in use.

--- /dev/null
+++ b/libs/gateway/src/endpoint_probe.cpp
@@ -0,0 +1,60 @@
+#include "endpoint_probe.h"
+
+#include "tcp_endpoint.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace carawaylink::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto connectTimeout = std::chrono::milliseconds(300);
+// The listening socket of a process that crashes may outlive its connections for a moment.
+constexpr auto connectDelay = std::chrono::milliseconds(20);
+
+struct probe : std::enable_shared_from_this<probe> {
+    probe(asio::io_context& context, const endpoint_id& address, std::function<void(bool)> handler)
+        : target(tcpEndpoint(address.value))
+        , onResult(std::move(handler))
+        , socket(context)
+        , timer(context)
+    {
+    }
+
+    void start()
+    {
+        timer.expires_after(connectDelay);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code) { self->connect(); });
+    }
+
+    void connect()
+    {
+        timer.expires_after(connectTimeout);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code status) {
+            if (!status)
+                self->socket.close(status);
+        });
+        socket.async_connect(target, [self = shared_from_this()](boost::system::error_code status) {
+            self->timer.cancel();
+            const bool timedOut = status == asio::error::operation_aborted || status == asio::error::timed_out;
+            self->onResult(timedOut || status == asio::error::connection_refused || status == asio::error::host_unreachable);
+        });
+    }
+
+    asio::ip::tcp::endpoint target;
+    std::function<void(bool)> onResult;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+};
+
+} // namespace
+
+void probeEndpoint(asio::io_context& context, const endpoint_id& address, std::function<void(bool hasEnded)> onResult)
+{
+    std::make_shared<probe>(context, address, std::move(onResult))->start();
+}
+
+} // namespace carawaylink::gateway
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -234,6 +234,7 @@
 void exchange::forward(std::string events)
 {
     m_dispatcher.recordProgress(*this, m_splitter.eventCount() - m_eventsBeforeAttempt);
+    recordAnswer();
     if (!m_firstEventAt)
         m_firstEventAt = m_lastProgressAt;
     else
@@ -292,6 +293,7 @@
             "status " + std::to_string(m_head.status));
         return;
     }
+    recordAnswer();
     http_response response { m_head.status, m_dispatcher.codec().callerHeaders(m_head), std::move(m_body) };
     if (m_head.status >= statusServerError) {
         m_endpointFailure = std::move(response);
@@ -315,6 +317,8 @@
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
     recordAttemptFailure(result);
+    if (result == placement::outcome::broken && m_splitter.eventCount() == m_eventsBeforeAttempt)
+        m_dispatcher.recordUnansweredLoss(*this, m_grant);
     // An unreachable endpoint did no work, so its retry needs no budget. A replaced one does: another process answered the request.
     const bool willRetry = canRetry(result, now) && (result == placement::outcome::unreachable || tryTakeRetry());
     endAttempt(result, detail, willRetry);
@@ -324,6 +328,12 @@
         sendFailure(result);
 }
 
+void exchange::recordAnswer()
+{
+    if (!std::exchange(m_isAnswered, true))
+        m_dispatcher.recordAnswer(*this);
+}
+
 void exchange::recordAttemptFailure(placement::outcome result)
 {
     if (!wasNotExecuted(result))
@@ -442,16 +452,33 @@
 {
     if (m_state == state::done)
         return;
+    abandonAttempt();
+    finish("caller_left");
+}
+
+void exchange::abandonAttempt()
+{
     ++m_callNumber;
-    const bool wasWaiting = m_state == state::waiting;
     cancelReplacement();
     if (const auto call = std::exchange(m_call, nullptr))
         call->cancel();
-    if (wasWaiting)
+    if (m_state == state::waiting)
         m_dispatcher.withdraw(*this);
     else
         recordOutcome(placement::outcome::cancelled);
-    finish("caller_left");
+}
+
+void exchange::endUnanswered(std::string_view reason, duration retryAfter)
+{
+    if (m_state == state::done || m_isAnswered)
+        return;
+    if (m_state != state::waiting)
+        m_mayHaveExecuted = true;
+    abandonAttempt();
+    if (m_mayHaveExecuted)
+        respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), reason);
+    else
+        respond(refusalResponse(statusUnavailable, reason, retryAfter), reason);
 }
 
 void exchange::recordOutcome(placement::outcome result)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -25,6 +25,7 @@
     monotonic_time responseDeadline;
     tokens expectedOutput { 0 };
     tokens prompt { 0 };
+    prompt_quarantine::parts sharedParts;
 };
 
 /// One request from admission to its final response: sends it to the granted endpoints, relays the response, retries where that is
@@ -38,6 +39,8 @@
     void onRefused(const placement::refusal& refusal);
     /// Enforces the deadline and requests a replacement for an unresponsive endpoint.
     void tick(monotonic_time now);
+    /// Refuses the request unless an endpoint has begun to answer it; cancels its attempt.
+    void endUnanswered(std::string_view reason, duration retryAfter);
     /// Aborts the request immediately; used when a drain reaches its deadline.
     void terminate();
 
@@ -69,6 +72,9 @@
     void onStreamComplete();
     void forward(std::string events);
     void attemptFailed(placement::outcome result, const std::string& detail);
+    void recordAnswer();
+    /// Cancels the attempt, or withdraws the request while it waits.
+    void abandonAttempt();
     void recordAttemptFailure(placement::outcome result);
     bool canRetry(placement::outcome result, monotonic_time now) const;
     bool tryTakeRetry();
@@ -93,6 +99,8 @@
     /// The reserved quota units were committed.
     bool m_isQuotaCommitted = false;
     bool m_headForwarded = false;
+    /// An endpoint began to answer.
+    bool m_isAnswered = false;
     /// A request for a replacement endpoint is queued in the pool.
     bool m_isReplacementPending = false;
     /// One retry was taken from the budget and not used yet.
--- a/libs/gateway/src/peer_links.cpp
+++ b/libs/gateway/src/peer_links.cpp
@@ -1,5 +1,7 @@
 #include "peer_links.h"
 
+#include "tcp_endpoint.h"
+
 #include "base/error.h"
 #include "http/message.h"
 
@@ -37,12 +39,6 @@
     return frame;
 }
 
-tcp::endpoint endpointOf(const std::string& address)
-{
-    const auto parsed = parseAddress(address);
-    return { asio::ip::make_address(parsed.ip), parsed.port };
-}
-
 void setSocketOptions(tcp::socket& socket)
 {
     boost::system::error_code ignored;
@@ -78,7 +74,7 @@
             if (!status && !self->m_isConnected)
                 self->close();
         });
-        m_socket.async_connect(endpointOf(m_peer.value), [self = shared_from_this()](boost::system::error_code status) {
+        m_socket.async_connect(tcpEndpoint(m_peer.value), [self = shared_from_this()](boost::system::error_code status) {
             if (self->m_isClosed)
                 return;
             if (status) {
@@ -248,7 +244,7 @@
 void peer_links::listen()
 {
     try {
-        const auto endpoint = endpointOf(m_self.value);
+        const auto endpoint = tcpEndpoint(m_self.value);
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(endpoint);
--- /dev/null
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -0,0 +1,266 @@
+#include "prompt_quarantine.h"
+
+#include "peer_codec.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <utility>
+#include <xxhash.h>
+
+namespace carawaylink::gateway {
+
+namespace {
+
+using quarantine::part_hash;
+
+// A node that starts gets the parts in force from those before it within this time.
+constexpr auto upkeepInterval = std::chrono::seconds(1);
+constexpr std::size_t passOnFanOut = 3;
+// A node that takes over the correlation gets the crashes of this time again.
+constexpr auto repeatedCrashTime = std::chrono::seconds(20);
+constexpr std::size_t maxRepeatedCrashes = 256;
+constexpr auto watchTime = std::chrono::seconds(60);
+// A node that was paused for longer may have unread reports of answers.
+constexpr auto maxTickInterval = std::chrono::milliseconds(500);
+
+std::uint32_t milliseconds(duration span)
+{
+    return static_cast<std::uint32_t>(std::max<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
+}
+
+std::string hexadecimal(part_hash part)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << part.value;
+    return text.str();
+}
+
+peer::quarantine_updateT encode(std::span<const quarantine::quarantine_entry> entries)
+{
+    peer::quarantine_updateT update;
+    for (const auto& entry : entries)
+        update.parts.emplace_back(entry.part.value, milliseconds(entry.remaining), entry.convictions);
+    return update;
+}
+
+} // namespace
+
+prompt_quarantine::prompt_quarantine(node_id self, decision_log& log, sender send)
+    : m_self(std::move(self))
+    , m_log(log)
+    , m_send(std::move(send))
+    , m_nodes({ m_self })
+{
+}
+
+std::uint64_t prompt_quarantine::collectorKey(const service_id& service)
+{
+    return XXH64(service.value.data(), service.value.size(), 0);
+}
+
+prompt_quarantine::parts prompt_quarantine::partsOf(const service_id& service, std::span<const std::string> sharedParts)
+{
+    const auto seed = collectorKey(service);
+    parts result;
+    std::ranges::transform(
+        sharedParts, std::back_inserter(result), [seed](const std::string& id) { return part_hash { XXH64(id.data(), id.size(), seed) }; });
+    return result;
+}
+
+std::optional<duration> prompt_quarantine::remaining(const parts& requested, monotonic_time now) const
+{
+    std::optional<duration> longest;
+    for (const auto part : requested)
+        longest = std::max(longest, m_list.remaining(part, now));
+    return longest;
+}
+
+void prompt_quarantine::recordAnswer(const parts& answered, monotonic_time now)
+{
+    for (const auto part : answered) {
+        m_answers.record(part, now);
+        const auto watched = m_watches.find(part);
+        if (watched == m_watches.end())
+            continue;
+        peer::part_answersT report;
+        report.service = watched->second.service.value;
+        report.answers.emplace_back(part.value, 0);
+        const auto collector = watched->second.collector;
+        m_watches.erase(watched);
+        send(collector, report);
+    }
+}
+
+void prompt_quarantine::recordCrash(
+    const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now)
+{
+    if (m_crashes.size() >= maxRepeatedCrashes)
+        m_crashes.pop_front();
+    m_crashes.push_back(
+        { { quarantine::service_hash { collectorKey(service) }, quarantine::replica_hash { replicaHash(replica) }, unanswered }, now, {} });
+    auto line = m_log.event("endpoint_crashed");
+    line.field("service", service).field("replica", replica);
+    std::ranges::for_each(unanswered, [&line](part_hash part) { line.field("part", hexadecimal(part)); });
+}
+
+void prompt_quarantine::tick(const fleet_members& members, monotonic_time now)
+{
+    if (std::exchange(m_membersVersion, members.version()) != members.version())
+        m_nodes = members.reachable();
+    if (now - std::exchange(m_lastTickAt, now) > maxTickInterval)
+        m_correlator.suspectAnew();
+    sendCrashes(members, now);
+    sendWatches(now);
+    announceConvictions(now);
+    if (now - m_lastUpkeepAt < upkeepInterval)
+        return;
+    m_lastUpkeepAt = now;
+    m_list.expire(now);
+    std::erase_if(m_watches, [now](const auto& entry) { return entry.second.until < now; });
+    passOn(now);
+}
+
+std::vector<node_id> prompt_quarantine::collectorsOf(quarantine::service_hash service, const fleet_members& members) const
+{
+    std::vector<node_id> collectors { members.nodeFor(service.value) };
+    if (m_nodes.size() > 1)
+        collectors.push_back(nodeAfter(collectors.front(), 1));
+    return collectors;
+}
+
+const node_id& prompt_quarantine::nodeAfter(const node_id& node, std::size_t steps) const
+{
+    const auto position = static_cast<std::size_t>(std::ranges::lower_bound(m_nodes, node) - m_nodes.begin());
+    return m_nodes[(position + steps) % m_nodes.size()];
+}
+
+void prompt_quarantine::sendCrashes(const fleet_members& members, monotonic_time now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().time > repeatedCrashTime)
+        m_crashes.pop_front();
+    for (auto& reported : m_crashes) {
+        peer::crash_reportT report;
+        report.service = reported.crash.service.value;
+        report.replica = reported.crash.replica.value;
+        report.age_ms = milliseconds(now - reported.time);
+        std::ranges::transform(reported.crash.parts, std::back_inserter(report.parts), &part_hash::value);
+        auto collectors = collectorsOf(reported.crash.service, members);
+        for (const auto& collector : collectors) {
+            if (std::ranges::find(reported.collectors, collector) == reported.collectors.end())
+                send(collector, report);
+        }
+        reported.collectors = std::move(collectors);
+    }
+}
+
+void prompt_quarantine::sendWatches(monotonic_time now)
+{
+    std::map<quarantine::service_hash, peer::part_watchT> requests;
+    for (const auto& suspect : m_correlator.takeSuspects(m_list, now)) {
+        auto& request = requests[suspect.service];
+        request.service = suspect.service.value;
+        request.parts.push_back(suspect.part.value);
+        m_log.event("part_suspected").field("part", hexadecimal(suspect.part));
+    }
+    for (const auto& [service, request] : requests)
+        std::ranges::for_each(m_nodes, [&](const node_id& node) { send(node, request); });
+}
+
+void prompt_quarantine::announceConvictions(monotonic_time now)
+{
+    for (const auto& convicted : m_correlator.takeConvictions(m_list, now)) {
+        m_log.event("part_convicted")
+            .field("part", hexadecimal(convicted.entry.part))
+            .field("crashes", convicted.crashes)
+            .field("all_crashes", convicted.allCrashes)
+            .field("first_crash_age_ms", milliseconds(convicted.elapsed))
+            .field("convictions", convicted.entry.convictions)
+            .field("quarantine_ms", milliseconds(convicted.entry.remaining));
+        const auto update = encode({ &convicted.entry, 1 });
+        for (const auto& node : m_nodes) {
+            if (node != m_self)
+                send(node, update);
+        }
+        m_onQuarantined();
+    }
+}
+
+// A node without knowledge gets the entries from those before it in the order of addresses, so that no request for them is needed.
+void prompt_quarantine::passOn(monotonic_time now)
+{
+    const auto entries = m_list.inForce(now);
+    if (entries.empty())
+        return;
+    for (std::size_t step = 1; step <= std::min(passOnFanOut, m_nodes.size() - 1); ++step)
+        send(nodeAfter(m_self, step), encode(entries));
+}
+
+bool prompt_quarantine::receive(const node_id& node, const peer::envelopeT& message, monotonic_time now)
+{
+    if (const auto* report = message.body.Ascrash_report())
+        receive(*report, now);
+    else if (const auto* request = message.body.Aspart_watch())
+        receive(node, *request, now);
+    else if (const auto* answers = message.body.Aspart_answers())
+        receive(*answers, now);
+    else if (const auto* update = message.body.Asquarantine_update())
+        receive(*update, now);
+    else
+        return false;
+    return true;
+}
+
+void prompt_quarantine::receive(const peer::crash_reportT& report, monotonic_time now)
+{
+    quarantine::endpoint_crash crash { quarantine::service_hash { report.service }, quarantine::replica_hash { report.replica }, {} };
+    std::ranges::transform(report.parts, std::back_inserter(crash.parts), [](std::uint64_t part) { return part_hash { part }; });
+    m_correlator.addCrash(crash, now - std::chrono::milliseconds(report.age_ms));
+}
+
+void prompt_quarantine::receive(const node_id& node, const peer::part_watchT& request, monotonic_time now)
+{
+    peer::part_answersT report;
+    report.service = request.service;
+    for (const auto hash : request.parts) {
+        const part_hash part { hash };
+        m_watches[part] = { node, quarantine::service_hash { request.service }, now + watchTime };
+        if (const auto answered = m_answers.lastAnswer(part))
+            report.answers.emplace_back(hash, milliseconds(now - *answered));
+    }
+    if (!report.answers.empty())
+        send(node, report);
+}
+
+void prompt_quarantine::receive(const peer::part_answersT& report, monotonic_time now)
+{
+    for (const auto& answer : report.answers) {
+        m_correlator.addAnswer(
+            { quarantine::service_hash { report.service }, part_hash { answer.part() } }, now - std::chrono::milliseconds(answer.age_ms()));
+    }
+}
+
+void prompt_quarantine::receive(const peer::quarantine_updateT& update, monotonic_time now)
+{
+    bool hasNew = false;
+    for (const auto& entry : update.parts) {
+        const part_hash part { entry.part() };
+        if (!m_list.merge({ part, entry.convictions(), std::chrono::milliseconds(entry.remaining_ms()) }, now))
+            continue;
+        hasNew = true;
+        m_log.event("part_quarantined")
+            .field("part", hexadecimal(part))
+            .field("convictions", entry.convictions())
+            .field("remaining_ms", entry.remaining_ms());
+    }
+    if (hasNew)
+        m_onQuarantined();
+}
+
+template <typename Message> void prompt_quarantine::send(const node_id& node, const Message& message)
+{
+    peer::envelopeT envelope;
+    envelope.body.Set(Message(message));
+    m_send(node, std::move(envelope));
+}
+
+} // namespace carawaylink::gateway
--- /dev/null
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "decision_log.h"
+#include "discovery/endpoint_table.h"
+#include "fleet_members.h"
+#include "quarantine/crash_correlator.h"
+#include "quarantine/recent_answers.h"
+#include "wire/generated/peer_state_generated.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace carawaylink::gateway {
+
+/// Keeps the requests with prompt parts that crash endpoints away from them, fleet-wide. For each service two nodes correlate the crashes
+/// that all nodes report, each by itself; they ask the nodes about answers and tell them which parts are quarantined. The nodes pass the
+/// quarantine on to nodes that start. Does no I/O.
+class prompt_quarantine {
+public:
+    using sender = std::function<void(const node_id& node, peer::envelopeT message)>;
+    using parts = std::vector<quarantine::part_hash>;
+
+    prompt_quarantine(node_id self, decision_log& log, sender send);
+
+    /// The node in charge of this key, and the next one by address, correlate the crashes of the service.
+    static std::uint64_t collectorKey(const service_id& service);
+    static parts partsOf(const service_id& service, std::span<const std::string> sharedParts);
+
+    /// Called when further parts are quarantined.
+    void setOnQuarantined(std::function<void()> handler) { m_onQuarantined = std::move(handler); }
+    /// Time for which requests with any of the parts are refused; nullopt if they are not.
+    std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
+    /// An endpoint began to answer a request with these parts.
+    void recordAnswer(const parts& answered, monotonic_time now);
+    /// An endpoint's process ended while it had not begun to answer requests with these parts.
+    void recordCrash(const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now);
+
+    /// Sends what is due; call every few tens of milliseconds.
+    void tick(const fleet_members& members, monotonic_time now);
+    /// Returns false if the message is not about quarantine.
+    bool receive(const node_id& node, const peer::envelopeT& message, monotonic_time now);
+
+private:
+    struct reported_crash {
+        quarantine::endpoint_crash crash;
+        monotonic_time time;
+        /// Nodes that the crash was reported to.
+        std::vector<node_id> collectors;
+    };
+    /// A node that wants to know when a part is answered.
+    struct watch {
+        node_id collector;
+        quarantine::service_hash service;
+        monotonic_time until;
+    };
+
+    std::vector<node_id> collectorsOf(quarantine::service_hash service, const fleet_members& members) const;
+    void sendCrashes(const fleet_members& members, monotonic_time now);
+    void sendWatches(monotonic_time now);
+    void announceConvictions(monotonic_time now);
+    void passOn(monotonic_time now);
+    /// The node that follows by this many steps in the order of addresses, which is closed to a ring.
+    const node_id& nodeAfter(const node_id& node, std::size_t steps) const;
+    void receive(const peer::crash_reportT& report, monotonic_time now);
+    void receive(const node_id& node, const peer::part_watchT& request, monotonic_time now);
+    void receive(const peer::part_answersT& report, monotonic_time now);
+    void receive(const peer::quarantine_updateT& update, monotonic_time now);
+    template <typename Message> void send(const node_id& node, const Message& message);
+
+    node_id m_self;
+    decision_log& m_log;
+    sender m_send;
+    std::function<void()> m_onQuarantined = [] {};
+    quarantine::crash_correlator m_correlator;
+    quarantine::quarantine_list m_list;
+    quarantine::recent_answers m_answers;
+    std::deque<reported_crash> m_crashes;
+    std::unordered_map<quarantine::part_hash, watch> m_watches;
+    /// Reachable nodes in ascending order, and the version of the members that they stem from.
+    std::vector<node_id> m_nodes;
+    std::uint64_t m_membersVersion = 0;
+    monotonic_time m_lastUpkeepAt {};
+    monotonic_time m_lastTickAt {};
+};
+
+} // namespace carawaylink::gateway
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -72,9 +72,15 @@
     , m_slots(context, m_self, settings.domain, log, m_random())
     , m_quotas(m_self, m_random(), settings.isFirstStart, settings.quotaWindow, std::chrono::steady_clock::now(),
           [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
+    , m_quarantine(m_self, log, [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
+    , m_crashes(context,
+          [this](const discovery::replica_id& replica, const service_id& service, const prompt_quarantine::parts& unanswered) {
+              m_quarantine.recordCrash(service, replica, unanswered, std::chrono::steady_clock::now());
+          })
     , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
 {
     setPeerHandlers([](const node_id&, const peer::envelopeT&) {}, [](const node_id&) {});
+    m_quarantine.setOnQuarantined([this] { endQuarantined(); });
 }
 
 request_dispatcher::~request_dispatcher() = default;
@@ -125,6 +131,11 @@
         reject(statusUnavailable, "stopping", minRetryAfter);
         return;
     }
+    admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
+    if (const auto remaining = m_quarantine.remaining(admitted.sharedParts, now)) {
+        reject(statusUnavailable, "quarantined_prompt", *remaining);
+        return;
+    }
     if (team) {
         admitted.teamTier = team->tier.value_or(tier { 0 });
         admitted.team = team->name;
@@ -238,7 +249,7 @@
     else if (const auto* totals = message.body.Asquota_totals())
         m_quotas.receive(sender, *totals, now);
     else
-        return false;
+        return m_quarantine.receive(sender, message, now);
     return true;
 }
 
@@ -263,6 +274,7 @@
     }
     m_fleet = m_members->size(now);
     m_quotas.tick(*m_members, now);
+    m_quarantine.tick(*m_members, now);
     m_metrics.setWaiting(m_slots.waitingCount());
     m_slots.tick();
     m_metrics.setActive(m_exchanges.size());
@@ -340,6 +352,29 @@
     return retryBudget(name).takeRetry(m_fleet.possible, std::chrono::steady_clock::now());
 }
 
+void request_dispatcher::recordAnswer(const exchange& source)
+{
+    m_quarantine.recordAnswer(source.admitted().sharedParts, std::chrono::steady_clock::now());
+}
+
+void request_dispatcher::recordUnansweredLoss(const exchange& source, const placement::grant& grant)
+{
+    if (!source.admitted().sharedParts.empty())
+        m_crashes.recordLoss(grant.replica, grant.address, source.service(), source.admitted().sharedParts);
+}
+
+void request_dispatcher::endQuarantined()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::pair<std::shared_ptr<exchange>, duration>> ended;
+    for (const auto& [id, entry] : m_exchanges) {
+        if (const auto remaining = m_quarantine.remaining(entry->admitted().sharedParts, now))
+            ended.emplace_back(entry, *remaining);
+    }
+    for (const auto& [entry, remaining] : ended)
+        entry->endUnanswered("quarantined_prompt", remaining);
+}
+
 void request_dispatcher::commitQuota(const team_id& team, double units)
 {
     m_quotas.commit(team, units, std::chrono::steady_clock::now());
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_detector.h"
 #include "decision_log.h"
 #include "gateway/gateway_node.h"
 #include "gateway/protocol_codec.h"
@@ -7,6 +8,7 @@
 #include "http/server.h"
 #include "limits/retry_budget.h"
 #include "metrics.h"
+#include "prompt_quarantine.h"
 #include "routing/route_table.h"
 #include "slot_coordinator.h"
 #include "team_quotas.h"
@@ -57,6 +59,10 @@
     void finishAttempt(const exchange& source, placement::outcome result, std::size_t events);
     duration firstEventTimeout(const exchange& source) const;
     bool tryTakeRetry(const service_id& service);
+    /// An endpoint began to answer.
+    void recordAnswer(const exchange& source);
+    /// The connection to the endpoint was lost before it began to answer.
+    void recordUnansweredLoss(const exchange& source, const placement::grant& grant);
     /// Converts the reserved units of a request that was sent into usage.
     void commitQuota(const team_id& team, double units);
     /// Releases the reserved units of a request that was not sent.
@@ -74,6 +80,8 @@
     void send(const node_id& node, peer::envelopeT message);
     void apply(const placement::pool_decisions& decisions);
     void logWait(const placement::wait_report& wait);
+    /// Ends the requests whose prompt parts are quarantined.
+    void endQuarantined();
 
     const gateway_settings& m_settings;
     const protocol_codec& m_codec;
@@ -85,6 +93,8 @@
     node_id m_self;
     slot_coordinator m_slots;
     team_quotas m_quotas;
+    prompt_quarantine m_quarantine;
+    crash_detector m_crashes;
     fleet_members m_noMembers;
     const fleet_members* m_members = &m_noMembers;
     std::map<service_id, limits::retry_budget> m_retryBudgets;
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -144,8 +144,8 @@
 
     int requestsAtAll() const
     {
-        return std::accumulate(m_endpoints.begin(), m_endpoints.end(), 0,
-            [](int total, const auto& entry) { return total + entry->requests; });
+        return std::accumulate(
+            m_endpoints.begin(), m_endpoints.end(), 0, [](int total, const auto& entry) { return total + entry->requests; });
     }
 
     int requestsAt(std::size_t index) const { return m_endpoints[index]->requests; }
--- /dev/null
+++ b/libs/quarantine/include/quarantine/quarantine_list.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "quarantine/prompt_part.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace carawaylink::quarantine {
+
+struct quarantine_entry {
+    part_hash part;
+    /// How often the part was quarantined, including this time.
+    unsigned convictions = 0;
+    duration remaining {};
+};
+
+/// Prompt parts whose requests are refused, because they crashed the endpoints that answered them. Each further conviction of a part
+/// doubles the time. Parts stay known after their time, on probation. Does no I/O and reads no clock.
+class quarantine_list {
+public:
+    /// Quarantines the part once more.
+    quarantine_entry convict(part_hash part, monotonic_time now);
+    /// Takes over an entry of another node; returns false if it is known already.
+    bool merge(const quarantine_entry& entry, monotonic_time now);
+
+    /// Time for which requests with the part are refused; nullopt if they are not.
+    std::optional<duration> remaining(part_hash part, monotonic_time now) const;
+    /// How often the part was quarantined; 0 if it is not known.
+    unsigned convictionsOf(part_hash part) const;
+    /// Entries in force.
+    std::vector<quarantine_entry> inForce(monotonic_time now) const;
+    /// Whether another part can be quarantined.
+    bool hasRoom(monotonic_time now) const;
+    /// Forgets the parts whose probation is over.
+    void expire(monotonic_time now);
+
+private:
+    struct part_state {
+        unsigned convictions = 0;
+        monotonic_time until {};
+    };
+
+    std::unordered_map<part_hash, part_state> m_parts;
+};
+
+} // namespace carawaylink::quarantine
--- /dev/null
+++ b/libs/quarantine/tests/crash_correlator_tests.cpp
@@ -0,0 +1,151 @@
+#include "quarantine/crash_correlator.h"
+
+#include <gtest/gtest.h>
+
+namespace carawaylink::quarantine {
+namespace {
+
+using namespace std::chrono_literals;
+
+const service_hash service { 1 };
+const part_hash common { 10 };
+const part_hash deadly { 11 };
+const part_hash rare { 12 };
+
+class crash_correlator_test : public testing::Test {
+protected:
+    // An endpoint of its own ends with these parts, after the pause.
+    void crash(std::vector<part_hash> parts, duration pause = 300ms)
+    {
+        m_now += pause;
+        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, std::move(parts) }, m_now);
+    }
+
+    void answer(part_hash part) { m_correlator.addAnswer({ service, part }, m_now); }
+
+    std::vector<part_hash> suspects()
+    {
+        std::vector<part_hash> parts;
+        for (const auto& entry : m_correlator.takeSuspects(m_known, m_now))
+            parts.push_back(entry.part);
+        return parts;
+    }
+
+    // Convictions after the time in which nodes report answers; suspects are asked for, as a node does.
+    std::vector<part_hash> convictions()
+    {
+        std::vector<part_hash> parts;
+        for (int step = 0; step < 4; ++step) {
+            m_correlator.takeSuspects(m_known, m_now);
+            m_now += 100ms;
+            for (const auto& entry : m_correlator.takeConvictions(m_known, m_now))
+                parts.push_back(entry.entry.part);
+        }
+        return parts;
+    }
+
+    crash_correlator m_correlator;
+    quarantine_list m_known;
+    monotonic_time m_now { 100s };
+    std::uint64_t m_replicas = 0;
+};
+
+TEST_F(crash_correlator_test, partInThreeCrashesWithoutAnswer_isConvicted)
+{
+    // Requests with one part went on to crash endpoint after endpoint, because no node related the crashes to what ran there.
+    crash({ common, deadly });
+    EXPECT_TRUE(suspects().empty());
+    crash({ common, deadly });
+    EXPECT_EQ(suspects(), (std::vector { common, deadly }));
+    answer(common);
+    crash({ common, deadly, rare });
+    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_TRUE(m_known.remaining(deadly, m_now));
+}
+
+TEST_F(crash_correlator_test, partThatIsAnsweredBetweenCrashes_isNeverConvicted)
+{
+    // Guards against refusing the sound requests that share their other parts with those that crash endpoints.
+    for (int i = 0; i < 20; ++i) {
+        crash({ common });
+        answer(common);
+        EXPECT_TRUE(convictions().empty());
+    }
+}
+
+TEST_F(crash_correlator_test, endpointsThatEndTogether_convictNoPart)
+{
+    // Guards against blaming a popular part when a zone loses its endpoints at one moment.
+    for (int i = 0; i < 8; ++i)
+        crash({ common }, 10ms);
+    EXPECT_TRUE(convictions().empty());
+}
+
+TEST_F(crash_correlator_test, reportsOfOneEndpoint_countAsOneCrash)
+{
+    // Several nodes report the end of one endpoint, each with its own requests.
+    for (int i = 0; i < 4; ++i) {
+        m_now += 200ms;
+        m_correlator.addCrash({ service, replica_hash { 1 }, { deadly } }, m_now);
+    }
+    EXPECT_TRUE(convictions().empty());
+}
+
+TEST_F(crash_correlator_test, partInFewOfManyCrashes_isNotConvicted)
+{
+    // Guards against refusing a rare part because endpoints end for other reasons all the time.
+    for (int i = 0; i < 15; ++i)
+        crash(i % 5 == 0 ? std::vector { rare } : std::vector<part_hash> {});
+    EXPECT_TRUE(convictions().empty());
+}
+
+TEST_F(crash_correlator_test, candidatesWithoutAnswers_convictDeepestPartFirst)
+{
+    // The first part is shared by all requests of the route; convicting it would refuse them all, and no answer could clear it.
+    for (int i = 0; i < 3; ++i)
+        crash({ common, deadly });
+    EXPECT_EQ(convictions(), std::vector { deadly });
+}
+
+TEST_F(crash_correlator_test, partThatWasAnsweredBeforeItsCrashes_isConvictedAfterOthersAreCleared)
+{
+    // A part may become deadly with a new version of the endpoints; answers from before do not protect it.
+    crash({ common, deadly });
+    answer(common);
+    answer(deadly);
+    for (int i = 0; i < 3; ++i)
+        crash({ common, deadly });
+    suspects();
+    answer(common);
+    EXPECT_EQ(convictions(), std::vector { deadly });
+}
+
+TEST_F(crash_correlator_test, twoDeadlyParts_areBothConvicted)
+{
+    for (int i = 0; i < 3; ++i) {
+        crash({ deadly });
+        crash({ rare });
+    }
+    EXPECT_EQ(convictions().size(), 2U);
+}
+
+TEST_F(crash_correlator_test, partOnProbation_isConvictedByOneCrash)
+{
+    // After its time a quarantined part may take one more endpoint, not three.
+    m_known.convict(deadly, m_now);
+    m_now += 2min;
+    crash({ common, deadly });
+    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(m_known.convictionsOf(deadly), 2U);
+}
+
+TEST_F(crash_correlator_test, crashesReportedAnewToAnotherNode_keepTheirTimes)
+{
+    // The node that correlates may be lost; its successor gets the recent crashes with their ages, all at once and out of order.
+    for (const auto age : { 200ms, 900ms, 500ms })
+        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, { deadly } }, m_now - age);
+    EXPECT_EQ(convictions(), std::vector { deadly });
+}
+
+} // namespace
+} // namespace carawaylink::quarantine
