Let a quarantine that another node decided explain its crashes

The two nodes that correlate crashes decide independently. A part that is in force now takes its crashes out of the evidence of all nodes, and reports that arrive later are not counted.

--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -214,7 +214,7 @@
 {
     quarantine::endpoint_crash crash { quarantine::service_hash { report.service }, quarantine::replica_hash { report.replica }, {} };
     std::ranges::transform(report.parts, std::back_inserter(crash.parts), [](std::uint64_t part) { return part_hash { part }; });
-    m_correlator.addCrash(crash, now - std::chrono::milliseconds(report.age_ms));
+    m_correlator.addCrash(crash, now - std::chrono::milliseconds(report.age_ms), m_list, now);
 }
 
 void prompt_quarantine::receive(const node_id& node, const peer::part_watchT& request, monotonic_time now)
@@ -247,6 +247,7 @@
         if (!m_list.merge({ part, entry.convictions(), std::chrono::milliseconds(entry.remaining_ms()) }, now))
             continue;
         hasNew = true;
+        m_correlator.explainCrashes(part);
         m_log.event("part_quarantined")
             .field("part", hexadecimal(part))
             .field("convictions", entry.convictions())
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -151,6 +151,7 @@
         pass(200ms);
     }
     pass(300ms);
+    EXPECT_FALSE(isRefused(0, soundPrompt));
     stopNode(5);
     pass(2s);
     startNode(5);
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -35,10 +35,13 @@
 /// longer count against others. Does no I/O and reads no clock.
 class crash_correlator {
 public:
-    void addCrash(const endpoint_crash& crash, monotonic_time endedAt);
+    /// Crashes with a part in force are explained by it and not counted.
+    void addCrash(const endpoint_crash& crash, monotonic_time endedAt, const quarantine_list& known, monotonic_time now);
     /// An endpoint began to answer a request with the part.
     void addAnswer(const suspected_part& part, monotonic_time answeredAt);
 
+    /// The part is quarantined: it explains the crashes with it, which no longer count against others.
+    void explainCrashes(part_hash part);
     /// Asks for the answers on all suspected parts again, because reports of them may be outstanding.
     void suspectAnew();
     /// Parts about whose answers the nodes have to be asked now; each once until an answer is reported.
--- a/libs/quarantine/src/crash_correlator.cpp
+++ b/libs/quarantine/src/crash_correlator.cpp
@@ -36,8 +36,10 @@
 
 } // namespace
 
-void crash_correlator::addCrash(const endpoint_crash& crash, monotonic_time endedAt)
+void crash_correlator::addCrash(const endpoint_crash& crash, monotonic_time endedAt, const quarantine_list& known, monotonic_time now)
 {
+    if (std::ranges::any_of(crash.parts, [&](part_hash part) { return known.remaining(part, now).has_value(); }))
+        return;
     auto& service = m_services[crash.service];
     const auto isSame = [&](const crash_record& entry) {
         return entry.replica == crash.replica && entry.time < endedAt + sameCrashTime && endedAt < entry.time + sameCrashTime;
@@ -72,6 +74,14 @@
     service->second.hasChanged = true;
 }
 
+void crash_correlator::explainCrashes(part_hash part)
+{
+    for (auto& [hash, service] : m_services) {
+        if (service.parts.contains(part))
+            removeExplained(service, part);
+    }
+}
+
 void crash_correlator::suspectAnew()
 {
     for (auto& [hash, service] : m_services)
--- a/libs/quarantine/tests/crash_correlator_tests.cpp
+++ b/libs/quarantine/tests/crash_correlator_tests.cpp
@@ -18,7 +18,7 @@
     void crash(std::vector<part_hash> parts, duration pause = 300ms)
     {
         m_now += pause;
-        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, std::move(parts) }, m_now);
+        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, std::move(parts) }, m_now, m_known, m_now);
     }
 
     void answer(part_hash part) { m_correlator.addAnswer({ service, part }, m_now); }
@@ -86,7 +86,7 @@
     // Several nodes report the end of one endpoint, each with its own requests.
     for (int i = 0; i < 4; ++i) {
         m_now += 200ms;
-        m_correlator.addCrash({ service, replica_hash { 1 }, { deadly } }, m_now);
+        m_correlator.addCrash({ service, replica_hash { 1 }, { deadly } }, m_now, m_known, m_now);
     }
     EXPECT_TRUE(convictions().empty());
 }
@@ -129,6 +129,18 @@
     EXPECT_EQ(convictions().size(), 2U);
 }
 
+TEST_F(crash_correlator_test, partConvictedElsewhere_explainsItsCrashes)
+{
+    // The node that correlated in parallel convicted the part that all requests of the route share, out of the same crashes.
+    for (int i = 0; i < 3; ++i)
+        crash({ common, deadly });
+    suspects();
+    m_known.merge({ deadly, 1, 60s }, m_now);
+    m_correlator.explainCrashes(deadly);
+    crash({ common, deadly });
+    EXPECT_TRUE(convictions().empty());
+}
+
 TEST_F(crash_correlator_test, partOnProbation_isConvictedByOneCrash)
 {
     // After its time a quarantined part may take one more endpoint, not three.
@@ -143,7 +155,7 @@
 {
     // The node that correlates may be lost; its successor gets the recent crashes with their ages, all at once and out of order.
     for (const auto age : { 200ms, 900ms, 500ms })
-        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, { deadly } }, m_now - age);
+        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, { deadly } }, m_now - age, m_known, m_now);
     EXPECT_EQ(convictions(), std::vector { deadly });
 }
 
