--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -44,6 +44,8 @@
     bool isReplaced = false;
     /// The response carries another attempt id, or a content coding that endpoints do not produce.
     bool isMismatched = false;
+    /// Requests per second that the endpoint accepts from all nodes together while it says so.
+    std::optional<double> requestLimit;
     /// The body is a stream of server-sent events.
     bool isEventStream = false;
 };
