Keep within the request limits that endpoints name

Cause: the limit was passed on to the caller and entered no decision.

The owner of a pool now spreads its grants over time by the limit of each endpoint, whole; a node that decides without an owner uses its share of it. Nodes report limits with their next call and all they know when they open a session, so that a new owner continues; grants tell nodes the limit, so that they notice when a later answer names none, which ends it. Log: endpoint_limit.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -201,6 +201,8 @@
         attemptFailed(placement::outcome::invalid, "response to another attempt");
         return;
     }
+    if (!m_headMetadata.isReplaced)
+        m_dispatcher.recordRequestLimit(*this, m_grant, m_headMetadata.requestLimit, m_sentAt);
     const bool isStream = m_admitted.route.streaming && head.status == statusOk && m_headMetadata.isEventStream;
     m_state = isStream ? state::streaming : state::buffering;
 }
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -95,6 +95,26 @@
     return result;
 }
 
+constexpr double endedLimit = -1;
+
+std::vector<peer::slot_limit> encodeLimits(const std::vector<placement::request_limit_report>& limits)
+{
+    std::vector<peer::slot_limit> result;
+    for (const auto& limit : limits)
+        result.emplace_back(replicaHash(limit.replica), limit.perSecond.value_or(endedLimit));
+    return result;
+}
+
+std::vector<placement::request_limit_report> decodeLimits(const std::vector<peer::slot_limit>& limits, const replica_lookup& lookup)
+{
+    std::vector<placement::request_limit_report> result;
+    for (const auto& limit : limits) {
+        const auto perSecond = limit.per_second() < 0 ? std::nullopt : std::optional(limit.per_second());
+        result.push_back({ replicaOf(limit.replica(), lookup), perSecond });
+    }
+    return result;
+}
+
 } // namespace
 
 std::uint64_t replicaHash(const discovery::replica_id& id)
@@ -129,6 +149,7 @@
     }
     for (const auto& request : call.requests)
         message.requests.push_back(encodeRequest(request, now));
+    message.limits = encodeLimits(call.limits);
     return message;
 }
 
@@ -153,6 +174,7 @@
         if (request)
             call.requests.push_back(decodeRequest(*request, lookup, now));
     }
+    call.limits = decodeLimits(message.limits, lookup);
     return call;
 }
 
@@ -181,6 +203,7 @@
         message.waits.emplace_back(wait.id, encodeSpan(wait.waited), saturated<std::uint32_t>(static_cast<std::int64_t>(wait.ahead)),
             wait.unusable, wait.full, wait.prefillBusy, wait.tooSlow);
     }
+    message.limits = encodeLimits(reply.limits);
     return message;
 }
 
@@ -203,6 +226,7 @@
         reply.waitReports.push_back(
             { wait.id(), decodeSpan(wait.waited_us()), wait.ahead(), wait.unusable(), wait.full(), wait.prefill_busy(), wait.too_slow() });
     }
+    reply.limits = decodeLimits(message.limits, lookup);
     return reply;
 }
 
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -342,6 +342,12 @@
     m_slots.recordOutcome(source.service(), source.id(), result, events);
 }
 
+void request_dispatcher::recordRequestLimit(
+    const exchange& source, const placement::grant& grant, std::optional<double> perSecond, monotonic_time sentAt)
+{
+    m_slots.recordRequestLimit(source.service(), grant.replica, perSecond, sentAt);
+}
+
 duration request_dispatcher::firstEventTimeout(const exchange& source) const
 {
     return m_slots.firstEventTimeout(source.service(), source.id());
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -57,6 +57,8 @@
     void withdraw(const exchange& source);
     void recordProgress(const exchange& source, std::size_t events);
     void finishAttempt(const exchange& source, placement::outcome result, std::size_t events);
+    /// A response of the endpoint named this request limit, or none. sentAt: when its request was sent.
+    void recordRequestLimit(const exchange& source, const placement::grant& grant, std::optional<double> perSecond, monotonic_time sentAt);
     duration firstEventTimeout(const exchange& source) const;
     bool tryTakeRetry(const service_id& service);
     /// An endpoint began to answer.
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -110,6 +110,21 @@
         schedule();
 }
 
+void slot_coordinator::recordRequestLimit(
+    const service_id& name, const discovery::replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt)
+{
+    auto& client = service(name).client;
+    if (!client.recordRequestLimit(replica, perSecond, sentAt, std::chrono::steady_clock::now()))
+        return;
+    auto line = m_log.event("endpoint_limit", perSecond ? "named" : "ended");
+    line.field("service", name).field("replica", replica);
+    if (perSecond)
+        line.field("per_second", *perSecond);
+    else
+        line.field("state", "ended");
+    schedule();
+}
+
 duration slot_coordinator::firstEventTimeout(const service_id& name, std::uint64_t id) const
 {
     const auto* state = find(name);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -36,6 +36,9 @@
     bool withdraw(const service_id& service, std::uint64_t id);
     void recordProgress(const service_id& service, std::uint64_t id, std::size_t events);
     void recordOutcome(const service_id& service, std::uint64_t id, placement::outcome result, std::size_t events);
+    /// A response of the endpoint named this limit, or none.
+    void recordRequestLimit(
+        const service_id& service, const discovery::replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt);
     duration firstEventTimeout(const service_id& service, std::uint64_t id) const;
 
     /// Decides what is due; call every 25 ms.
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -8,6 +8,7 @@
 #include "placement/endpoint_health.h"
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
+#include "placement/request_limit.h"
 
 #include <algorithm>
 #include <deque>
@@ -169,6 +170,14 @@
     /// Estimates of the endpoints that have served requests.
     std::map<replica_id, endpoint_speed> speeds() const;
 
+    /// Sets the limit that an endpoint named; returns whether it differs from the one before.
+    bool setRequestLimit(const replica_id& replica, double perSecond, monotonic_time now);
+    /// A response without a limit arrived. sentAt: when its request was sent. Returns whether a limit ended.
+    bool liftRequestLimit(const replica_id& replica, monotonic_time sentAt);
+    std::optional<double> requestLimitOf(const replica_id& replica) const;
+    /// Endpoints with a limit.
+    std::map<replica_id, double> requestLimits() const;
+
     void submit(waiting_request request);
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
     /// timed_out. Returns false if the endpoint is draining or no longer listed.
@@ -198,6 +207,7 @@
         latency_model model;
         endpoint_health health;
         endpoint_load load;
+        request_limit limit;
         monotonic_time lastProgress {};
         bool isListed = true;
     };
@@ -233,7 +243,8 @@
     void beginPass(monotonic_time now);
     bool hasFreeSlot(monotonic_time now) const;
     std::optional<candidate> chooseEndpoint(const waiting_request& request, bool mustMeetTarget, monotonic_time now);
-    bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request) const;
+    bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    bool hasFreeSlot(const endpoint_state& endpoint, monotonic_time now) const;
     bool isUsable(const endpoint_state& endpoint, monotonic_time now) const;
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
@@ -241,6 +252,10 @@
     /// Longest expected gap in milliseconds between events of running responses while the prompt is prefilled.
     double expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens pendingPrefill) const;
     bool exceedsGapOnAllEndpoints(const waiting_request& request) const;
+    /// Fraction of an endpoint that this pool may use.
+    double share() const { return 1.0 / static_cast<double>(m_nodeCount); }
+    /// Position of this node among those that share the endpoint, 0 to m_nodeCount - 1; differs between endpoints.
+    std::size_t positionAt(const replica_id& replica) const;
     /// Slots of the endpoint that this pool may use.
     unsigned usableSlots(const endpoint_state& endpoint) const;
     std::optional<duration> minTimeToFirstEvent(const waiting_request& request) const;
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -32,6 +32,9 @@
     /// Records that part of the response arrived. events: complete events so far.
     void recordProgress(std::uint64_t id, std::size_t events, monotonic_time now);
     void recordOutcome(std::uint64_t id, outcome result, std::size_t events, monotonic_time now);
+    /// A response arrived that names this limit of the endpoint, or none; sentAt: when its request was sent. Returns whether the limit
+    /// changed.
+    bool recordRequestLimit(const replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt, monotonic_time now);
     /// Time after which a running request without a first event is given up.
     duration firstEventTimeout(std::uint64_t id) const { return m_local.firstEventTimeout(id); }
 
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -24,6 +24,12 @@
     std::size_t events = 0;
 };
 
+/// What the responses of an endpoint say about its limit; perSecond is nullopt if the limit ended.
+struct request_limit_report {
+    replica_id replica;
+    std::optional<double> perSecond;
+};
+
 /// From a node that serves callers to the owner of a pool. Calls of one session are numbered from 1; the first lists everything that the
 /// node has in the pool, so that an owner without any state can continue.
 struct slot_call {
@@ -42,6 +48,7 @@
     /// Requests that run on endpoints of the pool without a grant of this session.
     std::vector<adopted_request> adopted;
     std::vector<waiting_request> requests;
+    std::vector<request_limit_report> limits;
 };
 
 enum class call_status {
@@ -70,6 +77,8 @@
     std::vector<slot_grant> grants;
     std::vector<refusal> refusals;
     std::vector<wait_report> waitReports;
+    /// Limits of the endpoints that are granted.
+    std::vector<request_limit_report> limits;
 };
 
 struct addressed_call {
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -70,8 +70,10 @@
         auto& endpoint = position->second;
         const bool restarted
             = !inserted && (endpoint.record.startedAtMs != record.startedAtMs || endpoint.record.address != record.address);
-        if (restarted)
+        if (restarted) {
             endpoint.health = {};
+            endpoint.limit = {};
+        }
         endpoint.record = record;
         endpoint.isListed = true;
         if (inserted) {
@@ -122,6 +124,43 @@
     return result;
 }
 
+bool service_pool::setRequestLimit(const replica_id& replica, double perSecond, monotonic_time now)
+{
+    const auto found = m_endpoints.find(replica);
+    if (found == m_endpoints.end())
+        return false;
+    auto& limit = found->second.limit;
+    const bool hasChanged = limit.perSecond() != perSecond;
+    // Nodes that share the endpoint start at different levels, so that they do not all send at the same time.
+    limit.set(perSecond, share() * static_cast<double>(positionAt(replica)), share(), now);
+    return hasChanged;
+}
+
+bool service_pool::liftRequestLimit(const replica_id& replica, monotonic_time sentAt)
+{
+    const auto found = m_endpoints.find(replica);
+    if (found == m_endpoints.end() || !found->second.limit.lift(sentAt))
+        return false;
+    m_hasChanged = true;
+    return true;
+}
+
+std::optional<double> service_pool::requestLimitOf(const replica_id& replica) const
+{
+    const auto found = m_endpoints.find(replica);
+    return found == m_endpoints.end() ? std::nullopt : found->second.limit.perSecond();
+}
+
+std::map<replica_id, double> service_pool::requestLimits() const
+{
+    std::map<replica_id, double> result;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (const auto perSecond = endpoint.limit.perSecond())
+            result.emplace(id, *perSecond);
+    }
+    return result;
+}
+
 void service_pool::submit(waiting_request request)
 {
     m_waiting.push_back(std::move(request));
@@ -214,8 +253,13 @@
 
 bool service_pool::hasFreeSlot(monotonic_time now) const
 {
-    return std::ranges::any_of(m_usable,
-        [&](const endpoint_state* endpoint) { return endpoint->load.running < usableSlots(*endpoint) && isUsable(*endpoint, now); });
+    return std::ranges::any_of(
+        m_usable, [&](const endpoint_state* endpoint) { return hasFreeSlot(*endpoint, now) && isUsable(*endpoint, now); });
+}
+
+bool service_pool::hasFreeSlot(const endpoint_state& endpoint, monotonic_time now) const
+{
+    return endpoint.load.running < usableSlots(endpoint) && endpoint.limit.allows(share(), now);
 }
 
 // The margin keeps requests that would narrowly miss their target from being ordered before those that can meet it.
@@ -246,7 +290,7 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!isUsable(endpoint, now) || isExcluded(endpoint, request))
             ++report.unusable;
-        else if (!hasCapacity(endpoint, request))
+        else if (!hasCapacity(endpoint, request, now))
             ++report.full;
         else if (!keepsEventGap(endpoint, request))
             ++report.prefillBusy;
@@ -274,7 +318,7 @@
         return *exceedsEverywhere;
     };
     for (auto* endpoint : m_usable) {
-        if (!hasCapacity(*endpoint, request) || isExcluded(*endpoint, request) || !isUsable(*endpoint, now) || !mayPrefill(*endpoint))
+        if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request) || !isUsable(*endpoint, now) || !mayPrefill(*endpoint))
             continue;
         const auto first = endpoint->model.timeToFirstEvent(endpoint->load.pendingPrefill, work);
         if (now + first > (mustMeetTarget ? request.target : request.deadline))
@@ -345,13 +389,17 @@
     const auto slots = std::max(endpoint.record.slots, 1U);
     const auto baseSlots = static_cast<unsigned>(slots / m_nodeCount);
     const auto remainder = slots % m_nodeCount;
-    const auto position = (m_rank + std::hash<std::string> {}(endpoint.record.id.value)) % m_nodeCount;
-    return baseSlots + (position < remainder ? 1 : 0);
+    return baseSlots + (positionAt(endpoint.record.id) < remainder ? 1 : 0);
 }
 
-bool service_pool::hasCapacity(const endpoint_state& endpoint, const waiting_request& request) const
+std::size_t service_pool::positionAt(const replica_id& replica) const
 {
-    if (endpoint.load.running >= usableSlots(endpoint))
+    return (m_rank + std::hash<std::string> {}(replica.value)) % m_nodeCount;
+}
+
+bool service_pool::hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const
+{
+    if (!hasFreeSlot(endpoint, now))
         return false;
     // An idle endpoint accepts a request of any size; one above the memory limit could not be placed otherwise.
     if (!m_limits.memory || endpoint.load.running == 0)
@@ -425,8 +473,10 @@
         endpoint.lastProgress = now;
     ++endpoint.load.running;
     endpoint.load.memory.value += running.memory.value;
-    if (!running.firstEventAt)
+    if (!running.firstEventAt) {
         endpoint.load.pendingPrefill.value += running.work.value;
+        endpoint.limit.use(share(), now);
+    }
     m_running[id] = std::move(running);
 }
 
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -224,6 +224,19 @@
         m_hasUrgentCalls = true;
 }
 
+bool slot_client::recordRequestLimit(const replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt, monotonic_time now)
+{
+    const bool hasChanged = perSecond ? m_local.setRequestLimit(replica, *perSecond, now) : m_local.liftRequestLimit(replica, sentAt);
+    if (!perSecond && !hasChanged)
+        return false;
+    // Limits are repeated, because another node may have reported the end of an earlier one.
+    auto& link = m_links[poolOfReplica(replica)];
+    if (link.isOpen)
+        link.next.limits.push_back({ replica, perSecond });
+    m_hasUrgentCalls = m_hasUrgentCalls || hasChanged;
+    return hasChanged;
+}
+
 void slot_client::receive(const node_id& owner, const slot_reply& reply, monotonic_time now)
 {
     if (wasPaused(now)) {
@@ -255,6 +268,10 @@
     else if (link.awaitingSince)
         link.awaitingSince = now;
     link.load = reply.load;
+    for (const auto& limit : reply.limits) {
+        if (limit.perSecond)
+            m_local.setRequestLimit(limit.replica, *limit.perSecond, now);
+    }
     for (const auto& granted : reply.grants)
         onGrant(reply.pool.number, granted, now);
     for (const auto& refused : reply.refusals) {
@@ -411,7 +428,8 @@
             link.next.wantsReply = true;
         }
         const auto& next = link.next;
-        if (!next.wantsReply && next.withdrawn.empty() && next.progress.empty() && next.outcomes.empty() && next.adopted.empty())
+        if (!next.wantsReply && next.withdrawn.empty() && next.progress.empty() && next.outcomes.empty() && next.adopted.empty()
+            && next.limits.empty())
             return std::nullopt;
     }
     auto call = std::exchange(link.next, {});
@@ -453,6 +471,10 @@
         if (entry.pool == pool)
             link.next.requests.push_back(entry.request);
     }
+    for (const auto& [replica, perSecond] : m_local.requestLimits()) {
+        if (poolOfReplica(replica) == pool)
+            link.next.limits.push_back({ replica, perSecond });
+    }
 }
 
 void slot_client::collectProgress(std::uint32_t pool)
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -97,6 +97,12 @@
             m_pool.recordOutcome(*request, report.result, report.events, now);
         forgetIfEnded(session, report.id);
     }
+    for (const auto& limit : call.limits) {
+        if (limit.perSecond)
+            m_pool.setRequestLimit(limit.replica, *limit.perSecond, now);
+        else
+            m_pool.liftRequestLimit(limit.replica, now);
+    }
     for (auto adopted : call.adopted) {
         adopted.sender = node;
         const auto id = std::exchange(adopted.id, poolRequest(node, session, adopted.id));
@@ -200,6 +206,8 @@
     for (auto& granted : decisions.grants) {
         const auto speed = m_pool.speedOf(granted.replica).value_or(endpoint_speed {});
         auto& reply = replyTo(granted);
+        if (const auto perSecond = m_pool.requestLimitOf(granted.replica))
+            reply.limits.push_back({ granted.replica, *perSecond });
         reply.grants.push_back({ std::move(granted), speed });
     }
     for (auto& refused : decisions.refusals) {
--- a/libs/placement/tests/slot_client_tests.cpp
+++ b/libs/placement/tests/slot_client_tests.cpp
@@ -335,5 +335,102 @@
     }
 }
 
+// Load on endpoints of which the first, "engine-0", names a limit in all its responses.
+class limited_endpoint_test : public testing::Test {
+protected:
+    // Requests at all nodes in turn, far above the limit; each is answered after 40 ms.
+    void load(slot_test_fleet& fleet, std::size_t nodes, duration span, std::optional<double> limit)
+    {
+        for (const auto end = fleet.now + span; fleet.now < end;) {
+            for (int i = 0; i < 4; ++i)
+                m_open.push_back({ fleet.submit(m_next++ % nodes), fleet.now + 40ms });
+            fleet.run(20ms);
+            std::erase_if(m_open, [&](const auto& request) {
+                const auto granted = fleet.grants.find(request.first);
+                if (granted == fleet.grants.end() || fleet.now < request.second)
+                    return false;
+                if (granted->second.replica.value == "engine-0")
+                    fleet.nameLimit(request.first, limit);
+                fleet.finish(request.first);
+                return true;
+            });
+        }
+    }
+
+    // Most requests that reached the endpoint in any 4 s after the given time.
+    static std::size_t mostIn4s(const slot_test_fleet& fleet, monotonic_time from)
+    {
+        const auto& all = fleet.grantTimes.at("engine-0");
+        std::size_t most = 0;
+        for (auto first = std::ranges::lower_bound(all, from); first != all.end(); ++first)
+            most = std::max(most, static_cast<std::size_t>(std::ranges::lower_bound(all, *first + 4s) - first));
+        return most;
+    }
+
+    // What an endpoint with this limit accepts in 4 s.
+    static std::size_t acceptedIn4s(double limit) { return static_cast<std::size_t>(1.5 * limit * 4 + 5); }
+
+    std::vector<std::pair<std::uint64_t, monotonic_time>> m_open;
+    std::size_t m_next = 0;
+};
+
+TEST_F(limited_endpoint_test, allNodesTogether_keepWithinTheLimit)
+{
+    // An endpoint got far more requests than the limit that it had named, because no node read it.
+    for (const std::size_t nodes : { 4U, 30U }) {
+        slot_test_fleet fleet(nodes, engineRecords(1, 20));
+        load(fleet, nodes, 1s, 3);
+        const auto from = fleet.now;
+        load(fleet, nodes, 8s, 3);
+        EXPECT_LE(mostIn4s(fleet, from), acceptedIn4s(3)) << nodes;
+        EXPECT_GE(mostIn4s(fleet, from), 9U) << nodes;
+    }
+}
+
+TEST_F(limited_endpoint_test, requestsBeyondTheLimit_areServedByOthers)
+{
+    slot_test_fleet fleet(4, engineRecords(4, 20));
+    load(fleet, 4, 4s, 3);
+    EXPECT_TRUE(fleet.refusals.empty());
+}
+
+TEST_F(limited_endpoint_test, lostOwner_isSucceededByOneThatKeepsTheLimit)
+{
+    // Guards against a limit that is forgotten when the pool changes its owner, or that each node uses whole while there is none.
+    slot_test_fleet fleet(6, engineRecords(1, 20));
+    load(fleet, 6, 1s, 3);
+    const auto from = fleet.now;
+    load(fleet, 6, 2s, 3);
+    const auto lost = fleet.ownerOfPool();
+    fleet.cut(lost);
+    load(fleet, 6, 1s, 3);
+    std::set<std::size_t> live { 0, 1, 2, 3, 4, 5 };
+    live.erase(lost);
+    fleet.setLive(live);
+    load(fleet, 6, 5s, 3);
+    EXPECT_LE(mostIn4s(fleet, from), acceptedIn4s(3));
+}
+
+TEST_F(limited_endpoint_test, limitThatIsNamedNoMore_ends)
+{
+    slot_test_fleet fleet(4, engineRecords(1, 20));
+    load(fleet, 4, 4s, 3);
+    load(fleet, 4, 1s, std::nullopt);
+    const auto from = fleet.now;
+    load(fleet, 4, 4s, std::nullopt);
+    EXPECT_GT(mostIn4s(fleet, from), 100U);
+}
+
+TEST_F(limited_endpoint_test, limitOfZero_isAskedNowAndThen)
+{
+    // Only responses tell that a limit ended; without requests an endpoint would stay unused for ever.
+    slot_test_fleet fleet(4, engineRecords(1, 20));
+    load(fleet, 4, 1s, 0);
+    const auto from = fleet.now;
+    load(fleet, 4, 16s, 0);
+    EXPECT_LE(mostIn4s(fleet, from), acceptedIn4s(0));
+    EXPECT_GE(mostIn4s(fleet, from), 1U);
+}
+
 } // namespace
 } // namespace carawaylink::placement
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -67,6 +67,12 @@
         grants.erase(id);
     }
 
+    /// The response of a granted request names a limit of its endpoint, or none.
+    void nameLimit(std::uint64_t id, std::optional<double> perSecond)
+    {
+        m_nodes[m_home.at(id)]->client.recordRequestLimit(grants.at(id).replica, perSecond, m_grantedAt.at(id), now);
+    }
+
     /// Lets time pass in steps of a millisecond.
     void run(duration span)
     {
@@ -114,6 +120,8 @@
     monotonic_time now { 100s };
     /// Grants of unfinished requests.
     std::map<std::uint64_t, grant> grants;
+    /// Times of all grants by endpoint.
+    std::map<std::string, std::vector<monotonic_time>> grantTimes;
     std::vector<refusal> refusals;
     std::size_t messages = 0;
 
@@ -176,8 +184,11 @@
         for (auto& entry : node.owned.takeReplies(now))
             post({ now + messageDelay, index, indexOf(entry.node), std::nullopt, std::move(entry.reply) });
         const auto decisions = node.client.decide(now);
-        for (const auto& granted : decisions.grants)
+        for (const auto& granted : decisions.grants) {
             grants.insert_or_assign(granted.id, granted);
+            m_grantedAt[granted.id] = now;
+            grantTimes[granted.replica.value].push_back(now);
+        }
         refusals.insert(refusals.end(), decisions.refusals.begin(), decisions.refusals.end());
         if (!isTick && !node.client.hasUrgentCalls())
             return;
@@ -215,6 +226,7 @@
     std::vector<std::unique_ptr<node_state>> m_nodes;
     std::vector<message> m_messages;
     std::map<std::uint64_t, std::size_t> m_home;
+    std::map<std::uint64_t, monotonic_time> m_grantedAt;
     std::set<std::size_t> m_live;
     std::set<std::size_t> m_frozen;
     std::set<std::size_t> m_cut;
