Keep the quarantine of prompt parts in the store

Cause: the quarantine lived in the processes only.

The node that convicts a part writes it to a topic of the store, which each node reads when it starts; the node in charge of the part deletes it when its time is over. A fleet that starts as a whole holds the part for its whole time again, since the age of the record is unknown (the clocks of nodes may jump). fleetThatRestartsAsAWhole_knowsTheQuarantine, endedQuarantine_isDeletedFromTheStore.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -63,6 +63,8 @@
     endpoints,
     /// Peer addresses of the fleet's nodes.
     nodes,
+    /// Prompt parts that crash endpoints.
+    quarantine,
 };
 
 struct store_record {
@@ -102,6 +104,7 @@
 
     virtual http_request readSnapshot(store_topic topic, const std::string& afterKey) const = 0;
     virtual http_request readLog(store_topic topic, std::uint64_t from, duration wait) const = 0;
+    /// An empty value deletes the key.
     virtual http_request publish(store_topic topic, const std::string& key, const std::string& value) const = 0;
     /// Both throw error(invalid_message) if the body is not a valid page.
     virtual snapshot_page decodeSnapshot(const http_response& response) const = 0;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -90,6 +90,7 @@
             members.setListed(nodes);
             membership.addSeeds({ nodes.begin(), nodes.end() });
         };
+        result.onQuarantine = [this](const std::vector<store_record>& records) { dispatcher.restoreQuarantine(records); };
         result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
         result.version = [this] { return dispatcher.version(); };
         return result;
@@ -133,6 +134,8 @@
             metricsServer.listen(settings.metricsAddress);
         dispatcher.setPeerHandlers([this](const node_id& node, peer::envelopeT message) { links.send(node, std::move(message)); },
             [this](const node_id& owner) { links.drop(owner); });
+        dispatcher.setQuarantineStore(
+            [this](const std::string& key, const std::string& value) { store.publish(store_topic::quarantine, key, value); });
         startMembership();
         store.start();
         tick();
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -3,6 +3,7 @@
 #include "peer_codec.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iomanip>
 #include <utility>
 #include <xxhash.h>
@@ -28,6 +29,13 @@
     return static_cast<std::uint32_t>(std::max<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
 }
 
+template <typename Integer> std::optional<Integer> parse(std::string_view text, int base)
+{
+    Integer value {};
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    return status == std::errc {} && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
+}
+
 std::string hexadecimal(part_hash part)
 {
     std::ostringstream text;
@@ -115,6 +123,7 @@
     if (now - m_lastUpkeepAt < upkeepInterval)
         return;
     m_lastUpkeepAt = now;
+    deleteEnded(members, now);
     m_list.expire(now);
     std::erase_if(m_watches, [now](const auto& entry) { return entry.second.until < now; });
     passOn(now);
@@ -181,10 +190,42 @@
             if (node != m_self)
                 send(node, update);
         }
+        m_store(hexadecimal(convicted.entry.part), std::to_string(convicted.entry.convictions));
         m_onQuarantined();
     }
 }
 
+void prompt_quarantine::restore(const std::vector<store_record>& records, monotonic_time now)
+{
+    bool hasNew = false;
+    for (const auto& record : records) {
+        if (!record.value)
+            continue;
+        const auto part = parse<std::uint64_t>(record.key, 16);
+        const auto convictions = parse<unsigned>(*record.value, 10);
+        if (!part || !convictions) {
+            m_log.event("quarantine_record_invalid").field("key", record.key);
+            continue;
+        }
+        if (!m_list.restore(part_hash { *part }, *convictions, now))
+            continue;
+        hasNew = true;
+        m_log.event("part_quarantined").field("part", record.key).field("convictions", *convictions).field("source", "store");
+    }
+    if (hasNew)
+        m_onQuarantined();
+}
+
+// One node deletes the record of a part whose time is over, so that it is not restored by a later start.
+void prompt_quarantine::deleteEnded(const fleet_members& members, monotonic_time now)
+{
+    for (const auto part : m_list.takeEnded(now)) {
+        m_log.event("quarantine_ended").field("part", hexadecimal(part));
+        if (members.nodeFor(part.value) == m_self)
+            m_store(hexadecimal(part), "");
+    }
+}
+
 // A node without knowledge gets the entries from those before it in the order of addresses, so that no request for them is needed.
 void prompt_quarantine::passOn(monotonic_time now)
 {
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -3,6 +3,7 @@
 #include "decision_log.h"
 #include "discovery/endpoint_table.h"
 #include "fleet_members.h"
+#include "gateway/protocol_codec.h"
 #include "quarantine/crash_correlator.h"
 #include "quarantine/recent_answers.h"
 #include "wire/generated/peer_state_generated.h"
@@ -19,11 +20,13 @@
 
 /// Keeps the requests with prompt parts that crash endpoints away from them, fleet-wide. For each service two nodes correlate the crashes
 /// that all nodes report, each by itself; they ask the nodes about answers and tell them which parts are quarantined. The nodes pass the
-/// quarantine on to nodes that start. Does no I/O.
+/// quarantine on to nodes that start; the store keeps it for a fleet that starts as a whole. Does no I/O.
 class prompt_quarantine {
 public:
     using sender = std::function<void(const node_id& node, peer::envelopeT message)>;
     using parts = std::vector<quarantine::part_hash>;
+    /// Writes a record of the quarantine; an empty value deletes the key.
+    using store_writer = std::function<void(const std::string& key, const std::string& value)>;
 
     prompt_quarantine(node_id self, decision_log& log, sender send);
 
@@ -33,6 +36,9 @@
 
     /// Called when further parts are quarantined.
     void setOnQuarantined(std::function<void()> handler) { m_onQuarantined = std::move(handler); }
+    void setStore(store_writer writer) { m_store = std::move(writer); }
+    /// Quarantines the parts that the store holds, each for its whole time, since their age is unknown.
+    void restore(const std::vector<store_record>& records, monotonic_time now);
     /// Time for which requests with any of the parts are refused; nullopt if they are not.
     std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
     /// An endpoint began to answer a request with these parts.
@@ -63,6 +69,7 @@
     void sendCrashes(const fleet_members& members, monotonic_time now);
     void sendWatches(monotonic_time now);
     void announceConvictions(monotonic_time now);
+    void deleteEnded(const fleet_members& members, monotonic_time now);
     void passOn(monotonic_time now);
     /// The node that follows by this many steps in the order of addresses, which is closed to a ring.
     const node_id& nodeAfter(const node_id& node, std::size_t steps) const;
@@ -76,6 +83,7 @@
     decision_log& m_log;
     sender m_send;
     std::function<void()> m_onQuarantined = [] {};
+    store_writer m_store = [](const std::string&, const std::string&) {};
     quarantine::crash_correlator m_correlator;
     quarantine::quarantine_list m_list;
     quarantine::recent_answers m_answers;
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -223,6 +223,11 @@
     m_slots.setMembers(members.serving(), m_fleet.rank);
 }
 
+void request_dispatcher::restoreQuarantine(const std::vector<store_record>& records)
+{
+    m_quarantine.restore(records, std::chrono::steady_clock::now());
+}
+
 void request_dispatcher::removeNode(const node_id& node)
 {
     m_slots.removeNode(node);
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -42,6 +42,9 @@
     /// Handles a message from another node; returns false if it is not about requests.
     bool receive(const node_id& sender, const peer::envelopeT& message);
     void loseConnection(const node_id& node) { m_slots.loseConnection(node); }
+    /// Takes over the quarantine that the store holds.
+    void restoreQuarantine(const std::vector<store_record>& records);
+    void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
     void beginDrain(monotonic_time until);
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -19,6 +19,8 @@
 constexpr auto passiveEndpointInterval = std::chrono::seconds(30);
 constexpr auto passiveConfigurationWait = std::chrono::seconds(30);
 constexpr auto passiveNodesInterval = std::chrono::minutes(5);
+// The quarantine is read for what was known before this process started; later changes come from the other nodes.
+constexpr auto quarantineInterval = std::chrono::minutes(5);
 // A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint must
 // stop receiving requests.
 constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
@@ -60,7 +62,7 @@
 void store_sync::start()
 {
     follow();
-    publishSelf();
+    publish(store_topic::nodes, m_settings.nodeName, m_settings.peerAddress);
 }
 
 void store_sync::follow()
@@ -82,21 +84,26 @@
     m_nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
         { [this](const auto& records) { onNodeRecords(records); }, [this](const auto& records) { onNodeRecords(records); },
             [](duration) {} });
+    m_quarantineFollower = follower(
+        { store_topic::quarantine, {}, quarantineInterval }, { m_handlers.onQuarantine, m_handlers.onQuarantine, [](duration) {} });
 }
 
-void store_sync::publishSelf()
+void store_sync::publish(store_topic topic, const std::string& key, const std::string& value)
 {
     http_call_options options;
     options.idleTimeout = publishTimeout;
-    m_client.send(m_settings.storeAddress, m_codec.publish(store_topic::nodes, m_settings.nodeName, m_settings.peerAddress), options,
-        [this](const http_result& result) {
+    m_client.send(
+        m_settings.storeAddress, m_codec.publish(topic, key, value), options, [this, topic, key, value](const http_result& result) {
             if (result.ok() && result.response.status == statusOk)
                 return;
-            m_log.event("publish_failed").field("status", result.response.status).field("detail", '"' + result.detail + '"');
+            m_log.event("publish_failed")
+                .field("key", key)
+                .field("status", result.response.status)
+                .field("detail", '"' + result.detail + '"');
             auto timer = std::make_shared<boost::asio::steady_timer>(m_context, publishRetryDelay);
-            timer->async_wait([this, timer](boost::system::error_code status) {
+            timer->async_wait([this, timer, topic, key, value](boost::system::error_code status) {
                 if (!status)
-                    publishSelf();
+                    publish(topic, key, value);
             });
         });
 }
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -29,6 +29,7 @@
         std::function<bool(routing::fleet_configuration)> onConfiguration;
         std::function<void(const std::map<discovery::replica_id, discovery::endpoint_record>&)> onEndpoints;
         std::function<void(const std::set<node_id>&)> onNodes;
+        std::function<void(const std::vector<store_record>&)> onQuarantine;
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
     };
@@ -37,6 +38,8 @@
         const fleet_members& members, handlers callbacks);
 
     void start();
+    /// Writes a record, until the store has accepted it.
+    void publish(store_topic topic, const std::string& key, const std::string& value);
     /// Adjusts the reads to what the peers deliver; call every few tens of milliseconds.
     void tick(monotonic_time now);
     void receive(const node_id& sender, const peer::store_updateT& update);
@@ -48,7 +51,6 @@
 
 private:
     void follow();
-    void publishSelf();
     bool applyConfiguration(const store_record& record);
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
@@ -74,6 +76,7 @@
     std::shared_ptr<store_follower> m_configurationFollower;
     std::shared_ptr<store_follower> m_endpointFollower;
     std::shared_ptr<store_follower> m_nodeFollower;
+    std::shared_ptr<store_follower> m_quarantineFollower;
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -26,6 +26,21 @@
         bool isCut = false;
     };
 
+    // The store that all nodes reach.
+    void useStore(node& started)
+    {
+        started.quarantine.setStore([this](const std::string& key, const std::string& value) {
+            if (value.empty())
+                m_store.erase(key);
+            else
+                m_store[key] = value;
+        });
+        std::vector<store_record> records;
+        for (const auto& [key, value] : m_store)
+            records.push_back({ key, value });
+        started.quarantine.restore(records, m_now);
+    }
+
     void startFleet(std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i)
@@ -41,6 +56,7 @@
         const auto self = nodeId(index);
         m_nodes[self] = std::make_unique<node>(
             self, m_log, [this, self](const node_id& target, const peer::envelopeT& message) { deliver(self, target, message); }, m_now);
+        useStore(*m_nodes[self]);
         for (const auto& [other, entry] : m_nodes) {
             if (other != self)
                 m_nodes[self]->members.apply(update(other, member_state::alive), m_now);
@@ -107,6 +123,7 @@
 
     decision_log m_log { "test" };
     std::map<node_id, std::unique_ptr<node>> m_nodes;
+    std::map<std::string, std::string> m_store;
     monotonic_time m_now { 100s };
     std::uint64_t m_replicas = 0;
     std::size_t m_messages = 0;
@@ -144,7 +161,7 @@
 
 TEST_F(prompt_quarantine_test, startedNode_learnsQuarantineWithin1500Ms)
 {
-    // A node that restarts knows nothing, and would send the requests that the others refuse.
+    // A node that restarts without the store knows nothing, and would send the requests that the others refuse.
     startFleet(8);
     for (int i = 0; i < 3; ++i) {
         crash(0, deadlyPrompt);
@@ -152,6 +169,7 @@
     }
     pass(300ms);
     EXPECT_FALSE(isRefused(0, soundPrompt));
+    m_store.clear();
     stopNode(5);
     pass(2s);
     startNode(5);
@@ -187,6 +205,43 @@
     EXPECT_TRUE(isRefused(reporter, deadlyPrompt));
 }
 
+TEST_F(prompt_quarantine_test, fleetThatRestartsAsAWhole_knowsTheQuarantine)
+{
+    // After all nodes had ended at once, requests with the part crashed endpoints again until it was convicted anew.
+    startFleet(4);
+    for (int i = 0; i < 3; ++i) {
+        crash(0, deadlyPrompt);
+        pass(200ms);
+    }
+    pass(300ms);
+    m_nodes.clear();
+    startFleet(4);
+    EXPECT_TRUE(isRefused(2, deadlyPrompt));
+    EXPECT_FALSE(isRefused(2, soundPrompt));
+}
+
+TEST_F(prompt_quarantine_test, endedQuarantine_isDeletedFromTheStore)
+{
+    // Guards against a fleet that refuses prompts of long ago after each restart.
+    startFleet(4);
+    for (int i = 0; i < 3; ++i) {
+        crash(0, deadlyPrompt);
+        pass(200ms);
+    }
+    pass(300ms);
+    EXPECT_EQ(m_store.size(), 1U);
+    pass(62s);
+    EXPECT_TRUE(m_store.empty());
+    EXPECT_FALSE(isRefused(0, deadlyPrompt));
+}
+
+TEST_F(prompt_quarantine_test, malformedRecordsOfTheStore_areIgnored)
+{
+    m_store = { { "not hexadecimal", "1" }, { "12", "many" }, { "13", "0" } };
+    startFleet(1);
+    EXPECT_FALSE(isRefused(0, deadlyPrompt));
+}
+
 TEST_F(prompt_quarantine_test, nodeThatWasCutOff_learnsQuarantineAfterwards)
 {
     startFleet(5);
--- a/libs/quarantine/include/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/quarantine/quarantine_list.h
@@ -24,6 +24,9 @@
     /// Takes over an entry of another node; returns false if it is known already.
     bool merge(const quarantine_entry& entry, monotonic_time now);
 
+    /// Takes over a part that was quarantined so often, for the time of its last conviction; returns false if it is known already.
+    bool restore(part_hash part, unsigned convictions, monotonic_time now);
+
     /// Time for which requests with the part are refused; nullopt if they are not.
     std::optional<duration> remaining(part_hash part, monotonic_time now) const;
     /// How often the part was quarantined; 0 if it is not known.
@@ -32,6 +35,8 @@
     std::vector<quarantine_entry> inForce(monotonic_time now) const;
     /// Whether another part can be quarantined.
     bool hasRoom(monotonic_time now) const;
+    /// Parts whose time has ended since the last call.
+    std::vector<part_hash> takeEnded(monotonic_time now);
     /// Forgets the parts whose probation is over.
     void expire(monotonic_time now);
 
@@ -39,6 +44,7 @@
     struct part_state {
         unsigned convictions = 0;
         monotonic_time until {};
+        bool hasEnded = false;
     };
 
     std::unordered_map<part_hash, part_state> m_parts;
