Treat a stream without length that ends before its first event as broken off

An endpoint that crashes as it begins to write, on an answer with neither a length nor chunks, ends like one whose stream is empty: the caller got a 200 without events, and the crash was not counted against the prompt. streamWithoutLength_thatEndsBeforeItsFirstEvent_isBrokenOff failed before (200 instead of 502); its two neighbours passed and guard the other ends of such streams.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -53,6 +53,11 @@
     return result.sent ? placement::outcome::broken : placement::outcome::unreachable;
 }
 
+bool hasFraming(const http_response& head)
+{
+    return head.header("Content-Length") || head.header("Transfer-Encoding");
+}
+
 std::string commaSeparated(const std::vector<std::string>& entries)
 {
     std::string text;
@@ -279,6 +284,11 @@
         attemptFailed(placement::outcome::broken, "stream ended inside an event");
         return;
     }
+    // The end of the connection ends such a stream, also where the endpoint ended before it wrote anything.
+    if (!hasFraming(m_head) && m_splitter.eventCount() == m_eventsBeforeAttempt) {
+        attemptFailed(placement::outcome::broken, "stream without length ended before its first event");
+        return;
+    }
     if (!m_headForwarded) {
         m_headForwarded = true;
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -6,8 +6,7 @@
 #include "http/server.h"
 
 #include <atomic>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
 #include <numeric>
@@ -444,6 +443,78 @@
     EXPECT_EQ(response.body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n");
 }
 
+// Answers each connection with these bytes and closes it.
+class raw_endpoint {
+public:
+    raw_endpoint(io_threads& threads, std::string response)
+        : m_acceptor(threads.context(0), { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_response(std::move(response))
+    {
+        threads.post(0, [this] { accept(); });
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+private:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        boost::asio::ip::tcp::socket socket;
+        std::string request;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code status, boost::asio::ip::tcp::socket socket) {
+            if (status)
+                return;
+            const auto peer = std::make_shared<connection>(std::move(socket));
+            boost::asio::async_read_until(
+                peer->socket, boost::asio::dynamic_buffer(peer->request), "\r\n\r\n", [this, peer](boost::system::error_code, std::size_t) {
+                    boost::asio::async_write(peer->socket, boost::asio::buffer(m_response), [peer](boost::system::error_code, std::size_t) {
+                        peer->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+                    });
+                });
+            accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_response;
+};
+
+const std::string streamHeadWithoutLength = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+
+TEST_F(request_dispatcher_test, streamWithoutLength_thatEndsWithItsConnection_isComplete)
+{
+    const raw_endpoint raw(m_threads, streamHeadWithoutLength + "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+    endpoint("one", respondWith(500));
+    m_endpoints[0]->address = raw.address();
+    start(false, true, 1);
+    EXPECT_EQ(send("POST").body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+}
+
+TEST_F(request_dispatcher_test, streamWithoutLength_thatEndsInsideAnEvent_isBrokenOff)
+{
+    // An answer that ends early must not look complete to its caller.
+    const raw_endpoint raw(m_threads, streamHeadWithoutLength + "id: 1\ndata: d1\n\nid: 2\nda");
+    endpoint("one", respondWith(500));
+    m_endpoints[0]->address = raw.address();
+    start(false, true, 1);
+    EXPECT_THROW(send("POST"), std::exception);
+}
+
+TEST_F(request_dispatcher_test, streamWithoutLength_thatEndsBeforeItsFirstEvent_isBrokenOff)
+{
+    // An endpoint that crashed as it began to write passed for one whose answer is empty.
+    const raw_endpoint raw(m_threads, streamHeadWithoutLength);
+    endpoint("one", respondWith(500));
+    m_endpoints[0]->address = raw.address();
+    start(false, true, 1);
+    EXPECT_EQ(send("POST").status, 502U);
+}
+
 TEST_F(request_dispatcher_test, promptPartThatCrashesEndpoints_isKeptFromTheOthers)
 {
     // Requests of one kind crashed one endpoint after the other, since each crash only moved the next such request to a sound endpoint.
