Keep the parts of all requests that an endpoint read when it ended

With many requests on one endpoint the parts of the culprit were reported behind 64 others and dropped, so that it was never convicted. partAmongThoseOfManyRequests_isConvicted failed before.

--- a/libs/quarantine/src/crash_correlator.cpp
+++ b/libs/quarantine/src/crash_correlator.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crash_correlator.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -21,8 +22,9 @@
 constexpr unsigned crashesOnProbation = 1;
 // A culprit stands in at least one of so many crashes.
 constexpr unsigned maxUnrelatedCrashRatio = 4;
-constexpr std::size_t maxCrashes = 256;
-constexpr std::size_t maxPartsPerCrash = 64;
+constexpr std::size_t maxCrashes = 64;
+// Above the parts of all requests that an endpoint reads at once, so that those of the culprit are among them.
+constexpr std::size_t maxPartsPerCrash = 512;
 
 bool contains(const std::vector<part_hash>& parts, part_hash part)
 {
@@ -197,9 +199,10 @@
 void crash_correlator::expire(service_state& service, monotonic_time now)
 {
     std::erase_if(service.crashes, [now](const crash_record& crash) { return now - crash.time > evidenceTime; });
-    std::erase_if(service.parts, [&service](const auto& entry) {
-        return std::ranges::none_of(service.crashes, [&](const crash_record& crash) { return contains(crash.parts, entry.first); });
-    });
+    std::set<part_hash> used;
+    for (const auto& crash : service.crashes)
+        used.insert(crash.parts.begin(), crash.parts.end());
+    std::erase_if(service.parts, [&used](const auto& entry) { return !used.contains(entry.first); });
 }
 
 } // namespace carawaylink::quarantine
--- a/libs/quarantine/tests/crash_correlator_tests.cpp
+++ b/libs/quarantine/tests/crash_correlator_tests.cpp
@@ -141,6 +141,19 @@
     EXPECT_TRUE(convictions().empty());
 }
 
+TEST_F(crash_correlator_test, partAmongThoseOfManyRequests_isConvicted)
+{
+    // An endpoint with a large batch reads a hundred prompts when it ends; the parts of the culprit may be reported last.
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        std::vector<part_hash> parts;
+        for (std::uint64_t other = 0; other < 300; ++other)
+            parts.emplace_back(1000 + 1000 * i + other);
+        parts.push_back(deadly);
+        crash(parts);
+    }
+    EXPECT_EQ(convictions(), std::vector { deadly });
+}
+
 TEST_F(crash_correlator_test, partOnProbation_isConvictedByOneCrash)
 {
     // After its time a quarantined part may take one more endpoint, not three.
