--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "decision_log.h"
 
+#include "base/time.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 #include <utility>
@@ -15,7 +17,7 @@
 long long unixMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return wholeMilliseconds(now);
 }
 
 } // namespace
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "exchange.h"
 
+#include "base/time.h"
+
 namespace carawaylink::gateway {
 
 namespace {
@@ -24,11 +26,6 @@
 constexpr auto minRetryTime = std::chrono::milliseconds(60);
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
 
-long long inMilliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 bool wasNotExecuted(placement::outcome result)
 {
     return result == placement::outcome::unreachable || result == placement::outcome::rejected || result == placement::outcome::replaced;
@@ -137,8 +134,8 @@
         .field("request", m_admitted.metadata.attempt)
         .field("replica", grant.replica)
         .field("attempt", m_triedReplicas.size())
-        .field("waited_ms", inMilliseconds(now - m_admitted.arrived))
-        .field("expected_first_ms", inMilliseconds(grant.expectedFirstEvent))
+        .field("waited_ms", wholeMilliseconds(now - m_admitted.arrived))
+        .field("expected_first_ms", wholeMilliseconds(grant.expectedFirstEvent))
         .field("running", grant.running);
     dispatch_metadata metadata { grant.replica, m_admitted.responseDeadline - now, m_admitted.team, m_splitter.lastId() };
     http_request request { m_admitted.request.method, m_admitted.request.target,
@@ -174,8 +171,8 @@
         .field("route", m_admitted.route.name)
         .field("cause", placement::refusalCauseNames.name(refusal.cause))
         .field("ahead", refusal.ahead)
-        .field("waited_ms", inMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
-        .field("retry_after_ms", inMilliseconds(refusal.retryAfter))
+        .field("waited_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
+        .field("retry_after_ms", wholeMilliseconds(refusal.retryAfter))
         .field("replaces", m_isReplacementPending);
     // The response of the unresponsive endpoint may still continue.
     if (std::exchange(m_isReplacementPending, false)) {
@@ -368,7 +365,7 @@
         .field("request", m_admitted.metadata.attempt)
         .field("replica", m_grant.replica)
         .field("outcome", placement::outcomeNames.name(result))
-        .field("after_ms", inMilliseconds(std::chrono::steady_clock::now() - m_sentAt))
+        .field("after_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_sentAt))
         .field("events", m_splitter.eventCount())
         .field("again", willRetry)
         .field("shared_parts", commaSeparated(m_admitted.metadata.sharedParts))
@@ -520,11 +517,11 @@
         .field("expected_tokens", m_admitted.expectedOutput)
         .field("most_tokens", m_admitted.metadata.outputLimit.value_or(tokens { 0 }))
         .field("replica", m_grant.replica)
-        .field("sent_ms", inMilliseconds(m_deliveredSends > 0 ? m_sentAt - m_admitted.arrived : duration { -1 }))
-        .field("expected_first_ms", inMilliseconds(m_grant.expectedFirstEvent))
-        .field("first_ms", m_firstEventAt ? inMilliseconds(*m_firstEventAt - m_admitted.arrived) : -1)
-        .field("longest_pause_ms", inMilliseconds(m_longestEventGap))
-        .field("total_ms", inMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived));
+        .field("sent_ms", wholeMilliseconds(m_deliveredSends > 0 ? m_sentAt - m_admitted.arrived : duration { -1 }))
+        .field("expected_first_ms", wholeMilliseconds(m_grant.expectedFirstEvent))
+        .field("first_ms", m_firstEventAt ? wholeMilliseconds(*m_firstEventAt - m_admitted.arrived) : -1)
+        .field("longest_pause_ms", wholeMilliseconds(m_longestEventGap))
+        .field("total_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived));
     m_dispatcher.metrics().requestEnded(m_admitted.route.tier, result);
     m_dispatcher.onExchangeEnded(*this);
 }
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_node.h"
 
 #include "base/random.h"
+#include "base/time.h"
 #include "exchange.h"
 #include "fleet_members.h"
 #include "mesh/membership_transport.h"
@@ -45,7 +46,7 @@
 incarnation currentIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+    return incarnation(static_cast<std::uint64_t>(wholeMilliseconds(now)));
 }
 
 } // namespace
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "base/time.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace carawaylink::gateway {
@@ -44,7 +46,7 @@
 
 void gateway_metrics::firstEvent(duration elapsed)
 {
-    m_firstEvent.Observe(std::chrono::duration<double>(elapsed).count());
+    m_firstEvent.Observe(inSeconds(elapsed));
 }
 
 void gateway_metrics::attemptFailed(placement::outcome result)
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -1,5 +1,6 @@
 #include "prompt_quarantine.h"
 
+#include "base/time.h"
 #include "peer_codec.h"
 
 #include <algorithm>
@@ -26,7 +27,7 @@
 
 std::uint32_t milliseconds(duration span)
 {
-    return static_cast<std::uint32_t>(std::max<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
+    return static_cast<std::uint32_t>(std::max<long long>(wholeMilliseconds(span), 0));
 }
 
 template <typename Integer> std::optional<Integer> parse(std::string_view text, int base)
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "request_dispatcher.h"
 
+#include "base/time.h"
 #include "exchange.h"
 
 #include <algorithm>
@@ -54,7 +55,7 @@
     auto response = jsonResponse(status, std::move(body));
     if (retryAfter) {
         std::ostringstream seconds;
-        seconds << std::chrono::duration<double>(*retryAfter).count();
+        seconds << inSeconds(*retryAfter);
         response.headers.push_back({ "Retry-After", seconds.str() });
     }
     return response;
@@ -324,7 +325,7 @@
         .field("team_tier", admitted.teamTier.value + 0)
         .field("tier", admitted.route.tier.value + 0)
         .field("prompt_tokens", admitted.prompt)
-        .field("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wait.waited).count())
+        .field("waited_ms", wholeMilliseconds(wait.waited))
         .field("ahead", wait.ahead)
         .field("unusable", wait.unusable)
         .field("full", wait.full)
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "base/error.h"
+#include "base/time.h"
 
 namespace carawaylink::gateway {
 
@@ -157,9 +158,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (!m_isReachable) {
         const auto outage = m_lastSuccess == monotonic_time {} ? duration {} : now - m_lastSuccess;
-        m_log.event("store_reached")
-            .field("topic", topicNames.name(m_options.topic))
-            .field("away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(outage).count());
+        m_log.event("store_reached").field("topic", topicNames.name(m_options.topic)).field("away_ms", wholeMilliseconds(outage));
         if (m_isLoaded)
             m_handlers.onReconnected(outage);
     }
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/random.h"
+#include "base/time.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -38,7 +39,7 @@
 {
     if (asOf == monotonic_time {})
         return std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - asOf).count());
+    return static_cast<std::uint32_t>(wholeMilliseconds(now - asOf));
 }
 
 } // namespace
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -1,5 +1,7 @@
 #include "limits/shared_quota.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -18,11 +20,6 @@
 // Own usage is averaged over this time, since a single large request says little about the usage of peers.
 constexpr auto usageAveragingTime = std::chrono::milliseconds(1200);
 
-double seconds(duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 double sumOf(const auto& entries)
 {
     return std::accumulate(entries.begin(), entries.end(), 0.0, [](double total, const auto& entry) { return total + entry.units; });
@@ -32,7 +29,7 @@
 
 double quota_limit::unitsPerWindow() const
 {
-    return std::max(ratePerSecond * seconds(window) + burst, 1.0);
+    return std::max(ratePerSecond * inSeconds(window) + burst, 1.0);
 }
 
 double quota_nodes::share() const
@@ -161,9 +158,9 @@
 {
     const double own = std::accumulate(m_recentUsage.begin(), m_recentUsage.end(), 0.0,
         [&](double total, const timed_usage& entry) { return now - entry.time > usageAveragingTime ? total : total + entry.units; });
-    const double ownUnitsPerSecond = own / seconds(usageAveragingTime);
+    const double ownUnitsPerSecond = own / inSeconds(usageAveragingTime);
     const double likeThisNode = ownUnitsPerSecond * static_cast<double>(nodes.reporting - 1);
-    return std::max(likeThisNode, nodes.peerUnitsPerSecond) * seconds(nodes.reportAge);
+    return std::max(likeThisNode, nodes.peerUnitsPerSecond) * inSeconds(nodes.reportAge);
 }
 
 double shared_quota::requiredUnits(double units, tier level, double capacity) const
--- a/libs/limits/src/usage_reporter.cpp
+++ b/libs/limits/src/usage_reporter.cpp
@@ -1,5 +1,7 @@
 #include "limits/usage_reporter.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -93,7 +95,7 @@
     while (now - m_recentTotals.front().time > peerAveragingTime)
         m_recentTotals.pop_front();
     const auto span = std::max<duration>(now - m_recentTotals.front().time, minRateSpan);
-    m_peerUnitsPerSecond = (othersUsed - m_recentTotals.front().units) / std::chrono::duration<double>(span).count();
+    m_peerUnitsPerSecond = (othersUsed - m_recentTotals.front().units) / inSeconds(span);
 }
 
 quota_nodes usage_reporter::nodes(std::size_t reporting, std::size_t possible, monotonic_time now) const
--- a/libs/node/src/metrics.cpp
+++ b/libs/node/src/metrics.cpp
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "base/time.h"
+
 #include <array>
 #include <mutex>
 #include <prometheus/counter.h>
@@ -18,11 +20,6 @@
 const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.001, 0.0025, 0.005, 0.01, 0.02, 0.036, 0.058, 0.1, 0.2, 0.36, 0.75, 1.5, 3,
     6, 12, 30, 60, 120 };
 
-double seconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 struct metrics::implementation {
@@ -60,7 +57,7 @@
     static void record(histogram_family& family, const prometheus::Labels& labels, duration value)
     {
         if (value > duration::zero())
-            family.Add(labels, secondsBuckets).Observe(seconds(value));
+            family.Add(labels, secondsBuckets).Observe(inSeconds(value));
     }
 };
 
--- a/libs/placement/src/latency_model.cpp
+++ b/libs/placement/src/latency_model.cpp
@@ -1,5 +1,7 @@
 #include "placement/latency_model.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,11 +26,6 @@
 constexpr double minBaseMs = 2;
 constexpr double maxBaseMs = 2000;
 
-double milliseconds(duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
 duration fromMilliseconds(double value)
 {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
@@ -87,13 +84,13 @@
 
 double latency_model::prefilledTokens(duration elapsed) const
 {
-    return std::max(milliseconds(elapsed) - m_combined.baseMs, 0.0) / m_combined.msPerToken;
+    return std::max(inMilliseconds(elapsed) - m_combined.baseMs, 0.0) / m_combined.msPerToken;
 }
 
 void latency_model::recordFirstEvent(tokens queuedTokens, tokens prompt, duration elapsed)
 {
     const double totalTokens = static_cast<double>(queuedTokens.value + prompt.value);
-    const double elapsedMs = milliseconds(elapsed);
+    const double elapsedMs = inMilliseconds(elapsed);
     if (m_own.samples++ < warmUpSamples) {
         scaleBy(elapsedMs / (m_own.baseMs + m_own.msPerToken * totalTokens));
     } else if (totalTokens > largePromptTokens) {
@@ -120,7 +117,7 @@
     if (events == 0)
         return;
     const double rate = std::max(smoothingFactor, 1.0 / ++m_eventSamples);
-    m_own.msPerEvent += rate * (milliseconds(elapsed) / static_cast<double>(events) - m_own.msPerEvent);
+    m_own.msPerEvent += rate * (inMilliseconds(elapsed) / static_cast<double>(events) - m_own.msPerEvent);
     updateCombined();
 }
 
--- a/libs/placement/src/request_limit.cpp
+++ b/libs/placement/src/request_limit.cpp
@@ -1,5 +1,7 @@
 #include "placement/request_limit.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -38,7 +40,7 @@
 
 double request_limit::levelAt(double share, monotonic_time now) const
 {
-    const double elapsed = std::chrono::duration<double>(now - m_levelAt).count();
+    const double elapsed = inSeconds(now - m_levelAt);
     return std::min(m_level + elapsed * rate(share), std::max(1.0, burstSeconds * rate(share)));
 }
 
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -1,5 +1,7 @@
 #include "placement/service_pool.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <functional>
 #include <limits>
@@ -53,11 +55,6 @@
 constexpr int firstEventTimeoutFactor = 4;
 constexpr auto minFirstEventTimeout = std::chrono::milliseconds(500);
 
-double milliseconds(duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
 } // namespace
 
 void service_pool::setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now)
@@ -339,7 +336,7 @@
 double service_pool::scoreOf(const endpoint_state& endpoint, const waiting_request& request, duration first, monotonic_time now) const
 {
     const double load = static_cast<double>(endpoint.load.running) / std::max(endpoint.record.slots, 1U);
-    double score = milliseconds(first) + streamingWeight * milliseconds(endpoint.model.timeToStream(expectedEvents(request)))
+    double score = inMilliseconds(first) + streamingWeight * inMilliseconds(endpoint.model.timeToStream(expectedEvents(request)))
         + utilizationPenaltyMs * load * load;
     if (!m_connections.hasIdle(request.sender, endpoint.record.id, now))
         score += handshakeMs;
@@ -413,7 +410,7 @@
     if (request.maxEventGap == duration {} || endpoint.load.running == 0)
         return true;
     return expectedEventGapMs(endpoint, request, endpoint.load.pendingPrefill)
-        <= maxEventGapUtilization * milliseconds(request.maxEventGap);
+        <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
 }
 
 // Prompts are prefilled in chunks, one per decoding step of the running responses; an event holds several tokens.
@@ -421,16 +418,16 @@
 {
     const auto work = m_prefillCost.work(request.prompt);
     const auto chunk = m_prefillCost.lastChunkWork(request.prompt);
-    const double prefillMs = milliseconds(endpoint.model.prefillTime(tokens { pendingPrefill.value + work.value }));
-    const double slowedEventMs = m_limits.tokensPerEvent * milliseconds(endpoint.model.prefillTime(chunk));
-    return milliseconds(endpoint.model.timeToStream(1)) + std::min(prefillMs, slowedEventMs);
+    const double prefillMs = inMilliseconds(endpoint.model.prefillTime(tokens { pendingPrefill.value + work.value }));
+    const double slowedEventMs = m_limits.tokensPerEvent * inMilliseconds(endpoint.model.prefillTime(chunk));
+    return inMilliseconds(endpoint.model.timeToStream(1)) + std::min(prefillMs, slowedEventMs);
 }
 
 bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request) const
 {
     return std::ranges::none_of(m_usable, [&](const endpoint_state* endpoint) {
         return !isExcluded(*endpoint, request)
-            && expectedEventGapMs(*endpoint, request, tokens { 0 }) <= maxEventGapUtilization * milliseconds(request.maxEventGap);
+            && expectedEventGapMs(*endpoint, request, tokens { 0 }) <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
     });
 }
 
@@ -508,8 +505,7 @@
     std::size_t starts = 0;
     for (auto entry = m_startsByRank.lower_bound(rankOf(request)); entry != m_startsByRank.end(); ++entry)
         starts += entry->second;
-    const double rate
-        = std::max<double>(static_cast<double>(starts), minStartsPerWindow) / std::chrono::duration<double>(queueRateWindow).count();
+    const double rate = std::max<double>(static_cast<double>(starts), minStartsPerWindow) / inSeconds(queueRateWindow);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
 }
 
