Explain requests that are refused for a quarantined part, and count the parts in force

prompt_quarantined names the request, the part as its caller named it, and the part's name in the lines that led to the quarantine; carawaylink explain says so in a sentence; a gauge counts the parts. connectionsLostByLivingEndpoints_quarantineNoPart guards the other side.

--- a/libs/cli/src/request_story.cpp
+++ b/libs/cli/src/request_story.cpp
@@ -61,8 +61,8 @@
 }
 
 // Events that decide how a request ends, the strongest first.
-constexpr std::array<std::string_view, 5> decidingEvents { "quota_exceeded", "request_rejected", "request_refused", "attempt_failed",
-    "request_ended" };
+constexpr std::array<std::string_view, 6> decidingEvents { "quota_exceeded", "prompt_quarantined", "request_rejected", "request_refused",
+    "attempt_failed", "request_ended" };
 
 std::string concludeRejection(const logged_decision& line)
 {
@@ -77,6 +77,13 @@
         + line.field("reporting_nodes") + " of " + line.field("possible_nodes") + " nodes reported their use";
 }
 
+std::string concludeQuarantine(const logged_decision& line)
+{
+    return "refused: part " + line.field("shared_part") + " of its prompt crashed endpoints and is quarantined for "
+        + line.field("remaining_ms") + " ms more; the lines endpoint_crashed and part_convicted with part=" + line.field("part")
+        + " tell why";
+}
+
 std::string concludeRefusal(const logged_decision& line)
 {
     return "refused after " + line.field("waited_ms") + " ms: " + line.field("cause") + ", with " + line.field("ahead") + " requests ahead";
@@ -137,6 +144,8 @@
     const auto& line = decisions[*index];
     if (line.event == "quota_exceeded")
         return concludeQuota(line);
+    if (line.event == "prompt_quarantined")
+        return concludeQuarantine(line);
     if (line.event == "request_rejected")
         return concludeRejection(line);
     if (line.event == "request_refused")
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -272,6 +272,8 @@
       "detail=\"partial message\"\n"
       "event=request_ended time_ms=950 node=edge-a request=lost1 route=r result=unknown_outcome sends=1 events=10 replica=i-3 sent_ms=0 "
       "expected_first_ms=60 first_ms=-1 longest_pause_ms=0 total_ms=520\n"
+      "event=prompt_quarantined time_ms=970 node=edge-a request=refused2 shared_part=12ca part=a7576c512f390022 remaining_ms=41000\n"
+      "event=request_rejected time_ms=970 node=edge-a request=refused2 status=503 reason=quarantined_prompt configuration=5\n"
       "event=lines_left_out time_ms=1000 node=edge-a of=request_sent count=12\n"
       "event=request_sent time_ms=800 node=edge-a request=late10 replica=i-9 attempt=1\n";
 
@@ -300,6 +302,8 @@
         storyOf("late1").conclusion(), AllOf(HasSubstr("504 ms until it was sent, 173 ms at i-2, where 93"), HasSubstr("pause 40 ms")));
     EXPECT_THAT(storyOf("refused1").conclusion(),
         AllOf(HasSubstr("6893 units of its quota available, 26185 were needed: 16185 and"), HasSubstr("3 of 4 nodes")));
+    EXPECT_THAT(storyOf("refused2").conclusion(),
+        AllOf(HasSubstr("part 12ca of its prompt crashed endpoints"), HasSubstr("41000 ms"), HasSubstr("part=a7576c512f390022")));
     const auto lost = storyOf("lost1");
     EXPECT_THAT(lost.conclusion(), HasSubstr("failed at i-3 after 518 ms: broken"));
     EXPECT_EQ(lost.linesLeftOut, 12U);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -243,6 +243,7 @@
         store.tick(now);
         if (now - lastFlushAt > std::chrono::seconds(1)) {
             lastFlushAt = now;
+            dispatcher.updateGauges();
             metrics.setLiveNodes(members.serving().size());
             log.flush();
         }
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -35,6 +35,7 @@
     , m_waiting(m_gauges.Add({ { "kind", "waiting_requests" } }))
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
     , m_liveNodes(m_gauges.Add({ { "kind", "live_nodes" } }))
+    , m_quarantinedParts(m_gauges.Add({ { "kind", "quarantined_prompt_parts" } }))
     , m_configuration(m_gauges.Add({ { "kind", "configuration_version" } }))
 {
 }
@@ -69,6 +70,11 @@
     m_liveNodes.Set(static_cast<double>(nodes));
 }
 
+void gateway_metrics::setQuarantinedParts(std::size_t parts)
+{
+    m_quarantinedParts.Set(static_cast<double>(parts));
+}
+
 void gateway_metrics::setConfiguration(config_version version)
 {
     m_configuration.Set(static_cast<double>(version.value));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -24,6 +24,7 @@
     void setWaiting(std::size_t requests);
     void setActive(std::size_t requests);
     void setLiveNodes(std::size_t nodes);
+    void setQuarantinedParts(std::size_t parts);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -38,6 +39,7 @@
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_active;
     prometheus::Gauge& m_liveNodes;
+    prometheus::Gauge& m_quarantinedParts;
     prometheus::Gauge& m_configuration;
 };
 
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -37,13 +37,6 @@
     return status == std::errc {} && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
 }
 
-std::string hexadecimal(part_hash part)
-{
-    std::ostringstream text;
-    text << std::hex << std::setw(16) << std::setfill('0') << part.value;
-    return text.str();
-}
-
 peer::quarantine_updateT encode(std::span<const quarantine::quarantine_entry> entries)
 {
     peer::quarantine_updateT update;
@@ -76,6 +69,13 @@
     return result;
 }
 
+std::string prompt_quarantine::logName(part_hash part)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << part.value;
+    return text.str();
+}
+
 std::optional<duration> prompt_quarantine::remaining(const parts& requested, monotonic_time now) const
 {
     std::optional<duration> longest;
@@ -109,7 +109,7 @@
         { { quarantine::service_hash { collectorKey(service) }, quarantine::replica_hash { replicaHash(replica) }, unanswered }, now, {} });
     auto line = m_log.event("endpoint_crashed");
     line.field("service", service).field("replica", replica);
-    std::ranges::for_each(unanswered, [&line](part_hash part) { line.field("part", hexadecimal(part)); });
+    std::ranges::for_each(unanswered, [&line](part_hash part) { line.field("part", logName(part)); });
 }
 
 void prompt_quarantine::tick(const fleet_members& members, monotonic_time now)
@@ -170,7 +170,7 @@
         auto& request = requests[suspect.service];
         request.service = suspect.service.value;
         request.parts.push_back(suspect.part.value);
-        m_log.event("part_suspected").field("part", hexadecimal(suspect.part));
+        m_log.event("part_suspected").field("part", logName(suspect.part));
     }
     for (const auto& [service, request] : requests)
         std::ranges::for_each(m_nodes, [&](const node_id& node) { send(node, request); });
@@ -180,7 +180,7 @@
 {
     for (const auto& convicted : m_correlator.takeConvictions(m_list, now)) {
         m_log.event("part_convicted")
-            .field("part", hexadecimal(convicted.entry.part))
+            .field("part", logName(convicted.entry.part))
             .field("crashes", convicted.crashes)
             .field("all_crashes", convicted.allCrashes)
             .field("first_crash_age_ms", milliseconds(convicted.elapsed))
@@ -191,7 +191,7 @@
             if (node != m_self)
                 send(node, update);
         }
-        m_store(hexadecimal(convicted.entry.part), std::to_string(convicted.entry.convictions));
+        m_store(logName(convicted.entry.part), std::to_string(convicted.entry.convictions));
         m_onQuarantined();
     }
 }
@@ -221,9 +221,9 @@
 void prompt_quarantine::deleteEnded(const fleet_members& members, monotonic_time now)
 {
     for (const auto part : m_list.takeEnded(now)) {
-        m_log.event("quarantine_ended").field("part", hexadecimal(part));
+        m_log.event("quarantine_ended").field("part", logName(part));
         if (members.nodeFor(part.value) == m_self)
-            m_store(hexadecimal(part), "");
+            m_store(logName(part), "");
     }
 }
 
@@ -291,7 +291,7 @@
         hasNew = true;
         m_correlator.explainCrashes(part);
         m_log.event("part_quarantined")
-            .field("part", hexadecimal(part))
+            .field("part", logName(part))
             .field("convictions", entry.convictions())
             .field("remaining_ms", entry.remaining_ms());
     }
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -34,6 +34,9 @@
     static std::uint64_t collectorKey(const service_id& service);
     static parts partsOf(const service_id& service, std::span<const std::string> sharedParts);
 
+    /// Names a part in log lines.
+    static std::string logName(quarantine::part_hash part);
+
     /// Called when further parts are quarantined.
     void setOnQuarantined(std::function<void()> handler) { m_onQuarantined = std::move(handler); }
     void setStore(store_writer writer) { m_store = std::move(writer); }
@@ -41,6 +44,8 @@
     void restore(const std::vector<store_record>& records, monotonic_time now);
     /// Time for which requests with any of the parts are refused; nullopt if they are not.
     std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
+    /// Number of parts in force.
+    std::size_t size(monotonic_time now) const { return m_list.inForce(now).size(); }
     /// An endpoint began to answer a request with these parts.
     void recordAnswer(const parts& answered, monotonic_time now);
     /// An endpoint's process ended while it had not begun to answer requests with these parts.
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -134,6 +134,7 @@
     }
     admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
     if (const auto remaining = m_quarantine.remaining(admitted.sharedParts, now)) {
+        logQuarantined(metadata, admitted.sharedParts, now);
         reject(statusUnavailable, "quarantined_prompt", *remaining);
         return;
     }
@@ -157,6 +158,20 @@
     running->start();
 }
 
+void request_dispatcher::logQuarantined(const request_metadata& metadata, const prompt_quarantine::parts& parts, monotonic_time now)
+{
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const auto remaining = m_quarantine.remaining({ parts[i] }, now);
+        if (!remaining)
+            continue;
+        m_log.event("prompt_quarantined")
+            .field("request", metadata.attempt)
+            .field("shared_part", metadata.sharedParts[i])
+            .field("part", prompt_quarantine::logName(parts[i]))
+            .field("remaining_ms", wholeMilliseconds(*remaining));
+    }
+}
+
 void request_dispatcher::logQuotaExceeded(
     const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now)
 {
@@ -286,6 +301,11 @@
     m_metrics.setActive(m_exchanges.size());
 }
 
+void request_dispatcher::updateGauges()
+{
+    m_metrics.setQuarantinedParts(m_quarantine.size(std::chrono::steady_clock::now()));
+}
+
 limits::retry_budget& request_dispatcher::retryBudget(const service_id& name)
 {
     return m_retryBudgets.try_emplace(name, limits::retry_budget(m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow))
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -51,6 +51,8 @@
 
     /// Enforces deadlines, detects unresponsive endpoints, places waiting requests and reports to other nodes; call every 25 ms.
     void tick();
+    /// Updates the gauges that need a pass over endpoints; call about once per second.
+    void updateGauges();
     bool isConfigured() const { return m_routes != nullptr; }
     config_version version() const;
     std::size_t active() const { return m_exchanges.size(); }
@@ -80,6 +82,7 @@
 
 private:
     limits::retry_budget& retryBudget(const service_id& service);
+    void logQuarantined(const request_metadata& metadata, const prompt_quarantine::parts& parts, monotonic_time now);
     void logQuotaExceeded(const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now);
     /// Sends a message to a node, which may be this one.
     void send(const node_id& node, peer::envelopeT message);
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -530,6 +530,21 @@
     const auto refusal = sendWithPart("deadly");
     EXPECT_EQ(refusal.status, 503U);
     EXPECT_TRUE(refusal.header("Retry-After"));
+    run([&] { m_dispatcher.updateGauges(); });
+    EXPECT_NE(m_metrics.text().find("carawaylink_gateway_state{kind=\"quarantined_prompt_parts\"} 1"), std::string::npos);
+}
+
+TEST_F(request_dispatcher_test, connectionsLostByLivingEndpoints_quarantineNoPart)
+{
+    // Guards against taking lost answers and reset connections for crashes: their endpoints go on to serve others.
+    for (int i = 0; i < 4; ++i)
+        endpoint("endpoint-" + std::to_string(i), abortResponse());
+    start(true, false, 1);
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(sendWithPart("sound").status, 502U);
+        std::this_thread::sleep_for(250ms);
+    }
+    EXPECT_EQ(sendWithPart("sound").status, 502U);
 }
 
 } // namespace
