--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -36,6 +36,7 @@
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
     , m_liveNodes(m_gauges.Add({ { "kind", "live_nodes" } }))
     , m_quarantinedParts(m_gauges.Add({ { "kind", "quarantined_prompt_parts" } }))
+    , m_limitedEndpoints(m_gauges.Add({ { "kind", "endpoints_with_request_limit" } }))
     , m_configuration(m_gauges.Add({ { "kind", "configuration_version" } }))
 {
 }
@@ -75,6 +76,11 @@
     m_quarantinedParts.Set(static_cast<double>(parts));
 }
 
+void gateway_metrics::setLimitedEndpoints(std::size_t endpoints)
+{
+    m_limitedEndpoints.Set(static_cast<double>(endpoints));
+}
+
 void gateway_metrics::setConfiguration(config_version version)
 {
     m_configuration.Set(static_cast<double>(version.value));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -25,6 +25,7 @@
     void setActive(std::size_t requests);
     void setLiveNodes(std::size_t nodes);
     void setQuarantinedParts(std::size_t parts);
+    void setLimitedEndpoints(std::size_t endpoints);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -40,6 +41,7 @@
     prometheus::Gauge& m_active;
     prometheus::Gauge& m_liveNodes;
     prometheus::Gauge& m_quarantinedParts;
+    prometheus::Gauge& m_limitedEndpoints;
     prometheus::Gauge& m_configuration;
 };
 
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -304,6 +304,7 @@
 void request_dispatcher::updateGauges()
 {
     m_metrics.setQuarantinedParts(m_quarantine.size(std::chrono::steady_clock::now()));
+    m_metrics.setLimitedEndpoints(m_slots.limitedCount());
 }
 
 limits::retry_budget& request_dispatcher::retryBudget(const service_id& name)
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -249,6 +249,12 @@
         [](std::size_t total, const auto& entry) { return total + entry.second->client.waitingCount(); });
 }
 
+std::size_t slot_coordinator::limitedCount() const
+{
+    return std::accumulate(m_services.begin(), m_services.end(), std::size_t { 0 },
+        [](std::size_t total, const auto& entry) { return total + entry.second->client.local().requestLimits().size(); });
+}
+
 std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
 {
     const auto found = m_endpointByHash.find(hash);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -51,6 +51,8 @@
     void removeNode(const node_id& node);
 
     std::size_t waitingCount() const;
+    /// Endpoints that name a request limit.
+    std::size_t limitedCount() const;
     std::size_t ownedCount() const { return m_owned.pools().size(); }
 
 private:
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -7,8 +7,9 @@
 
 namespace carawaylink::gateway {
 
-/// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond with "ran: no" if they did not
-/// execute the request and with "other: yes" if they are not the addressed replica.
+/// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond
+/// with "ran: no" if they did not execute the request with "other: yes" if they are not the addressed replica, and name a request limit in
+/// "limit".
 class test_codec : public protocol_codec {
 public:
     request_metadata decodeRequest(const http_request& request) const override
@@ -39,6 +40,8 @@
         metadata.notExecuted = metadata.isReplaced || response.header("ran").has_value();
         const auto echoed = response.header("attempt");
         metadata.isMismatched = echoed && *echoed != attempt;
+        if (const auto limit = response.header("limit"))
+            metadata.requestLimit = std::stod(std::string(*limit));
         metadata.isEventStream = response.header("Content-Type").value_or("") == "text/event-stream";
         return metadata;
     }
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -547,5 +547,17 @@
     EXPECT_EQ(sendWithPart("sound").status, 502U);
 }
 
+TEST_F(request_dispatcher_test, limitNamedByEndpoint_spreadsItsRequestsOverTime)
+{
+    // An endpoint got all requests at once although its answers named a limit.
+    endpoint("one", respondWith(200, { { "limit", "10" } }));
+    start(true, false, 1, 1s);
+    EXPECT_EQ(send("GET").status, 200U);
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(send("GET").status, 200U);
+    EXPECT_GE(std::chrono::steady_clock::now() - begin, 200ms);
+}
+
 } // namespace
 } // namespace carawaylink::gateway
