Report answers on a suspected part to both nodes that correlate crashes

Found by reading: the question of the second node replaced that of the first, which then missed later answers and could convict a part that is answered. laterAnswers_areReportedToBothNodesThatCorrelate failed before (the sound part was refused).

--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -94,9 +94,9 @@
         peer::part_answersT report;
         report.service = watched->second.service.value;
         report.answers.emplace_back(part.value, 0);
-        const auto collector = watched->second.collector;
+        const auto collectors = std::move(watched->second.collectors);
         m_watches.erase(watched);
-        send(collector, report);
+        std::ranges::for_each(collectors, [&](const node_id& collector) { send(collector, report); });
     }
 }
 
@@ -265,7 +265,11 @@
     report.service = request.service;
     for (const auto hash : request.parts) {
         const part_hash part { hash };
-        m_watches[part] = { node, quarantine::service_hash { request.service }, now + watchTime };
+        auto& watched = m_watches[part];
+        watched.service = quarantine::service_hash { request.service };
+        watched.until = now + watchTime;
+        if (std::ranges::find(watched.collectors, node) == watched.collectors.end())
+            watched.collectors.push_back(node);
         if (const auto answered = m_answers.lastAnswer(part))
             report.answers.emplace_back(hash, milliseconds(now - *answered));
     }
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -63,9 +63,9 @@
         /// Nodes that the crash was reported to.
         std::vector<node_id> collectors;
     };
-    /// A node that wants to know when a part is answered.
+    /// The nodes that want to know when a part is answered.
     struct watch {
-        node_id collector;
+        std::vector<node_id> collectors;
         quarantine::service_hash service;
         monotonic_time until;
     };
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -159,6 +159,24 @@
     EXPECT_FALSE(isRefused(0, soundPrompt));
 }
 
+TEST_F(prompt_quarantine_test, laterAnswers_areReportedToBothNodesThatCorrelate)
+{
+    // The second question about a part replaced the first, so that one of the two nodes missed the answers and convicted a sound part.
+    startFleet(6);
+    for (int i = 0; i < 2; ++i) {
+        crash(0, soundPrompt);
+        pass(200ms);
+    }
+    for (int i = 0; i < 5; ++i) {
+        at(3).recordAnswer(partsOf(soundPrompt), m_now);
+        pass(25ms);
+        crash(0, soundPrompt);
+        pass(200ms);
+    }
+    pass(500ms);
+    EXPECT_FALSE(isRefused(0, soundPrompt));
+}
+
 TEST_F(prompt_quarantine_test, startedNode_learnsQuarantineWithin1500Ms)
 {
     // A node that restarts without the store knows nothing, and would send the requests that the others refuse.
