Look up the nodes that correlate a crash only when it is new or the members change

Found by reading: each crash of the last 20 s was looked up at every tick, up to 256 rendezvous choices over all nodes 40 times a second after a mass crash in a large fleet. No change of what is sent; the tests of prompt_quarantine pass.

--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -114,11 +114,12 @@
 
 void prompt_quarantine::tick(const fleet_members& members, monotonic_time now)
 {
-    if (std::exchange(m_membersVersion, members.version()) != members.version())
+    const bool haveMembersChanged = std::exchange(m_membersVersion, members.version()) != members.version();
+    if (haveMembersChanged)
         m_nodes = members.reachable();
     if (now - std::exchange(m_lastTickAt, now) > maxTickInterval)
         m_correlator.suspectAnew();
-    sendCrashes(members, now);
+    sendCrashes(members, haveMembersChanged, now);
     sendWatches(now);
     announceConvictions(now);
     if (now - m_lastUpkeepAt < upkeepInterval)
@@ -144,11 +145,13 @@
     return m_nodes[(position + steps) % m_nodes.size()];
 }
 
-void prompt_quarantine::sendCrashes(const fleet_members& members, monotonic_time now)
+void prompt_quarantine::sendCrashes(const fleet_members& members, bool haveMembersChanged, monotonic_time now)
 {
     while (!m_crashes.empty() && now - m_crashes.front().time > repeatedCrashTime)
         m_crashes.pop_front();
     for (auto& reported : m_crashes) {
+        if (!reported.collectors.empty() && !haveMembersChanged)
+            continue;
         peer::crash_reportT report;
         report.service = reported.crash.service.value;
         report.replica = reported.crash.replica.value;
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -71,7 +71,8 @@
     };
 
     std::vector<node_id> collectorsOf(quarantine::service_hash service, const fleet_members& members) const;
-    void sendCrashes(const fleet_members& members, monotonic_time now);
+    /// Reports new crashes; after a change of the members also recent ones, to nodes that now correlate them.
+    void sendCrashes(const fleet_members& members, bool haveMembersChanged, monotonic_time now);
     void sendWatches(monotonic_time now);
     void announceConvictions(monotonic_time now);
     void deleteEnded(const fleet_members& members, monotonic_time now);
