--- a/libs/cli/src/request_story.cpp
+++ b/libs/cli/src/request_story.cpp
@@ -80,7 +80,7 @@
 std::string concludeQuarantine(const logged_decision& line)
 {
     return "refused: part " + line.field("shared_part") + " of its prompt crashed endpoints and is quarantined for "
-        + line.field("remaining_ms") + " ms more; the lines endpoint_crashed and part_convicted with part=" + line.field("part")
+        + line.field("remaining_ms") + " ms more; the lines endpoint_crashed and quarantine_decided with part=" + line.field("part")
         + " tell why";
 }
 
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -41,7 +41,7 @@
 {
     peer::quarantine_updateT update;
     for (const auto& entry : entries)
-        update.parts.emplace_back(entry.part.value, milliseconds(entry.remaining), entry.convictions);
+        update.parts.emplace_back(entry.part.value, milliseconds(entry.remaining), entry.times);
     return update;
 }
 
@@ -121,7 +121,7 @@
         m_correlator.suspectAnew();
     sendCrashes(members, haveMembersChanged, now);
     sendWatches(now);
-    announceConvictions(now);
+    announceDecisions(now);
     if (now - m_lastUpkeepAt < upkeepInterval)
         return;
     m_lastUpkeepAt = now;
@@ -179,22 +179,22 @@
         std::ranges::for_each(m_nodes, [&](const node_id& node) { send(node, request); });
 }
 
-void prompt_quarantine::announceConvictions(monotonic_time now)
+void prompt_quarantine::announceDecisions(monotonic_time now)
 {
-    for (const auto& convicted : m_correlator.takeConvictions(m_list, now)) {
-        m_log.event("part_convicted")
-            .field("part", logName(convicted.entry.part))
-            .field("crashes", convicted.crashes)
-            .field("all_crashes", convicted.allCrashes)
-            .field("first_crash_age_ms", milliseconds(convicted.elapsed))
-            .field("convictions", convicted.entry.convictions)
-            .field("quarantine_ms", milliseconds(convicted.entry.remaining));
-        const auto update = encode({ &convicted.entry, 1 });
+    for (const auto& decided : m_correlator.takeDecisions(m_list, now)) {
+        m_log.event("quarantine_decided")
+            .field("part", logName(decided.entry.part))
+            .field("crashes", decided.crashes)
+            .field("all_crashes", decided.allCrashes)
+            .field("first_crash_age_ms", milliseconds(decided.elapsed))
+            .field("times", decided.entry.times)
+            .field("quarantine_ms", milliseconds(decided.entry.remaining));
+        const auto update = encode({ &decided.entry, 1 });
         for (const auto& node : m_nodes) {
             if (node != m_self)
                 send(node, update);
         }
-        m_store(logName(convicted.entry.part), std::to_string(convicted.entry.convictions));
+        m_store(logName(decided.entry.part), std::to_string(decided.entry.times));
         m_onQuarantined();
     }
 }
@@ -206,15 +206,15 @@
         if (!record.value)
             continue;
         const auto part = parse<std::uint64_t>(record.key, 16);
-        const auto convictions = parse<unsigned>(*record.value, 10);
-        if (!part || !convictions) {
+        const auto times = parse<unsigned>(*record.value, 10);
+        if (!part || !times) {
             m_log.event("quarantine_record_invalid").field("key", record.key);
             continue;
         }
-        if (!m_list.restore(part_hash { *part }, *convictions, now))
+        if (!m_list.restore(part_hash { *part }, *times, now))
             continue;
         hasNew = true;
-        m_log.event("part_quarantined").field("part", record.key).field("convictions", *convictions).field("source", "store");
+        m_log.event("part_quarantined").field("part", record.key).field("times", *times).field("source", "store");
     }
     if (hasNew)
         m_onQuarantined();
@@ -293,13 +293,13 @@
     bool hasNew = false;
     for (const auto& entry : update.parts) {
         const part_hash part { entry.part() };
-        if (!m_list.merge({ part, entry.convictions(), std::chrono::milliseconds(entry.remaining_ms()) }, now))
+        if (!m_list.merge({ part, entry.times(), std::chrono::milliseconds(entry.remaining_ms()) }, now))
             continue;
         hasNew = true;
         m_correlator.explainCrashes(part);
         m_log.event("part_quarantined")
             .field("part", logName(part))
-            .field("convictions", entry.convictions())
+            .field("times", entry.times())
             .field("remaining_ms", entry.remaining_ms());
     }
     if (hasNew)
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -74,7 +74,7 @@
     /// Reports new crashes; after a change of the members also recent ones, to nodes that now correlate them.
     void sendCrashes(const fleet_members& members, bool haveMembersChanged, monotonic_time now);
     void sendWatches(monotonic_time now);
-    void announceConvictions(monotonic_time now);
+    void announceDecisions(monotonic_time now);
     void deleteEnded(const fleet_members& members, monotonic_time now);
     void passOn(monotonic_time now);
     /// The node that follows by this many steps in the order of addresses, which is closed to a ring.
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -161,7 +161,7 @@
 
 TEST_F(prompt_quarantine_test, laterAnswers_areReportedToBothNodesThatCorrelate)
 {
-    // The second question about a part replaced the first, so that one of the two nodes missed the answers and convicted a sound part.
+    // The second question about a part replaced the first, so that one of the two nodes missed the answers and quarantined a sound part.
     startFleet(6);
     for (int i = 0; i < 2; ++i) {
         crash(0, soundPrompt);
@@ -225,7 +225,7 @@
 
 TEST_F(prompt_quarantine_test, fleetThatRestartsAsAWhole_knowsTheQuarantine)
 {
-    // After all nodes had ended at once, requests with the part crashed endpoints again until it was convicted anew.
+    // After all nodes had ended at once, requests with the part crashed endpoints again until it was quarantined anew.
     startFleet(4);
     for (int i = 0; i < 3; ++i) {
         crash(0, deadlyPrompt);
@@ -275,9 +275,9 @@
     EXPECT_TRUE(isRefused(4, deadlyPrompt));
 }
 
-TEST_F(prompt_quarantine_test, pausedCollector_asksAgainBeforeItConvicts)
+TEST_F(prompt_quarantine_test, pausedCollector_asksAgainBeforeItDecides)
 {
-    // A process that wakes up must not convict by what it knew before its pause, while reports of answers wait to be read.
+    // A process that wakes up must not decide by what it knew before its pause, while reports of answers wait to be read.
     startFleet(1);
     for (int i = 0; i < 3; ++i) {
         crash(0, soundPrompt);
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -20,7 +20,7 @@
     part_hash part;
 };
 
-struct conviction {
+struct quarantine_decision {
     quarantine_entry entry;
     service_hash service;
     /// Separate moments at which endpoints ended with the part, and at which any endpoint of the service ended.
@@ -31,8 +31,8 @@
 };
 
 /// Finds the prompt parts that crash endpoints, from the crashes and answers that all nodes report. A part is suspected once it stands in
-/// crashes at two separate moments without an answer since the first, and convicted by the third. Crashes that a convicted part explains no
-/// longer count against others. Does no I/O and reads no clock.
+/// crashes at two separate moments without an answer since the first, and quarantined by the third. Crashes that a quarantined part
+/// explains no longer count against others. Does no I/O and reads no clock.
 class crash_correlator {
 public:
     /// Crashes with a part in force are explained by it and not counted.
@@ -46,8 +46,8 @@
     void suspectAnew();
     /// Parts about whose answers the nodes have to be asked now; each once until an answer is reported.
     std::vector<suspected_part> takeSuspects(const quarantine_list& known, monotonic_time now);
-    /// Convicts parts and adds them to the list.
-    std::vector<conviction> takeConvictions(quarantine_list& known, monotonic_time now);
+    /// Decides which parts to quarantine, and adds them to the list.
+    std::vector<quarantine_decision> takeDecisions(quarantine_list& known, monotonic_time now);
 
 private:
     struct crash_record {
@@ -87,7 +87,7 @@
     /// Crashes since the last answer, by part.
     static std::map<part_hash, crash_count> countCrashes(const service_state& service);
     static unsigned crashesSince(const service_state& service, monotonic_time since);
-    static std::optional<candidate> findCulprit(const service_state& service, const quarantine_list& known, monotonic_time now);
+    static std::optional<candidate> findCause(const service_state& service, const quarantine_list& known, monotonic_time now);
     static void suspectAnew(service_state& service);
     static void removeExplained(service_state& service, part_hash part);
 
--- a/libs/quarantine/src/crash_correlator.cpp
+++ b/libs/quarantine/src/crash_correlator.cpp
@@ -17,13 +17,13 @@
 // Time for the nodes to report answers on a suspected part.
 constexpr auto answerReportTime = std::chrono::milliseconds(150);
 constexpr unsigned crashesToSuspect = 2;
-constexpr unsigned crashesToConvict = 3;
+constexpr unsigned crashesToQuarantine = 3;
 // A part that was quarantined before.
-constexpr unsigned crashesOnProbation = 1;
-// A culprit stands in at least one of so many crashes.
+constexpr unsigned crashesToQuarantineAgain = 1;
+// The cause stands in at least one of so many crashes.
 constexpr unsigned maxUnrelatedCrashRatio = 4;
 constexpr std::size_t maxCrashes = 64;
-// Above the parts of all requests that an endpoint reads at once, so that those of the culprit are among them.
+// Above the parts of all requests that an endpoint reads at once, so that those of the cause are among them.
 constexpr std::size_t maxPartsPerCrash = 512;
 
 bool contains(const std::vector<part_hash>& parts, part_hash part)
@@ -33,7 +33,7 @@
 
 unsigned crashesNeeded(const quarantine_list& known, part_hash part, unsigned usual)
 {
-    return known.convictionsOf(part) > 0 ? crashesOnProbation : usual;
+    return known.timesOf(part) > 0 ? crashesToQuarantineAgain : usual;
 }
 
 } // namespace
@@ -108,22 +108,22 @@
     return suspects;
 }
 
-std::vector<conviction> crash_correlator::takeConvictions(quarantine_list& known, monotonic_time now)
+std::vector<quarantine_decision> crash_correlator::takeDecisions(quarantine_list& known, monotonic_time now)
 {
-    std::vector<conviction> convictions;
+    std::vector<quarantine_decision> decisions;
     for (auto& [hash, service] : m_services) {
-        while (const auto culprit = findCulprit(service, known, now)) {
-            const auto all = crashesSince(service, culprit->crashes.first);
-            convictions.push_back({ known.convict(culprit->part, now), hash, culprit->crashes.count, all, now - culprit->crashes.first });
-            removeExplained(service, culprit->part);
+        while (const auto cause = findCause(service, known, now)) {
+            const auto all = crashesSince(service, cause->crashes.first);
+            decisions.push_back({ known.quarantine(cause->part, now), hash, cause->crashes.count, all, now - cause->crashes.first });
+            removeExplained(service, cause->part);
         }
     }
-    return convictions;
+    return decisions;
 }
 
 // Of several candidates, the part whose last answer is oldest. Among parts without any, the one that stands later in the prompt: the other
 // requests with the parts before it go on to tell whether those crash endpoints as well.
-std::optional<crash_correlator::candidate> crash_correlator::findCulprit(
+std::optional<crash_correlator::candidate> crash_correlator::findCause(
     const service_state& service, const quarantine_list& known, monotonic_time now)
 {
     const auto isReported
@@ -133,7 +133,7 @@
     std::optional<candidate> best;
     for (const auto& [part, crashes] : countCrashes(service)) {
         const auto state = *service.parts.find(part);
-        if (!isReported(state) || known.remaining(part, now) || crashes.count < crashesNeeded(known, part, crashesToConvict)
+        if (!isReported(state) || known.remaining(part, now) || crashes.count < crashesNeeded(known, part, crashesToQuarantine)
             || crashes.count * maxUnrelatedCrashRatio < crashesSince(service, crashes.first))
             continue;
         const candidate found { part, crashes, state.second.lastAnswer.value_or(monotonic_time::min()), state.second.depth };
--- a/libs/quarantine/src/quarantine_list.cpp
+++ b/libs/quarantine/src/quarantine_list.cpp
@@ -10,43 +10,43 @@
 constexpr auto initialQuarantine = std::chrono::seconds(60);
 constexpr auto maxQuarantine = std::chrono::hours(1);
 constexpr unsigned maxDoublings = 6;
-// A part that crashes endpoints again within this time is convicted by its first crash.
-constexpr auto probationTime = std::chrono::minutes(30);
+// A part that crashes endpoints again within this time is quarantined by its first crash.
+constexpr auto observationTime = std::chrono::minutes(30);
 // More than this would rather be a fault of the endpoints than of so many prompts.
 constexpr std::size_t maxPartsInForce = 64;
 
-// convictions: 1 or more.
-duration timeOf(unsigned convictions)
+// times: how often the part was quarantined, 1 or more.
+duration timeOf(unsigned times)
 {
-    return std::min<duration>(initialQuarantine * (1U << std::min(convictions - 1, maxDoublings)), maxQuarantine);
+    return std::min<duration>(initialQuarantine * (1U << std::min(times - 1, maxDoublings)), maxQuarantine);
 }
 
 } // namespace
 
-quarantine_entry quarantine_list::convict(part_hash part, monotonic_time now)
+quarantine_entry quarantine_list::quarantine(part_hash part, monotonic_time now)
 {
     auto& state = m_parts[part];
-    const auto time = timeOf(++state.convictions);
+    const auto time = timeOf(++state.times);
     state.until = now + time;
     state.hasEnded = false;
-    return { part, state.convictions, time };
+    return { part, state.times, time };
 }
 
-// Only an unknown conviction changes anything, so that entries that nodes pass on in circles do not prolong themselves.
+// Only a time that is not known yet changes anything, so that entries that nodes pass on in circles do not prolong themselves.
 bool quarantine_list::merge(const quarantine_entry& entry, monotonic_time now)
 {
     auto& state = m_parts[entry.part];
-    if (entry.convictions <= state.convictions)
+    if (entry.times <= state.times)
         return false;
-    state.convictions = entry.convictions;
+    state.times = entry.times;
     state.until = std::max(state.until, now + std::min<duration>(entry.remaining, maxQuarantine));
     state.hasEnded = false;
     return true;
 }
 
-bool quarantine_list::restore(part_hash part, unsigned convictions, monotonic_time now)
+bool quarantine_list::restore(part_hash part, unsigned times, monotonic_time now)
 {
-    return convictions > 0 && merge({ part, convictions, timeOf(convictions) }, now);
+    return times > 0 && merge({ part, times, timeOf(times) }, now);
 }
 
 std::optional<duration> quarantine_list::remaining(part_hash part, monotonic_time now) const
@@ -57,10 +57,10 @@
     return found->second.until - now;
 }
 
-unsigned quarantine_list::convictionsOf(part_hash part) const
+unsigned quarantine_list::timesOf(part_hash part) const
 {
     const auto found = m_parts.find(part);
-    return found == m_parts.end() ? 0 : found->second.convictions;
+    return found == m_parts.end() ? 0 : found->second.times;
 }
 
 std::vector<quarantine_entry> quarantine_list::inForce(monotonic_time now) const
@@ -68,7 +68,7 @@
     std::vector<quarantine_entry> entries;
     for (const auto& [part, state] : m_parts) {
         if (state.until > now)
-            entries.push_back({ part, state.convictions, state.until - now });
+            entries.push_back({ part, state.times, state.until - now });
     }
     return entries;
 }
@@ -91,7 +91,7 @@
 
 void quarantine_list::expire(monotonic_time now)
 {
-    std::erase_if(m_parts, [now](const auto& entry) { return now > entry.second.until + probationTime; });
+    std::erase_if(m_parts, [now](const auto& entry) { return now > entry.second.until + observationTime; });
 }
 
 } // namespace carawaylink::quarantine
--- a/libs/quarantine/tests/crash_correlator_tests.cpp
+++ b/libs/quarantine/tests/crash_correlator_tests.cpp
@@ -31,14 +31,14 @@
         return parts;
     }
 
-    // Convictions after the time in which nodes report answers; suspects are asked for, as a node does.
-    std::vector<part_hash> convictions()
+    // Parts that are quarantined after the time in which nodes report answers; suspects are asked for, as a node does.
+    std::vector<part_hash> quarantined()
     {
         std::vector<part_hash> parts;
         for (int step = 0; step < 4; ++step) {
             m_correlator.takeSuspects(m_known, m_now);
             m_now += 100ms;
-            for (const auto& entry : m_correlator.takeConvictions(m_known, m_now))
+            for (const auto& entry : m_correlator.takeDecisions(m_known, m_now))
                 parts.push_back(entry.entry.part);
         }
         return parts;
@@ -50,7 +50,7 @@
     std::uint64_t m_replicas = 0;
 };
 
-TEST_F(crash_correlator_test, partInThreeCrashesWithoutAnswer_isConvicted)
+TEST_F(crash_correlator_test, partInThreeCrashesWithoutAnswer_isQuarantined)
 {
     // Requests with one part went on to crash endpoint after endpoint, because no node related the crashes to what ran there.
     crash({ common, deadly });
@@ -59,26 +59,26 @@
     EXPECT_EQ(suspects(), (std::vector { common, deadly }));
     answer(common);
     crash({ common, deadly, rare });
-    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(quarantined(), std::vector { deadly });
     EXPECT_TRUE(m_known.remaining(deadly, m_now));
 }
 
-TEST_F(crash_correlator_test, partThatIsAnsweredBetweenCrashes_isNeverConvicted)
+TEST_F(crash_correlator_test, partThatIsAnsweredBetweenCrashes_isNeverQuarantined)
 {
     // Guards against refusing the sound requests that share their other parts with those that crash endpoints.
     for (int i = 0; i < 20; ++i) {
         crash({ common });
         answer(common);
-        EXPECT_TRUE(convictions().empty());
+        EXPECT_TRUE(quarantined().empty());
     }
 }
 
-TEST_F(crash_correlator_test, endpointsThatEndTogether_convictNoPart)
+TEST_F(crash_correlator_test, endpointsThatEndTogether_quarantineNoPart)
 {
     // Guards against blaming a popular part when a zone loses its endpoints at one moment.
     for (int i = 0; i < 8; ++i)
         crash({ common }, 10ms);
-    EXPECT_TRUE(convictions().empty());
+    EXPECT_TRUE(quarantined().empty());
 }
 
 TEST_F(crash_correlator_test, reportsOfOneEndpoint_countAsOneCrash)
@@ -88,26 +88,26 @@
         m_now += 200ms;
         m_correlator.addCrash({ service, replica_hash { 1 }, { deadly } }, m_now, m_known, m_now);
     }
-    EXPECT_TRUE(convictions().empty());
+    EXPECT_TRUE(quarantined().empty());
 }
 
-TEST_F(crash_correlator_test, partInFewOfManyCrashes_isNotConvicted)
+TEST_F(crash_correlator_test, partInFewOfManyCrashes_isNotQuarantined)
 {
     // Guards against refusing a rare part because endpoints end for other reasons all the time.
     for (int i = 0; i < 15; ++i)
         crash(i % 5 == 0 ? std::vector { rare } : std::vector<part_hash> {});
-    EXPECT_TRUE(convictions().empty());
+    EXPECT_TRUE(quarantined().empty());
 }
 
-TEST_F(crash_correlator_test, candidatesWithoutAnswers_convictDeepestPartFirst)
+TEST_F(crash_correlator_test, candidatesWithoutAnswers_quarantineDeepestPartFirst)
 {
-    // The first part is shared by all requests of the route; convicting it would refuse them all, and no answer could clear it.
+    // The first part is shared by all requests of the route; quarantining it would refuse them all, and no answer could clear it.
     for (int i = 0; i < 3; ++i)
         crash({ common, deadly });
-    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(quarantined(), std::vector { deadly });
 }
 
-TEST_F(crash_correlator_test, partThatWasAnsweredBeforeItsCrashes_isConvictedAfterOthersAreCleared)
+TEST_F(crash_correlator_test, partThatWasAnsweredBeforeItsCrashes_isQuarantinedAfterOthersAreCleared)
 {
     // A part may become deadly with a new version of the endpoints; answers from before do not protect it.
     crash({ common, deadly });
@@ -117,33 +117,33 @@
         crash({ common, deadly });
     suspects();
     answer(common);
-    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(quarantined(), std::vector { deadly });
 }
 
-TEST_F(crash_correlator_test, twoDeadlyParts_areBothConvicted)
+TEST_F(crash_correlator_test, twoDeadlyParts_areBothQuarantined)
 {
     for (int i = 0; i < 3; ++i) {
         crash({ deadly });
         crash({ rare });
     }
-    EXPECT_EQ(convictions().size(), 2U);
+    EXPECT_EQ(quarantined().size(), 2U);
 }
 
-TEST_F(crash_correlator_test, partConvictedElsewhere_explainsItsCrashes)
+TEST_F(crash_correlator_test, partQuarantinedElsewhere_explainsItsCrashes)
 {
-    // The node that correlated in parallel convicted the part that all requests of the route share, out of the same crashes.
+    // The node that correlated in parallel quarantined the part that all requests of the route share, out of the same crashes.
     for (int i = 0; i < 3; ++i)
         crash({ common, deadly });
     suspects();
     m_known.merge({ deadly, 1, 60s }, m_now);
     m_correlator.explainCrashes(deadly);
     crash({ common, deadly });
-    EXPECT_TRUE(convictions().empty());
+    EXPECT_TRUE(quarantined().empty());
 }
 
-TEST_F(crash_correlator_test, partAmongThoseOfManyRequests_isConvicted)
+TEST_F(crash_correlator_test, partAmongThoseOfManyRequests_isQuarantined)
 {
-    // An endpoint with a large batch reads a hundred prompts when it ends; the parts of the culprit may be reported last.
+    // An endpoint with a large batch reads a hundred prompts when it ends; the parts of the cause may be reported last.
     for (std::uint64_t i = 0; i < 3; ++i) {
         std::vector<part_hash> parts;
         for (std::uint64_t other = 0; other < 300; ++other)
@@ -151,17 +151,17 @@
         parts.push_back(deadly);
         crash(parts);
     }
-    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(quarantined(), std::vector { deadly });
 }
 
-TEST_F(crash_correlator_test, partOnProbation_isConvictedByOneCrash)
+TEST_F(crash_correlator_test, partQuarantinedBefore_isQuarantinedByOneCrash)
 {
     // After its time a quarantined part may take one more endpoint, not three.
-    m_known.convict(deadly, m_now);
+    m_known.quarantine(deadly, m_now);
     m_now += 2min;
     crash({ common, deadly });
-    EXPECT_EQ(convictions(), std::vector { deadly });
-    EXPECT_EQ(m_known.convictionsOf(deadly), 2U);
+    EXPECT_EQ(quarantined(), std::vector { deadly });
+    EXPECT_EQ(m_known.timesOf(deadly), 2U);
 }
 
 TEST_F(crash_correlator_test, crashesReportedAnewToAnotherNode_keepTheirTimes)
@@ -169,7 +169,7 @@
     // The node that correlates may be lost; its successor gets the recent crashes with their ages, all at once and out of order.
     for (const auto age : { 200ms, 900ms, 500ms })
         m_correlator.addCrash({ service, replica_hash { ++m_replicas }, { deadly } }, m_now - age, m_known, m_now);
-    EXPECT_EQ(convictions(), std::vector { deadly });
+    EXPECT_EQ(quarantined(), std::vector { deadly });
 }
 
 } // namespace
--- a/libs/quarantine/tests/quarantine_list_tests.cpp
+++ b/libs/quarantine/tests/quarantine_list_tests.cpp
@@ -16,21 +16,21 @@
     monotonic_time m_now { 100s };
 };
 
-TEST_F(quarantine_list_test, convictedPart_isHeldForItsTimeAndLongerEachTime)
+TEST_F(quarantine_list_test, quarantinedPart_isHeldForItsTimeAndLongerEachTime)
 {
     EXPECT_FALSE(m_list.remaining(part, m_now));
-    const auto first = m_list.convict(part, m_now).remaining;
+    const auto first = m_list.quarantine(part, m_now).remaining;
     EXPECT_EQ(m_list.remaining(part, m_now), first);
     m_now += first;
     EXPECT_FALSE(m_list.remaining(part, m_now));
-    EXPECT_EQ(m_list.convict(part, m_now).remaining, 2 * first);
+    EXPECT_EQ(m_list.quarantine(part, m_now).remaining, 2 * first);
 }
 
 TEST_F(quarantine_list_test, entriesPassedInCircles_doNotProlongThemselves)
 {
     // Nodes pass their lists on every second; with delays on the way a quarantine would otherwise never end.
     quarantine_list other;
-    const auto time = m_list.convict(part, m_now).remaining;
+    const auto time = m_list.quarantine(part, m_now).remaining;
     for (int i = 0; i < 100; ++i) {
         for (const auto& entry : m_list.inForce(m_now))
             other.merge(entry, m_now + 50ms);
