--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -237,7 +237,7 @@
 
 void exchange::forward(std::string events)
 {
-    m_dispatcher.recordProgress(*this, m_splitter.eventCount() - m_eventsBeforeAttempt);
+    m_dispatcher.recordProgress(*this, eventsOfAttempt());
     recordAnswer();
     if (!m_firstEventAt)
         m_firstEventAt = m_lastProgressAt;
@@ -282,7 +282,7 @@
         return;
     }
     // The end of the connection ends such a stream, also where the endpoint ended before it wrote anything.
-    if (!hasFraming(m_head) && m_splitter.eventCount() == m_eventsBeforeAttempt) {
+    if (!hasFraming(m_head) && eventsOfAttempt() == 0) {
         attemptFailed(placement::outcome::broken, "stream without length ended before its first event");
         return;
     }
@@ -310,7 +310,7 @@
         return;
     }
     // The complete body counts as the first event, from which the pool updates its latency model.
-    m_dispatcher.recordProgress(*this, m_splitter.eventCount() - m_eventsBeforeAttempt);
+    m_dispatcher.recordProgress(*this, eventsOfAttempt());
     if (m_headForwarded) {
         attemptFailed(placement::outcome::invalid, "resumed stream got a response that is not an event stream");
         return;
@@ -326,7 +326,7 @@
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
     recordAttemptFailure(result);
-    if (result == placement::outcome::broken && m_splitter.eventCount() == m_eventsBeforeAttempt)
+    if (result == placement::outcome::broken && eventsOfAttempt() == 0)
         m_dispatcher.recordUnansweredLoss(*this, m_grant);
     // An unreachable endpoint did no work, so its retry needs no budget. A replaced one does: another process answered the request.
     const bool willRetry = canRetry(result, now) && (result == placement::outcome::unreachable || tryTakeRetry());
@@ -439,8 +439,7 @@
     }
     if (m_state == state::waiting || m_isReplacementPending || !m_admitted.route.isSafeToRetry())
         return;
-    const bool hasEvents = m_splitter.eventCount() > m_eventsBeforeAttempt;
-    const auto limit = hasEvents ? duration(streamIdleTimeout) : m_dispatcher.firstEventTimeout(*this);
+    const auto limit = eventsOfAttempt() > 0 ? duration(streamIdleTimeout) : m_dispatcher.firstEventTimeout(*this);
     if (now - m_lastProgressAt > limit)
         requestReplacement(now);
 }
@@ -492,7 +491,7 @@
 
 void exchange::recordOutcome(placement::outcome result)
 {
-    m_dispatcher.finishAttempt(*this, result, m_splitter.eventCount() - m_eventsBeforeAttempt);
+    m_dispatcher.finishAttempt(*this, result, eventsOfAttempt());
 }
 
 void exchange::respond(http_response response, std::string_view reason)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -72,6 +72,8 @@
     void onStreamComplete();
     void forward(std::string events);
     void attemptFailed(placement::outcome result, const std::string& detail);
+    /// Complete events that the current attempt has delivered.
+    std::size_t eventsOfAttempt() const { return m_splitter.eventCount() - m_eventsBeforeAttempt; }
     void recordAnswer();
     /// Cancels the attempt, or withdraws the request while it waits.
     void abandonAttempt();
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "peer_codec.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <limits>
 #include <xxhash.h>
@@ -127,6 +129,21 @@
     return XXH64(team.value.data(), team.value.size(), 0);
 }
 
+quarantine::service_hash serviceHash(const service_id& service)
+{
+    return quarantine::service_hash { XXH64(service.value.data(), service.value.size(), 0) };
+}
+
+quarantine::part_hash partHash(quarantine::service_hash service, std::string_view id)
+{
+    return quarantine::part_hash { XXH64(id.data(), id.size(), service.value) };
+}
+
+std::uint32_t encodeMilliseconds(duration span)
+{
+    return saturated<std::uint32_t>(wholeMilliseconds(span));
+}
+
 peer::slot_callT encodeCall(const placement::slot_call& call, monotonic_time now)
 {
     peer::slot_callT message;
--- a/libs/gateway/src/peer_codec.h
+++ b/libs/gateway/src/peer_codec.h
@@ -2,6 +2,7 @@
 
 #include "limits/usage_collector.h"
 #include "placement/slot_messages.h"
+#include "quarantine/prompt_part.h"
 #include "wire/generated/peer_state_generated.h"
 
 #include <functional>
@@ -13,6 +14,12 @@
 std::uint64_t replicaHash(const discovery::replica_id& id);
 /// Identifies a team in messages between nodes.
 limits::team_hash teamHash(const team_id& team);
+/// Identifies a service in messages between nodes.
+quarantine::service_hash serviceHash(const service_id& service);
+/// Identifies a shared prompt part of a service in messages between nodes.
+quarantine::part_hash partHash(quarantine::service_hash service, std::string_view id);
+/// A time span in a message; zero if negative.
+std::uint32_t encodeMilliseconds(duration span);
 
 /// Returns the endpoint of a hash; nullopt if this node does not know it.
 using replica_lookup = std::function<std::optional<discovery::endpoint_record>(std::uint64_t hash)>;
--- a/libs/gateway/src/peer_links.cpp
+++ b/libs/gateway/src/peer_links.cpp
@@ -3,7 +3,6 @@
 #include "tcp_endpoint.h"
 
 #include "base/error.h"
-#include "http/message.h"
 
 #include <algorithm>
 #include <array>
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -1,13 +1,11 @@
 #include "prompt_quarantine.h"
 
-#include "base/time.h"
 #include "peer_codec.h"
 
 #include <algorithm>
 #include <charconv>
 #include <iomanip>
 #include <utility>
-#include <xxhash.h>
 
 namespace carawaylink::gateway {
 
@@ -25,11 +23,6 @@
 // A node that was paused for longer may have unread reports of answers.
 constexpr auto maxTickInterval = std::chrono::milliseconds(500);
 
-std::uint32_t milliseconds(duration span)
-{
-    return static_cast<std::uint32_t>(std::max<long long>(wholeMilliseconds(span), 0));
-}
-
 template <typename Integer> std::optional<Integer> parse(std::string_view text, int base)
 {
     Integer value {};
@@ -41,7 +34,7 @@
 {
     peer::quarantine_updateT update;
     for (const auto& entry : entries)
-        update.parts.emplace_back(entry.part.value, milliseconds(entry.remaining), entry.times);
+        update.parts.emplace_back(entry.part.value, encodeMilliseconds(entry.remaining), entry.times);
     return update;
 }
 
@@ -55,17 +48,11 @@
 {
 }
 
-std::uint64_t prompt_quarantine::collectorKey(const service_id& service)
-{
-    return XXH64(service.value.data(), service.value.size(), 0);
-}
-
 prompt_quarantine::parts prompt_quarantine::partsOf(const service_id& service, std::span<const std::string> sharedParts)
 {
-    const auto seed = collectorKey(service);
+    const auto hash = serviceHash(service);
     parts result;
-    std::ranges::transform(
-        sharedParts, std::back_inserter(result), [seed](const std::string& id) { return part_hash { XXH64(id.data(), id.size(), seed) }; });
+    std::ranges::transform(sharedParts, std::back_inserter(result), [hash](const std::string& id) { return partHash(hash, id); });
     return result;
 }
 
@@ -105,8 +92,7 @@
 {
     if (m_crashes.size() >= maxRepeatedCrashes)
         m_crashes.pop_front();
-    m_crashes.push_back(
-        { { quarantine::service_hash { collectorKey(service) }, quarantine::replica_hash { replicaHash(replica) }, unanswered }, now, {} });
+    m_crashes.push_back({ { serviceHash(service), quarantine::replica_hash { replicaHash(replica) }, unanswered }, now, {} });
     auto line = m_log.event("endpoint_crashed");
     line.field("service", service).field("replica", replica);
     std::ranges::for_each(unanswered, [&line](part_hash part) { line.field("part", logName(part)); });
@@ -155,7 +141,7 @@
         peer::crash_reportT report;
         report.service = reported.crash.service.value;
         report.replica = reported.crash.replica.value;
-        report.age_ms = milliseconds(now - reported.time);
+        report.age_ms = encodeMilliseconds(now - reported.time);
         std::ranges::transform(reported.crash.parts, std::back_inserter(report.parts), &part_hash::value);
         auto collectors = collectorsOf(reported.crash.service, members);
         for (const auto& collector : collectors) {
@@ -186,9 +172,9 @@
             .field("part", logName(decided.entry.part))
             .field("crashes", decided.crashes)
             .field("all_crashes", decided.allCrashes)
-            .field("first_crash_age_ms", milliseconds(decided.elapsed))
+            .field("first_crash_age_ms", encodeMilliseconds(decided.elapsed))
             .field("times", decided.entry.times)
-            .field("quarantine_ms", milliseconds(decided.entry.remaining));
+            .field("quarantine_ms", encodeMilliseconds(decided.entry.remaining));
         const auto update = encode({ &decided.entry, 1 });
         for (const auto& node : m_nodes) {
             if (node != m_self)
@@ -236,8 +222,9 @@
     const auto entries = m_list.inForce(now);
     if (entries.empty())
         return;
+    const auto update = encode(entries);
     for (std::size_t step = 1; step <= std::min(passOnFanOut, m_nodes.size() - 1); ++step)
-        send(nodeAfter(m_self, step), encode(entries));
+        send(nodeAfter(m_self, step), update);
 }
 
 bool prompt_quarantine::receive(const node_id& node, const peer::envelopeT& message, monotonic_time now)
@@ -274,7 +261,7 @@
         if (std::ranges::find(watched.collectors, node) == watched.collectors.end())
             watched.collectors.push_back(node);
         if (const auto answered = m_answers.lastAnswer(part))
-            report.answers.emplace_back(hash, milliseconds(now - *answered));
+            report.answers.emplace_back(hash, encodeMilliseconds(now - *answered));
     }
     if (!report.answers.empty())
         send(node, report);
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -30,8 +30,6 @@
 
     prompt_quarantine(node_id self, decision_log& log, sender send);
 
-    /// The node in charge of this key, and the next one by address, correlate the crashes of the service.
-    static std::uint64_t collectorKey(const service_id& service);
     static parts partsOf(const service_id& service, std::span<const std::string> sharedParts);
 
     /// Names a part in log lines.
@@ -45,7 +43,7 @@
     /// Time for which requests with any of the parts are refused; nullopt if they are not.
     std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
     /// Number of parts in force.
-    std::size_t size(monotonic_time now) const { return m_list.inForce(now).size(); }
+    std::size_t size(monotonic_time now) const { return m_list.sizeInForce(now); }
     /// An endpoint began to answer a request with these parts.
     void recordAnswer(const parts& answered, monotonic_time now);
     /// An endpoint's process ended while it had not begun to answer requests with these parts.
@@ -70,6 +68,7 @@
         monotonic_time until;
     };
 
+    /// The node in charge of the service's hash, and the next one by address.
     std::vector<node_id> collectorsOf(quarantine::service_hash service, const fleet_members& members) const;
     /// Reports new crashes; after a change of the members also recent ones, to nodes that now correlate them.
     void sendCrashes(const fleet_members& members, bool haveMembersChanged, monotonic_time now);
--- a/libs/gateway/src/team_quotas.cpp
+++ b/libs/gateway/src/team_quotas.cpp
@@ -1,6 +1,5 @@
 #include "team_quotas.h"
 
-#include "base/time.h"
 #include "peer_codec.h"
 
 #include <utility>
@@ -119,7 +118,7 @@
             continue;
         const auto level = team->second.quota.remaining(now);
         totals.totals.emplace_back(use.team(), total.confirmed, total.othersUsed, static_cast<float>(total.othersReserved),
-            static_cast<float>(level), static_cast<std::uint32_t>(wholeMilliseconds(total.counted)));
+            static_cast<float>(level), encodeMilliseconds(total.counted));
     }
     peer::envelopeT message;
     message.body.Set(std::move(totals));
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -1,3 +1,4 @@
+#include "peer_codec.h"
 #include "prompt_quarantine.h"
 
 #include <gtest/gtest.h>
@@ -112,6 +113,16 @@
         at(index).recordCrash(service, discovery::replica_id { "i-" + std::to_string(++m_replicas) }, partsOf(prompt), m_now);
     }
 
+    // Endpoints end under requests of node 0 until the part is quarantined.
+    void quarantineDeadlyPart()
+    {
+        for (int i = 0; i < 3; ++i) {
+            crash(0, deadlyPrompt);
+            pass(200ms);
+        }
+        pass(300ms);
+    }
+
     static prompt_quarantine::parts partsOf(const std::vector<std::string>& prompt) { return prompt_quarantine::partsOf(service, prompt); }
 
     bool isRefused(std::size_t index, const std::vector<std::string>& prompt)
@@ -119,7 +130,7 @@
         return at(index).remaining(partsOf(prompt), m_now).has_value();
     }
 
-    node_id collector() { return m_nodes.begin()->second->members.nodeFor(collectorKey); }
+    node_id collector() { return m_nodes.begin()->second->members.nodeFor(serviceHash(service).value); }
 
     decision_log m_log { "test" };
     std::map<node_id, std::unique_ptr<node>> m_nodes;
@@ -127,7 +138,6 @@
     monotonic_time m_now { 100s };
     std::uint64_t m_replicas = 0;
     std::size_t m_messages = 0;
-    const std::uint64_t collectorKey = prompt_quarantine::collectorKey(service);
 };
 
 TEST_F(prompt_quarantine_test, crashesSeenByDifferentNodes_quarantineThePartEverywhere)
@@ -181,11 +191,7 @@
 {
     // A node that restarts without the store knows nothing, and would send the requests that the others refuse.
     startFleet(8);
-    for (int i = 0; i < 3; ++i) {
-        crash(0, deadlyPrompt);
-        pass(200ms);
-    }
-    pass(300ms);
+    quarantineDeadlyPart();
     EXPECT_FALSE(isRefused(0, soundPrompt));
     m_store.clear();
     stopNode(5);
@@ -227,11 +233,7 @@
 {
     // After all nodes had ended at once, requests with the part crashed endpoints again until it was quarantined anew.
     startFleet(4);
-    for (int i = 0; i < 3; ++i) {
-        crash(0, deadlyPrompt);
-        pass(200ms);
-    }
-    pass(300ms);
+    quarantineDeadlyPart();
     m_nodes.clear();
     startFleet(4);
     EXPECT_TRUE(isRefused(2, deadlyPrompt));
@@ -242,11 +244,7 @@
 {
     // Guards against a fleet that refuses prompts of long ago after each restart.
     startFleet(4);
-    for (int i = 0; i < 3; ++i) {
-        crash(0, deadlyPrompt);
-        pass(200ms);
-    }
-    pass(300ms);
+    quarantineDeadlyPart();
     EXPECT_EQ(m_store.size(), 1U);
     pass(62s);
     EXPECT_TRUE(m_store.empty());
@@ -264,11 +262,7 @@
 {
     startFleet(5);
     m_nodes.at(nodeId(4))->isCut = true;
-    for (int i = 0; i < 3; ++i) {
-        crash(0, deadlyPrompt);
-        pass(200ms);
-    }
-    pass(300ms);
+    quarantineDeadlyPart();
     EXPECT_FALSE(isRefused(4, deadlyPrompt));
     m_nodes.at(nodeId(4))->isCut = false;
     pass(1500ms);
--- a/libs/quarantine/include/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/quarantine/quarantine_list.h
@@ -33,6 +33,7 @@
     unsigned timesOf(part_hash part) const;
     /// Entries in force.
     std::vector<quarantine_entry> inForce(monotonic_time now) const;
+    std::size_t sizeInForce(monotonic_time now) const;
     /// Whether another part can be quarantined.
     bool hasRoom(monotonic_time now) const;
     /// Parts whose time has ended since the last call.
--- a/libs/quarantine/src/quarantine_list.cpp
+++ b/libs/quarantine/src/quarantine_list.cpp
@@ -73,10 +73,14 @@
     return entries;
 }
 
+std::size_t quarantine_list::sizeInForce(monotonic_time now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_parts, [now](const auto& entry) { return entry.second.until > now; }));
+}
+
 bool quarantine_list::hasRoom(monotonic_time now) const
 {
-    const auto count = std::ranges::count_if(m_parts, [now](const auto& entry) { return entry.second.until > now; });
-    return static_cast<std::size_t>(count) < maxPartsInForce;
+    return sizeInForce(now) < maxPartsInForce;
 }
 
 std::vector<part_hash> quarantine_list::takeEnded(monotonic_time now)
