--- a/libs/placement/tests/slot_client_tests.cpp
+++ b/libs/placement/tests/slot_client_tests.cpp
@@ -141,9 +141,7 @@
     fleet.run(1ms);
     fleet.freeze(owner);
     fleet.run(300ms);
-    std::set<std::size_t> others { 0, 1, 2, 3 };
-    others.erase(owner);
-    fleet.setLive(others);
+    fleet.setLiveWithout(owner);
     fleet.run(500ms);
     fleet.thaw(owner);
     fleet.run(300ms);
@@ -182,9 +180,7 @@
         fleet.submit(node);
     fleet.run(10ms);
     ASSERT_EQ(fleet.grants.size(), 5U);
-    std::set<std::size_t> others { 0, 1, 2, 3, 4 };
-    others.erase(fleet.ownerOfPool());
-    fleet.setLive(others);
+    fleet.setLiveWithout(fleet.ownerOfPool());
     for (std::size_t node = 0; node < 5; ++node)
         fleet.submit(node);
     fleet.run(300ms);
@@ -404,9 +400,7 @@
     const auto lost = fleet.ownerOfPool();
     fleet.cut(lost);
     load(fleet, 6, 1s, 3);
-    std::set<std::size_t> live { 0, 1, 2, 3, 4, 5 };
-    live.erase(lost);
-    fleet.setLive(live);
+    fleet.setLiveWithout(lost);
     load(fleet, 6, 5s, 3);
     EXPECT_LE(mostIn4s(fleet, from), acceptedIn4s(3));
 }
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -99,6 +99,16 @@
         updateViews();
     }
 
+    /// All nodes take all but this one for live.
+    void setLiveWithout(std::size_t node)
+    {
+        std::set<std::size_t> live;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+            live.insert(i);
+        live.erase(node);
+        setLive(live);
+    }
+
     std::size_t ownerOfPool(std::uint32_t number = 0) const
     {
         const auto owner = ownerOf({ engineService, number }, candidates());
