Log which answer and connection ended each send, and decisions that nobody waited for

request_sent and attempt_failed name the connection and how many requests it carried before; attempt_failed adds status, not_executed and names_attempt; request_ended adds the caller's status, undelivered sends and may_have_run. A grant or refusal for a request that does not wait for one is logged as decision_unexpected and counted. No decision changes.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/enum_table.h"
 #include "discovery/endpoint_table.h"
 #include "http/message.h"
 #include "routing/fleet_configuration.h"
@@ -36,8 +37,23 @@
     std::optional<std::uint64_t> lastEventId;
 };
 
+/// Which attempt a response names.
+enum class response_identity {
+    /// The attempt that it was asked for.
+    own,
+    other,
+    none,
+};
+
+inline constexpr auto responseIdentityNames = enumTable<response_identity>({
+    { response_identity::own, "own" },
+    { response_identity::other, "other" },
+    { response_identity::none, "none" },
+});
+
 /// Decoded headers of an endpoint's response.
 struct response_metadata {
+    response_identity identity = response_identity::none;
     /// The endpoint did not execute the request and will not execute it later.
     bool notExecuted = false;
     /// A process other than the addressed replica responded; it did not execute the request.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -114,6 +114,8 @@
 void exchange::onGranted(const placement::grant& grant)
 {
     const auto now = std::chrono::steady_clock::now();
+    if (m_state != state::waiting && !m_isReplacementPending)
+        logUnexpected("grant");
     // By granting a replacement, the pool already removed the load of the unresponsive endpoint.
     if (std::exchange(m_isReplacementPending, false))
         endAttempt(placement::outcome::timed_out, "no progress within the expected time", true);
@@ -123,20 +125,13 @@
     m_grant = grant;
     m_state = state::sent;
     m_triedReplicas.push_back(grant.replica);
-    m_head = {};
+    m_head = { 0 };
+    m_headMetadata = {};
     m_body.clear();
     m_splitter.restart();
     m_eventsBeforeAttempt = m_splitter.eventCount();
     m_sentAt = now;
     m_lastProgressAt = now;
-    m_dispatcher.log()
-        .event("request_sent")
-        .field("request", m_admitted.metadata.attempt)
-        .field("replica", grant.replica)
-        .field("attempt", m_triedReplicas.size())
-        .field("waited_ms", wholeMilliseconds(now - m_admitted.arrived))
-        .field("expected_first_ms", wholeMilliseconds(grant.expectedFirstEvent))
-        .field("running", grant.running);
     dispatch_metadata metadata { grant.replica, m_admitted.responseDeadline - now, m_admitted.team, m_splitter.lastId() };
     http_request request { m_admitted.request.method, m_admitted.request.target,
         m_dispatcher.codec().endpointHeaders(m_admitted.request, metadata), m_admitted.request.body };
@@ -161,6 +156,34 @@
     };
     ++m_deliveredSends;
     m_call = m_dispatcher.client().stream(grant.address.value, std::move(request), options, std::move(handlers));
+    m_connection = m_call->connection();
+    logSend();
+}
+
+void exchange::logSend()
+{
+    m_dispatcher.log()
+        .event("request_sent")
+        .field("request", m_admitted.metadata.attempt)
+        .field("replica", m_grant.replica)
+        .field("attempt", m_triedReplicas.size())
+        .field("waited_ms", wholeMilliseconds(m_sentAt - m_admitted.arrived))
+        .field("expected_first_ms", wholeMilliseconds(m_grant.expectedFirstEvent))
+        .field("running", m_grant.running)
+        .field("connection", m_connection.number)
+        .field("earlier_requests", m_connection.earlierRequests);
+}
+
+void exchange::logUnexpected(std::string_view decision)
+{
+    m_dispatcher.log()
+        .event("decision_unexpected", decision)
+        .field("request", m_admitted.metadata.attempt)
+        .field("decision", decision)
+        .field("state", stateNames.name(m_state))
+        .field("sends", m_deliveredSends)
+        .field("may_have_run", m_mayHaveExecuted);
+    m_dispatcher.metrics().unexpectedDecision(decision);
 }
 
 void exchange::onRefused(const placement::refusal& refusal)
@@ -174,6 +197,8 @@
         .field("waited_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
         .field("retry_after_ms", wholeMilliseconds(refusal.retryAfter))
         .field("replaces", m_isReplacementPending);
+    if (m_state != state::waiting && !m_isReplacementPending)
+        logUnexpected("refusal");
     // The response of the unresponsive endpoint may still continue.
     if (std::exchange(m_isReplacementPending, false)) {
         m_nextReplacementAt = std::chrono::steady_clock::now() + replacementInterval;
@@ -247,6 +272,7 @@
     if (!m_headForwarded) {
         m_headForwarded = true;
         m_dispatcher.metrics().firstEvent(m_lastProgressAt - m_admitted.arrived);
+        m_callerStatus = m_head.status;
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
     m_responder->write(events);
@@ -288,6 +314,7 @@
     }
     if (!m_headForwarded) {
         m_headForwarded = true;
+        m_callerStatus = m_head.status;
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
     recordOutcome(placement::outcome::completed);
@@ -369,6 +396,11 @@
         .field("events", m_splitter.eventCount())
         .field("again", willRetry)
         .field("shared_parts", commaSeparated(m_admitted.metadata.sharedParts))
+        .field("status", m_head.status)
+        .field("not_executed", m_headMetadata.notExecuted)
+        .field("names_attempt", responseIdentityNames.name(m_headMetadata.identity))
+        .field("connection", m_connection.number)
+        .field("earlier_requests", m_connection.earlierRequests)
         .field("detail", '"' + detail + '"');
     m_dispatcher.metrics().attemptFailed(result);
 }
@@ -496,6 +528,7 @@
 
 void exchange::respond(http_response response, std::string_view reason)
 {
+    m_callerStatus = response.status;
     m_responder->send(std::move(response));
     finish(reason);
 }
@@ -510,7 +543,10 @@
         .field("request", m_admitted.metadata.attempt)
         .field("route", m_admitted.route.name)
         .field("result", result)
+        .field("status", m_callerStatus)
         .field("sends", m_deliveredSends)
+        .field("undelivered", m_undeliveredSends)
+        .field("may_have_run", m_mayHaveExecuted)
         .field("events", m_splitter.eventCount())
         .field("prompt_tokens", m_admitted.prompt)
         .field("expected_tokens", m_admitted.expectedOutput)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -58,6 +58,13 @@
         streaming,
         done,
     };
+    static constexpr auto stateNames = enumTable<state>({
+        { state::waiting, "waiting" },
+        { state::sent, "sent" },
+        { state::buffering, "buffering" },
+        { state::streaming, "streaming" },
+        { state::done, "done" },
+    });
 
     void enqueue(monotonic_time now, bool wasAdmitted);
     void submit(monotonic_time now, bool wasAdmitted);
@@ -84,6 +91,9 @@
     void respond(http_response response, std::string_view reason);
     void recordOutcome(placement::outcome result);
     void finish(std::string_view result);
+    void logSend();
+    /// Logs a decision of the pool that the exchange did not wait for.
+    void logUnexpected(std::string_view decision);
     void onCallerClosed();
 
     request_dispatcher& m_dispatcher;
@@ -91,6 +101,9 @@
     std::shared_ptr<http_responder> m_responder;
     state m_state = state::waiting;
     std::shared_ptr<http_call> m_call;
+    http_connection m_connection;
+    /// Status that the caller got; 0 without a response.
+    unsigned m_callerStatus = 0;
     std::uint64_t m_callNumber = 0;
     placement::grant m_grant;
     std::vector<discovery::replica_id> m_triedReplicas;
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -26,6 +26,10 @@
                      .Name("carawaylink_gateway_failed_attempts_total")
                      .Help("Sends to an endpoint that failed, by outcome")
                      .Register(m_registry))
+    , m_unexpectedDecisions(prometheus::BuildCounter()
+                                .Name("carawaylink_gateway_unexpected_decisions_total")
+                                .Help("Grants and refusals that reached a request that did not wait for them")
+                                .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
@@ -56,6 +60,11 @@
     m_attempts.Add({ { "outcome", std::string(placement::outcomeNames.name(result)) } }).Increment();
 }
 
+void gateway_metrics::unexpectedDecision(std::string_view decision)
+{
+    m_unexpectedDecisions.Add({ { "decision", std::string(decision) } }).Increment();
+}
+
 void gateway_metrics::setWaiting(std::size_t requests)
 {
     m_waiting.Set(static_cast<double>(requests));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -21,6 +21,8 @@
     void requestEnded(tier level, std::string_view result);
     void firstEvent(duration elapsed);
     void attemptFailed(placement::outcome result);
+    /// A pool's decision reached a request that did not wait for it.
+    void unexpectedDecision(std::string_view decision);
     void setWaiting(std::size_t requests);
     void setActive(std::size_t requests);
     void setLiveNodes(std::size_t nodes);
@@ -35,6 +37,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_unexpectedDecisions;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Gauge& m_waiting;
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -39,7 +39,9 @@
         metadata.isReplaced = response.header("other").has_value();
         metadata.notExecuted = metadata.isReplaced || response.header("ran").has_value();
         const auto echoed = response.header("attempt");
-        metadata.isMismatched = echoed && *echoed != attempt;
+        if (echoed)
+            metadata.identity = *echoed == attempt ? response_identity::own : response_identity::other;
+        metadata.isMismatched = metadata.identity == response_identity::other;
         if (const auto limit = response.header("limit"))
             metadata.requestLimit = std::stod(std::string(*limit));
         metadata.isEventStream = response.header("Content-Type").value_or("") == "text/event-stream";
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "http/message.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -36,6 +37,14 @@
     { http_failure::cancelled, "cancelled" },
 });
 
+/// The connection that a call uses.
+struct http_connection {
+    /// Counts the connections of the client from 1; 0 before the call has one.
+    std::uint64_t number = 0;
+    /// Requests that it carried before this one.
+    std::uint32_t earlierRequests = 0;
+};
+
 struct http_result {
     http_failure failure = http_failure::none;
     /// False only if no byte of the request can have reached the peer.
@@ -75,6 +84,7 @@
     /// Stops reading until resume(), so that a slow consumer applies backpressure to the peer.
     virtual void pause() = 0;
     virtual void resume() = 0;
+    virtual http_connection connection() const = 0;
 };
 
 /// HTTP/1.1 client with persistent connections, bound to one event loop. Call it only from the thread of that loop; callbacks run
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -27,8 +27,13 @@
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint32_t maxResponseHeaderBytes = 65536;
 
+struct open_connection {
+    http_connection info;
+    tcp::socket socket;
+};
+
 struct idle_connection {
-    std::unique_ptr<tcp::socket> socket;
+    std::unique_ptr<open_connection> connection;
     monotonic_time usableUntil;
 };
 
@@ -75,29 +80,36 @@
     {
     }
 
-    std::unique_ptr<tcp::socket> take(const std::string& address)
+    std::unique_ptr<open_connection> open()
+    {
+        return std::make_unique<open_connection>(open_connection { { ++openedConnections, 0 }, tcp::socket(context) });
+    }
+
+    std::unique_ptr<open_connection> take(const std::string& address)
     {
         auto& list = idle[address];
         const auto now = std::chrono::steady_clock::now();
         while (!list.empty()) {
-            auto connection = std::move(list.back());
+            auto candidate = std::move(list.back());
             list.pop_back();
-            if (now < connection.usableUntil && isUsable(*connection.socket))
-                return std::move(connection.socket);
+            if (now < candidate.usableUntil && isUsable(candidate.connection->socket))
+                return std::move(candidate.connection);
         }
         return nullptr;
     }
 
-    void put(const std::string& address, std::unique_ptr<tcp::socket> socket, duration reusableTime)
+    void put(const std::string& address, std::unique_ptr<open_connection> connection, duration reusableTime)
     {
+        ++connection->info.earlierRequests;
         auto& list = idle[address];
         const auto now = std::chrono::steady_clock::now();
         while (!list.empty() && (list.size() >= maxIdlePerAddress || now >= list.front().usableUntil))
             list.pop_front();
-        list.push_back({ std::move(socket), now + reusableTime });
+        list.push_back({ std::move(connection), now + reusableTime });
     }
 
     asio::io_context& context;
+    std::uint64_t openedConnections = 0;
     std::unordered_map<std::string, std::deque<idle_connection>> idle;
 };
 
@@ -126,16 +138,18 @@
         recordActivity();
         armTimer();
         if (m_options.reuseConnection)
-            m_socket = m_cache->take(m_address);
-        if (m_socket) {
+            m_connection = m_cache->take(m_address);
+        if (m_connection) {
+            m_connectionInfo = m_connection->info;
             writeRequest();
             return;
         }
         try {
             const auto parsed = parseAddress(m_address);
-            m_socket = std::make_unique<tcp::socket>(m_cache->context);
+            m_connection = m_cache->open();
+            m_connectionInfo = m_connection->info;
             m_connecting = true;
-            m_socket->async_connect({ asio::ip::make_address(parsed.ip), parsed.port },
+            m_connection->socket.async_connect({ asio::ip::make_address(parsed.ip), parsed.port },
                 [self = shared_from_this()](boost::system::error_code status) { self->handleConnect(status); });
         } catch (const error& failure) {
             asio::post(m_cache->context, [self = shared_from_this(), text = failure.message()] { self->end(http_failure::connect, text); });
@@ -152,6 +166,7 @@
         recordActivity();
         readBody();
     }
+    http_connection connection() const override { return m_connectionInfo; }
 
 private:
     void recordActivity() { m_lastActivity = std::chrono::steady_clock::now(); }
@@ -192,7 +207,7 @@
             end(http_failure::connect, "cannot connect to " + m_address + ": " + status.message());
             return;
         }
-        m_socket->set_option(tcp::no_delay(true), status);
+        m_connection->socket.set_option(tcp::no_delay(true), status);
         recordActivity();
         // The idle timeout may be shorter than the remaining connect timeout.
         m_timer.cancel();
@@ -203,8 +218,8 @@
     void writeRequest()
     {
         m_sent = true;
-        asio::async_write(
-            *m_socket, asio::buffer(m_serializedRequest), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+        asio::async_write(m_connection->socket, asio::buffer(m_serializedRequest),
+            [self = shared_from_this()](boost::system::error_code status, std::size_t) {
                 if (self->m_done)
                     return;
                 if (status) {
@@ -219,16 +234,17 @@
 
     void readHead()
     {
-        http::async_read_header(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
-            if (self->m_done)
-                return;
-            if (status) {
-                self->handleReadError(status);
-                return;
-            }
-            self->recordActivity();
-            self->handleHead();
-        });
+        http::async_read_header(
+            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+                if (self->m_done)
+                    return;
+                if (status) {
+                    self->handleReadError(status);
+                    return;
+                }
+                self->recordActivity();
+                self->handleHead();
+            });
     }
 
     void handleHead()
@@ -262,22 +278,23 @@
         body.data = m_chunk.data();
         body.size = m_chunk.size();
         body.more = true;
-        http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
-            if (self->m_done)
-                return;
-            if (status == http::error::need_buffer)
-                status = {};
-            self->recordActivity();
-            const auto received = self->m_chunk.size() - self->m_parser->get().body().size;
-            if (received > 0 && self->m_handlers.onData)
-                self->m_handlers.onData({ self->m_chunk.data(), received });
-            if (self->m_done)
-                return;
-            if (status)
-                self->handleReadError(status);
-            else
-                self->continueBody();
-        });
+        http::async_read_some(
+            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+                if (self->m_done)
+                    return;
+                if (status == http::error::need_buffer)
+                    status = {};
+                self->recordActivity();
+                const auto received = self->m_chunk.size() - self->m_parser->get().body().size;
+                if (received > 0 && self->m_handlers.onData)
+                    self->m_handlers.onData({ self->m_chunk.data(), received });
+                if (self->m_done)
+                    return;
+                if (status)
+                    self->handleReadError(status);
+                else
+                    self->continueBody();
+            });
     }
 
     void handleReadError(boost::system::error_code status)
@@ -290,7 +307,7 @@
     void complete()
     {
         if (m_parser->keep_alive() && m_buffer.size() == 0)
-            m_cache->put(m_address, std::move(m_socket), reusableTime());
+            m_cache->put(m_address, std::move(m_connection), reusableTime());
         end(http_failure::none, {});
     }
 
@@ -314,8 +331,8 @@
             return;
         m_timer.cancel();
         boost::system::error_code ignored;
-        if (m_socket)
-            m_socket->close(ignored);
+        if (m_connection)
+            m_connection->socket.close(ignored);
         http_result result { failure, m_sent, std::move(detail), std::move(m_head) };
         const auto handlers = std::move(m_handlers);
         m_handlers = {};
@@ -330,7 +347,8 @@
     asio::steady_timer m_timer;
     std::string m_serializedRequest;
     bool m_isHead;
-    std::unique_ptr<tcp::socket> m_socket;
+    std::unique_ptr<open_connection> m_connection;
+    http_connection m_connectionInfo;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, readBufferBytes> m_chunk {};
