Carry each attempt once on a connection, so that an answer belongs to one send

Callers saw: a request that may run once ran and was refused as "not run" (REFUSED), or ran twice (TWICE).

Cause: all sends of a request bear the caller's attempt id. A 421 keeps its connection, the next send of the request goes to the same address over it, and a second copy of the 421 that arrives then bears the right id: the send counts as not delivered, though the request runs. The node refuses the request, or sends it to a third endpoint. The same holds for a rejection on a route with several attempts.

Change: a call may name the key that its answer bears; a connection carries each key once, and at most 128 of them before it is replaced. A request without an attempt id opens its own connection. The sends of a request share an id, but no longer a connection.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 
+#include <functional>
+
 namespace carawaylink::gateway {
 
 namespace {
@@ -138,6 +140,10 @@
     http_call_options options;
     options.connectTimeout = endpointConnectTimeout;
     options.idleTimeout = std::max<duration>(m_admitted.responseDeadline - now, endpointConnectTimeout);
+    // All sends of a request bear the same attempt id. Without an id no answer can be told from a late one to another request.
+    const auto& attempt = m_admitted.metadata.attempt;
+    options.reuseConnection = !attempt.empty();
+    options.answerKey = std::hash<std::string> {}(attempt);
     http_stream_handlers handlers;
     // A cancelled call may still invoke its handlers; only those of the latest call are processed.
     const auto number = ++m_callNumber;
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -67,6 +68,9 @@
     std::size_t maxBodyBytes = 64U << 20;
     /// Reuses an idle keep-alive connection if one is available.
     bool reuseConnection = true;
+    /// Hash of what the response names its request by. A connection carries each key once, so that a response which bears the key
+    /// cannot be that to an earlier call.
+    std::optional<std::uint64_t> answerKey;
 };
 
 struct http_stream_handlers {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -10,6 +11,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace carawaylink {
 
@@ -26,10 +28,18 @@
 constexpr std::size_t maxIdlePerAddress = 64;
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint32_t maxResponseHeaderBytes = 65536;
+// Bounds the memory for the keys of a connection.
+constexpr std::size_t maxKeysPerConnection = 128;
 
 struct open_connection {
     http_connection info;
     tcp::socket socket;
+    std::vector<std::uint64_t> answerKeys;
+
+    bool hasCarried(const std::optional<std::uint64_t>& key) const
+    {
+        return key && std::ranges::find(answerKeys, *key) != answerKeys.end();
+    }
 };
 
 struct idle_connection {
@@ -82,24 +92,31 @@
 
     std::unique_ptr<open_connection> open()
     {
-        return std::make_unique<open_connection>(open_connection { { ++openedConnections, 0 }, tcp::socket(context) });
+        return std::make_unique<open_connection>(open_connection { { ++openedConnections, 0 }, tcp::socket(context), {} });
     }
 
-    std::unique_ptr<open_connection> take(const std::string& address)
+    /// Returns the connection that was used last of those that have not carried the key, or nullptr.
+    std::unique_ptr<open_connection> take(const std::string& address, const std::optional<std::uint64_t>& key)
     {
         auto& list = idle[address];
         const auto now = std::chrono::steady_clock::now();
-        while (!list.empty()) {
-            auto candidate = std::move(list.back());
-            list.pop_back();
-            if (now < candidate.usableUntil && isUsable(candidate.connection->socket))
-                return std::move(candidate.connection);
+        std::erase_if(list, [now](const idle_connection& entry) { return now >= entry.usableUntil; });
+        while (true) {
+            const auto found = std::ranges::find_if(
+                list.rbegin(), list.rend(), [&](const idle_connection& entry) { return !entry.connection->hasCarried(key); });
+            if (found == list.rend())
+                return nullptr;
+            auto connection = std::move(found->connection);
+            list.erase(std::next(found).base());
+            if (isUsable(connection->socket))
+                return connection;
         }
-        return nullptr;
     }
 
     void put(const std::string& address, std::unique_ptr<open_connection> connection, duration reusableTime)
     {
+        if (connection->answerKeys.size() >= maxKeysPerConnection)
+            return;
         ++connection->info.earlierRequests;
         auto& list = idle[address];
         const auto now = std::chrono::steady_clock::now();
@@ -138,7 +155,7 @@
         recordActivity();
         armTimer();
         if (m_options.reuseConnection)
-            m_connection = m_cache->take(m_address);
+            m_connection = m_cache->take(m_address, m_options.answerKey);
         if (m_connection) {
             m_connectionInfo = m_connection->info;
             writeRequest();
@@ -218,6 +235,8 @@
     void writeRequest()
     {
         m_sent = true;
+        if (m_options.answerKey)
+            m_connection->answerKeys.push_back(*m_options.answerKey);
         asio::async_write(m_connection->socket, asio::buffer(m_serializedRequest),
             [self = shared_from_this()](boost::system::error_code status, std::size_t) {
                 if (self->m_done)
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -182,6 +182,46 @@
     EXPECT_EQ(call(server.address(), "/b").response.body, "connection 1");
 }
 
+// Guards against an answer to an earlier call that passes for that to a later one, because both calls bear the same key.
+TEST_F(client_in_trouble_test, connection_carries_each_answer_key_once)
+{
+    scripted_server server([](tcp::socket& peer, std::size_t connection) {
+        boost::system::error_code ignored;
+        const auto body = "connection " + std::to_string(connection);
+        while (!readRequest(peer).empty())
+            asio::write(peer, asio::buffer(answer(body)), ignored);
+    });
+    const auto callWithKey = [&](std::uint64_t key) {
+        http_call_options options;
+        options.answerKey = key;
+        return call(server.address(), "/", options).response.body;
+    };
+    EXPECT_EQ(callWithKey(1), "connection 0");
+    EXPECT_EQ(callWithKey(2), "connection 0");
+    EXPECT_EQ(callWithKey(1), "connection 1");
+    EXPECT_EQ(callWithKey(1), "connection 2");
+    EXPECT_EQ(callWithKey(3), "connection 2");
+    EXPECT_EQ(call(server.address(), "/").response.body, "connection 2");
+}
+
+// Guards against keys that are kept without bound while a connection stays in use.
+TEST_F(client_in_trouble_test, connection_is_replaced_when_it_holds_the_most_keys)
+{
+    std::atomic<std::size_t> connections = 0;
+    scripted_server server([&](tcp::socket& peer, std::size_t) {
+        ++connections;
+        boost::system::error_code ignored;
+        while (!readRequest(peer).empty())
+            asio::write(peer, asio::buffer(answer("x")), ignored);
+    });
+    for (std::uint64_t key = 0; key < 300; ++key) {
+        http_call_options options;
+        options.answerKey = key;
+        EXPECT_EQ(call(server.address(), "/", options).response.body, "x");
+    }
+    EXPECT_EQ(connections, 3U);
+}
+
 // Guards against a call that never ends: a body that arrives byte by byte keeps the idle timeout from expiring.
 TEST_F(client_in_trouble_test, body_that_arrives_byte_by_byte_ends_at_the_total_timeout)
 {
