Take an answer that names no attempt for a used connection's own only if the connection is new

Callers saw: a request that ran was refused as "not run" (REFUSED).

Cause: an answer without attempt id that is no success counted as the answer to the present send, with what it says: a late 503 with Not-Executed, or a 421, of an earlier request of the connection.

Change: on a connection that carried other requests such an answer ends the attempt as invalid, so the outcome is unknown (502). On a new one it can only be the own answer and counts as before. Endpoints name the attempt in their answers, so this is rare.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -234,6 +234,11 @@
         attemptFailed(placement::outcome::invalid, "response to another attempt");
         return;
     }
+    // It may be a late answer to an earlier request of the connection, and what it says is then not true of this one.
+    if (m_headMetadata.identity == response_identity::none && m_connection.earlierRequests > 0) {
+        attemptFailed(placement::outcome::invalid, "response without attempt id on a connection that carried other requests");
+        return;
+    }
     if (!m_headMetadata.isReplaced)
         m_dispatcher.recordRequestLimit(*this, m_grant, m_headMetadata.requestLimit, m_sentAt);
     const bool isStream = m_admitted.route.streaming && head.status == statusOk && m_headMetadata.isEventStream;
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -8,8 +8,8 @@
 namespace carawaylink::gateway {
 
 /// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond
-/// with "ran: no" if they did not execute the request with "other: yes" if they are not the addressed replica, and name a request limit in
-/// "limit".
+/// with "ran: no" if they did not execute the request, "other: yes" if they are not the addressed replica and "unnamed: yes" if the
+/// response names no attempt, and name a request limit in "limit".
 class test_codec : public protocol_codec {
 public:
     request_metadata decodeRequest(const http_request& request) const override
@@ -39,8 +39,8 @@
         metadata.isReplaced = response.header("other").has_value();
         metadata.notExecuted = metadata.isReplaced || response.header("ran").has_value();
         const auto echoed = response.header("attempt");
-        if (echoed)
-            metadata.identity = *echoed == attempt ? response_identity::own : response_identity::other;
+        if (!response.header("unnamed"))
+            metadata.identity = echoed.value_or(attempt) == attempt ? response_identity::own : response_identity::other;
         metadata.isMismatched = metadata.identity == response_identity::other;
         if (const auto limit = response.header("limit"))
             metadata.requestLimit = std::stod(std::string(*limit));
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -114,9 +114,9 @@
         done.get_future().get();
     }
 
-    http_response send(const std::string& method, const std::string& target = "/p/x")
+    http_response send(const std::string& method, const std::string& target = "/p/x", const std::string& attempt = "a1")
     {
-        http_request request { method, target, { { "Host", "host" }, { "attempt", "a1" }, { "key", m_key } },
+        http_request request { method, target, { { "Host", "host" }, { "attempt", attempt }, { "key", m_key } },
             method == "POST" ? "body" : "" };
         return blocking_http_client().send(m_address, request, responseTimeout);
     }
@@ -259,6 +259,28 @@
     EXPECT_EQ(send("POST").status, 502U);
 }
 
+TEST_F(request_dispatcher_test, rejectionWithoutAttempt_onUsedConnection_isNoProof)
+{
+    // Guards against a refusal as "not run" by an answer that may belong to an earlier request of the connection.
+    endpoint("one", [this](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        if (requestsAt(0) == 1)
+            responder->send({ 200, {}, "whole" });
+        else
+            responder->send({ 503, { { "ran", "no" }, { "unnamed", "yes" } }, {} });
+    });
+    start(false, false, 1);
+    EXPECT_EQ(send("POST", "/p/x", "a1").status, 200U);
+    EXPECT_EQ(send("POST", "/p/x", "a2").status, 502U);
+}
+
+TEST_F(request_dispatcher_test, rejectionWithoutAttempt_onNewConnection_isProof)
+{
+    // Guards against an unknown outcome where the connection carried no other request.
+    endpoint("one", respondWith(503, { { "ran", "no" }, { "unnamed", "yes" } }));
+    start(false, false, 1);
+    EXPECT_EQ(send("POST").status, 503U);
+}
+
 TEST_F(request_dispatcher_test, endpointFailure_withoutRetriesLeft_isForwarded)
 {
     endpoint("one", respondWith(500, { { "proof", "p" } }, "broken"));
