Do not pass on an endpoint's 408, 429 or 503 of a request that may have run

Callers saw: a request that ran was answered with a status that promises that it did not (REFUSED).

Cause: an endpoint's own 408, 429 or 503 without Not-Executed was passed on unchanged, though only answers that say so mean that the request did not run.

Change: for a request that may run once such an answer ends it with an unknown outcome (502). Requests that may be repeated get the endpoint's answer as before.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 
+#include <algorithm>
+#include <array>
 #include <functional>
 
 namespace carawaylink::gateway {
@@ -9,10 +11,15 @@
 namespace {
 
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusRequestTimeout = 408;
+constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusServerError = 500;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
+// To callers, these statuses promise that the request was not executed and will not be.
+constexpr std::array promisingStatuses { statusRequestTimeout, statusMisdirected, statusTooManyRequests, statusUnavailable };
 constexpr auto endpointConnectTimeout = std::chrono::milliseconds(300);
 // Limit of sends per request that did not reach the intended endpoint.
 constexpr unsigned maxUndeliveredSends = 4;
@@ -52,6 +59,11 @@
     return result.sent ? placement::outcome::broken : placement::outcome::unreachable;
 }
 
+bool promisesNotExecuted(unsigned status)
+{
+    return std::ranges::find(promisingStatuses, status) != promisingStatuses.end();
+}
+
 bool hasFraming(const http_response& head)
 {
     return head.header("Content-Length") || head.header("Transfer-Encoding");
@@ -341,6 +353,11 @@
         return;
     }
     recordAnswer();
+    // The endpoint does not say that it did not execute the request, so its status must not say so to the caller.
+    if (promisesNotExecuted(m_head.status) && !m_admitted.route.isSafeToRetry()) {
+        attemptFailed(placement::outcome::failed, "status " + std::to_string(m_head.status) + " of a request that may have been executed");
+        return;
+    }
     http_response response { m_head.status, m_dispatcher.codec().callerHeaders(m_head), std::move(m_body) };
     if (m_head.status >= statusServerError) {
         m_endpointFailure = std::move(response);
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -281,6 +281,27 @@
     EXPECT_EQ(send("POST").status, 503U);
 }
 
+TEST_F(request_dispatcher_test, refusalOfEndpoint_thatMayHaveExecuted_isNoPromise)
+{
+    // Guards against passing on a status that tells the caller "not executed" although the endpoint does not say so.
+    for (const auto status : { 408U, 429U, 503U })
+        endpoint("endpoint-" + std::to_string(status), respondWith(status));
+    start(false, false, 3);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(send("POST").status, 502U);
+    EXPECT_EQ(requestsAtAll(), 3);
+}
+
+TEST_F(request_dispatcher_test, refusalOfEndpoint_forIdempotentRequest_isForwarded)
+{
+    // A caller may repeat such a request in any case; it gets the endpoint's own answer.
+    endpoint("one", respondWith(429, { { "proof", "p" } }));
+    start(true, false, 1);
+    const auto response = send("GET");
+    EXPECT_EQ(response.status, 429U);
+    EXPECT_EQ(response.header("proof"), "p");
+}
+
 TEST_F(request_dispatcher_test, endpointFailure_withoutRetriesLeft_isForwarded)
 {
     endpoint("one", respondWith(500, { { "proof", "p" } }, "broken"));
