Count a send as executed until it is proved not to be, and ignore decisions that nobody waits for

Callers could see: a request at an endpoint is refused as "not run" (REFUSED), or sent to a second endpoint beside the first (TWICE).

Cause: an exchange took a grant or a refusal in any state. It counted a send as possibly executed only when the send had failed, so a refusal that came while an endpoint worked on the request was answered 503, and a grant sent it again.

Change: send_record counts a send as executed from its beginning until its outcome proves otherwise. An exchange takes a decision only while it waits for one; others are logged as decision_unexpected and counted.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -128,8 +128,8 @@
 void exchange::onGranted(const placement::grant& grant)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (m_state != state::waiting && !m_isReplacementPending)
-        logUnexpected("grant");
+    if (!awaits("grant"))
+        return;
     // By granting a replacement, the pool already removed the load of the unresponsive endpoint.
     if (std::exchange(m_isReplacementPending, false))
         endAttempt(placement::outcome::timed_out, "no progress within the expected time", true);
@@ -172,7 +172,7 @@
         if (self->m_callNumber == number)
             self->onCallDone(result);
     };
-    ++m_deliveredSends;
+    m_sends.begin();
     m_call = m_dispatcher.client().stream(grant.address.value, std::move(request), options, std::move(handlers));
     m_connection = m_call->connection();
     logSend();
@@ -192,20 +192,25 @@
         .field("earlier_requests", m_connection.earlierRequests);
 }
 
-void exchange::logUnexpected(std::string_view decision)
+bool exchange::awaits(std::string_view decision)
 {
+    if (m_state == state::waiting || m_isReplacementPending)
+        return true;
     m_dispatcher.log()
         .event("decision_unexpected", decision)
         .field("request", m_admitted.metadata.attempt)
         .field("decision", decision)
         .field("state", stateNames.name(m_state))
-        .field("sends", m_deliveredSends)
-        .field("may_have_run", m_mayHaveExecuted);
+        .field("sends", m_sends.delivered())
+        .field("may_have_run", m_sends.mayHaveExecuted());
     m_dispatcher.metrics().unexpectedDecision(decision);
+    return false;
 }
 
 void exchange::onRefused(const placement::refusal& refusal)
 {
+    if (!awaits("refusal"))
+        return;
     m_dispatcher.log()
         .event("request_refused")
         .field("request", m_admitted.metadata.attempt)
@@ -215,8 +220,6 @@
         .field("waited_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
         .field("retry_after_ms", wholeMilliseconds(refusal.retryAfter))
         .field("replaces", m_isReplacementPending);
-    if (m_state != state::waiting && !m_isReplacementPending)
-        logUnexpected("refusal");
     // The response of the unresponsive endpoint may still continue.
     if (std::exchange(m_isReplacementPending, false)) {
         m_nextReplacementAt = std::chrono::steady_clock::now() + replacementInterval;
@@ -231,7 +234,7 @@
         respond(std::move(*m_endpointFailure), "endpoint_failure");
         return;
     }
-    if (m_mayHaveExecuted)
+    if (m_sends.mayHaveExecuted())
         respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), "unknown_outcome");
     else
         respond(refusalResponse(statusUnavailable, placement::refusalCauseNames.name(refusal.cause), refusal.retryAfter), "refused");
@@ -380,7 +383,7 @@
     cancelReplacement();
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
-    recordAttemptFailure(result);
+    recordProof(result);
     if (result == placement::outcome::broken && eventsOfAttempt() == 0)
         m_dispatcher.recordUnansweredLoss(*this, m_grant);
     // An unreachable endpoint did no work, so its retry needs no budget. A replaced one does: another process answered the request.
@@ -398,16 +401,13 @@
         m_dispatcher.recordAnswer(*this);
 }
 
-void exchange::recordAttemptFailure(placement::outcome result)
+void exchange::recordProof(placement::outcome result)
 {
     if (!wasNotExecuted(result))
-        m_mayHaveExecuted = true;
+        return;
     // In these two cases the intended endpoint never received the request.
     const bool wasDelivered = result != placement::outcome::unreachable && result != placement::outcome::replaced;
-    if (!wasDelivered) {
-        --m_deliveredSends;
-        ++m_undeliveredSends;
-    }
+    m_sends.proveNotExecuted(wasDelivered);
 }
 
 void exchange::endAttempt(placement::outcome result, const std::string& detail, bool willRetry)
@@ -435,14 +435,14 @@
 
 bool exchange::canRetry(placement::outcome result, monotonic_time now) const
 {
-    if (m_responder->closed() || m_admitted.responseDeadline - now < minRetryTime || m_undeliveredSends >= maxUndeliveredSends)
+    if (m_responder->closed() || m_admitted.responseDeadline - now < minRetryTime || m_sends.undelivered() >= maxUndeliveredSends)
         return false;
-    if (m_mayHaveExecuted && !m_admitted.route.isSafeToRetry())
+    if (m_sends.mayHaveExecuted() && !m_admitted.route.isSafeToRetry())
         return false;
     if (result == placement::outcome::unreachable)
         return true;
     // A stream without event ids cannot be resumed.
-    return m_deliveredSends < m_admitted.route.maxAttempts && (!m_headForwarded || m_splitter.lastId());
+    return m_sends.delivered() < m_admitted.route.maxAttempts && (!m_headForwarded || m_splitter.lastId());
 }
 
 bool exchange::tryTakeRetry()
@@ -456,7 +456,6 @@
 {
     if (now < m_nextReplacementAt || !canRetry(placement::outcome::timed_out, now) || !tryTakeRetry())
         return;
-    m_mayHaveExecuted = true;
     m_isReplacementPending = true;
     submit(now, true);
 }
@@ -474,7 +473,7 @@
         finish("broken_off");
     } else if (m_endpointFailure) {
         respond(std::move(*m_endpointFailure), "endpoint_failure");
-    } else if (!m_mayHaveExecuted) {
+    } else if (!m_sends.mayHaveExecuted()) {
         respond(refusalResponse(statusUnavailable, "endpoint_full", defaultRetryAfter), "refused");
     } else {
         const bool isTimeout = result == placement::outcome::timed_out || result == placement::outcome::cancelled;
@@ -540,10 +539,8 @@
 {
     if (m_state == state::done || m_isAnswered)
         return;
-    if (m_state != state::waiting)
-        m_mayHaveExecuted = true;
     abandonAttempt();
-    if (m_mayHaveExecuted)
+    if (m_sends.mayHaveExecuted())
         respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), reason);
     else
         respond(refusalResponse(statusUnavailable, reason, retryAfter), reason);
@@ -572,15 +569,15 @@
         .field("route", m_admitted.route.name)
         .field("result", result)
         .field("status", m_callerStatus)
-        .field("sends", m_deliveredSends)
-        .field("undelivered", m_undeliveredSends)
-        .field("may_have_run", m_mayHaveExecuted)
+        .field("sends", m_sends.delivered())
+        .field("undelivered", m_sends.undelivered())
+        .field("may_have_run", m_sends.mayHaveExecuted())
         .field("events", m_splitter.eventCount())
         .field("prompt_tokens", m_admitted.prompt)
         .field("expected_tokens", m_admitted.expectedOutput)
         .field("most_tokens", m_admitted.metadata.outputLimit.value_or(tokens { 0 }))
         .field("replica", m_grant.replica)
-        .field("sent_ms", wholeMilliseconds(m_deliveredSends > 0 ? m_sentAt - m_admitted.arrived : duration { -1 }))
+        .field("sent_ms", wholeMilliseconds(m_sends.delivered() > 0 ? m_sentAt - m_admitted.arrived : duration { -1 }))
         .field("expected_first_ms", wholeMilliseconds(m_grant.expectedFirstEvent))
         .field("first_ms", m_firstEventAt ? wholeMilliseconds(*m_firstEventAt - m_admitted.arrived) : -1)
         .field("longest_pause_ms", wholeMilliseconds(m_longestEventGap))
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway/event_splitter.h"
 #include "request_dispatcher.h"
+#include "send_record.h"
 
 #include <memory>
 #include <string>
@@ -35,6 +36,7 @@
     exchange(request_dispatcher& dispatcher, admitted_request admitted, std::shared_ptr<http_responder> responder);
 
     void start();
+    /// Decisions of the pool. One that the exchange does not wait for has no effect.
     void onGranted(const placement::grant& grant);
     void onRefused(const placement::refusal& refusal);
     /// Enforces the deadline and requests a replacement for an unresponsive endpoint.
@@ -84,7 +86,8 @@
     void recordAnswer();
     /// Cancels the attempt, or withdraws the request while it waits.
     void abandonAttempt();
-    void recordAttemptFailure(placement::outcome result);
+    /// Records that the latest send was not executed, if the outcome proves it.
+    void recordProof(placement::outcome result);
     bool canRetry(placement::outcome result, monotonic_time now) const;
     bool tryTakeRetry();
     void sendFailure(placement::outcome result);
@@ -92,8 +95,8 @@
     void recordOutcome(placement::outcome result);
     void finish(std::string_view result);
     void logSend();
-    /// Logs a decision of the pool that the exchange did not wait for.
-    void logUnexpected(std::string_view decision);
+    /// Returns whether the exchange waits for a decision of the pool; logs the given one if it does not.
+    bool awaits(std::string_view decision);
     void onCallerClosed();
 
     request_dispatcher& m_dispatcher;
@@ -107,10 +110,7 @@
     std::uint64_t m_callNumber = 0;
     placement::grant m_grant;
     std::vector<discovery::replica_id> m_triedReplicas;
-    /// Sends that reached the intended endpoint or may have reached it.
-    unsigned m_deliveredSends = 0;
-    unsigned m_undeliveredSends = 0;
-    bool m_mayHaveExecuted = false;
+    send_record m_sends;
     /// The reserved quota units were committed.
     bool m_isQuotaCommitted = false;
     bool m_headForwarded = false;
--- /dev/null
+++ b/libs/gateway/tests/exchange_tests.cpp
@@ -0,0 +1,134 @@
+#include "request_dispatcher_fixture.h"
+
+#include "exchange.h"
+#include "send_record.h"
+
+namespace carawaylink::gateway {
+namespace {
+
+// Keeps the response for the test.
+class recording_responder : public http_responder {
+public:
+    void send(http_response response) override { status = response.status; }
+    void start(unsigned startedStatus, std::vector<http_header>) override { status = startedStatus; }
+    void write(std::string_view) override { }
+    void finish() override { }
+    void abort() override { wasAborted = true; }
+    std::size_t pendingBytes() const override { return 0; }
+    void onDrained(std::function<void()>) override { }
+    void onClosed(std::function<void()>) override { }
+    bool closed() const override { return wasAborted; }
+    std::size_t threadIndex() const override { return 0; }
+
+    std::atomic<unsigned> status = 0;
+    std::atomic<bool> wasAborted = false;
+};
+
+/// Hands decisions to one exchange of a request that may run once, in any state.
+class exchange_test : public request_dispatcher_test {
+protected:
+    void startExchange()
+    {
+        start(false, false, 1);
+        run([this] {
+            admitted_request admitted;
+            // Not one of the dispatcher's, which would decide as well.
+            admitted.id = 1'000'000;
+            admitted.metadata.attempt = "a1";
+            admitted.request = { "POST", "/p/x", { { "attempt", "a1" } }, "body" };
+            admitted.route.name = "route";
+            admitted.route.maxAttempts = 1;
+            admitted.service = service_id { "service" };
+            admitted.arrived = std::chrono::steady_clock::now();
+            admitted.responseDeadline = admitted.arrived + 3s;
+            m_exchange = std::make_shared<exchange>(m_dispatcher, std::move(admitted), m_responder);
+        });
+    }
+
+    void grantAt(std::size_t index)
+    {
+        const auto& chosen = *m_endpoints[index];
+        run([&] {
+            m_exchange->onGranted({ m_exchange->id(), discovery::replica_id { chosen.id }, endpoint_id { chosen.address }, 50ms, 1 });
+        });
+    }
+
+    void refuse()
+    {
+        run([&] { m_exchange->onRefused({ m_exchange->id(), placement::refusal_cause::queue, 1s, 3 }); });
+    }
+
+    template <typename Condition> static bool eventually(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + responseTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(1ms);
+        return condition();
+    }
+
+    ~exchange_test() override
+    {
+        run([this] {
+            m_exchange.reset();
+            m_pendingResponders.clear();
+        });
+    }
+
+    std::shared_ptr<recording_responder> m_responder = std::make_shared<recording_responder>();
+    std::shared_ptr<exchange> m_exchange;
+};
+
+TEST_F(exchange_test, secondGrant_whileRequestRuns_isIgnored)
+{
+    // A late second grant sent the request to another endpoint while the first one worked on it.
+    endpoint("one", neverRespond(m_pendingResponders));
+    endpoint("two", neverRespond(m_pendingResponders));
+    startExchange();
+    grantAt(0);
+    ASSERT_TRUE(eventually([this] { return requestsAt(0) == 1; }));
+    grantAt(1);
+    std::this_thread::sleep_for(100ms);
+    EXPECT_EQ(requestsAt(1), 0);
+    run([&] { EXPECT_NE(m_metrics.text().find("unexpected_decisions_total{decision=\"grant\"} 1"), std::string::npos); });
+}
+
+TEST_F(exchange_test, refusal_whileRequestRuns_isIgnored)
+{
+    // A late refusal told the caller "not executed" while an endpoint worked on the request.
+    endpoint("one", neverRespond(m_pendingResponders));
+    startExchange();
+    grantAt(0);
+    ASSERT_TRUE(eventually([this] { return requestsAt(0) == 1; }));
+    refuse();
+    EXPECT_EQ(m_responder->status, 0U);
+    run([&] { m_pendingResponders.front()->send({ 200, {}, "whole" }); });
+    EXPECT_TRUE(eventually([this] { return m_responder->status == 200; }));
+}
+
+TEST_F(exchange_test, refusal_beforeAnySend_promisesNotExecuted)
+{
+    startExchange();
+    refuse();
+    EXPECT_EQ(m_responder->status, 503U);
+}
+
+TEST(send_record_test, send_countsAsExecutedUntilItIsProvedNotToBe)
+{
+    // Guards against a refusal that promises "not executed" while a send is in progress.
+    send_record sends;
+    EXPECT_FALSE(sends.mayHaveExecuted());
+    sends.begin();
+    EXPECT_TRUE(sends.mayHaveExecuted());
+    sends.proveNotExecuted(false);
+    EXPECT_FALSE(sends.mayHaveExecuted());
+    EXPECT_EQ(sends.delivered(), 0U);
+    EXPECT_EQ(sends.undelivered(), 1U);
+    sends.begin();
+    sends.begin();
+    sends.proveNotExecuted(true);
+    EXPECT_TRUE(sends.mayHaveExecuted());
+    EXPECT_EQ(sends.delivered(), 2U);
+}
+
+} // namespace
+} // namespace carawaylink::gateway
