Let decisions take effect only for requests that still wait, once each

Cause: slot_client handed out decisions by the id of the request, which is the same for all its submissions. What had arrived was kept in m_received and passed on even if the request had been withdrawn since; decisions of the node's own pool were passed on unchecked; a refusal was taken from a pool that the request had left, while its grant came from another one in the same batch, and grants are applied first. Grants of before a pause of the process were used when a timer ran before the socket was read.

Change: received decisions take effect in decide(), where the request must wait in the pool that decided, in the session that the reply belongs to. A grant that cannot be used gives its slot back. After a pause all sessions are opened anew, whichever comes first. An exchange that is terminated withdraws its request as well. A decision for an ended request is logged and counted.

decision_order_test draws orders of submissions, withdrawals, outcomes, lost messages, pauses, changes of owners and of pools (4 nodes, one and two pools).

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -507,10 +507,7 @@
 {
     if (m_state == state::done)
         return;
-    ++m_callNumber;
-    cancelReplacement();
-    if (const auto call = std::exchange(m_call, nullptr))
-        call->cancel();
+    abandonAttempt();
     m_responder->abort();
     finish("stopped");
 }
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -321,20 +321,27 @@
 void request_dispatcher::apply(const placement::pool_decisions& decisions)
 {
     for (const auto& granted : decisions.grants) {
-        const auto found = m_exchanges.find(granted.id);
-        if (found != m_exchanges.end())
-            found->second->onGranted(granted);
+        if (const auto running = findExchange(granted.id, "grant"))
+            running->onGranted(granted);
     }
     std::ranges::for_each(decisions.waitReports, [this](const placement::wait_report& wait) { logWait(wait); });
     for (const auto& refused : decisions.refusals) {
-        const auto found = m_exchanges.find(refused.id);
-        if (found == m_exchanges.end())
-            continue;
-        const auto running = found->second;
-        running->onRefused(refused);
+        if (const auto running = findExchange(refused.id, "refusal"))
+            running->onRefused(refused);
     }
 }
 
+// An exchange withdraws its request when it ends, so that each decision finds one.
+std::shared_ptr<exchange> request_dispatcher::findExchange(std::uint64_t id, std::string_view decision)
+{
+    const auto found = m_exchanges.find(id);
+    if (found != m_exchanges.end())
+        return found->second;
+    m_log.event("decision_unexpected", decision).field("id", id).field("decision", decision).field("state", "ended");
+    m_metrics.unexpectedDecision(decision);
+    return nullptr;
+}
+
 void request_dispatcher::logWait(const placement::wait_report& wait)
 {
     const auto found = m_exchanges.find(wait.id);
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -87,6 +87,8 @@
     /// Sends a message to a node, which may be this one.
     void send(const node_id& node, peer::envelopeT message);
     void apply(const placement::pool_decisions& decisions);
+    /// Returns the exchange that the decision is for; logs the decision and returns nullptr if it has ended.
+    std::shared_ptr<exchange> findExchange(std::uint64_t id, std::string_view decision);
     void logWait(const placement::wait_report& wait);
     /// Ends the requests whose prompt parts are quarantined.
     void endQuarantined();
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -41,8 +41,9 @@
     void receive(const node_id& owner, const slot_reply& reply, monotonic_time now);
     /// The owner's process has ended or its connection was lost.
     void loseOwner(const node_id& owner, monotonic_time now);
-    /// Returns the decisions of the owners since the last call, and those that this node makes itself. A grant for a request that is
-    /// already running releases its slot at the previous endpoint with the outcome timed_out. Call at least every 25 ms.
+    /// Returns the decisions of the owners since the last call, and those that this node makes itself: one at most for each submission, and
+    /// none for a request that was withdrawn. A grant for a request that is already running releases its slot at the previous endpoint
+    /// with the outcome timed_out. Call at least every 25 ms.
     pool_decisions decide(monotonic_time now);
     /// Returns the calls to send now.
     std::vector<addressed_call> takeCalls(monotonic_time now);
@@ -81,6 +82,14 @@
         std::optional<std::uint32_t> pool;
         monotonic_time since {};
     };
+    /// Decisions of a reply, until the next decide().
+    struct received_decisions {
+        std::uint32_t pool = 0;
+        std::uint64_t session = 0;
+        std::vector<slot_grant> grants;
+        std::vector<refusal> refusals;
+        std::vector<wait_report> waitReports;
+    };
     struct running_entry {
         adopted_request request;
         std::uint32_t pool = 0;
@@ -100,7 +109,14 @@
     /// Ends the session; the next one lists everything anew.
     void close(owner_link& link);
     void markSilent(std::uint32_t pool, monotonic_time now);
-    void onGrant(std::uint32_t pool, const slot_grant& entry, monotonic_time now);
+    bool isWaitingIn(std::optional<std::uint32_t> pool, std::uint64_t id) const;
+    /// Drops what this node received before a pause of its process, during which another owner may have taken over.
+    void resumeAfterPause(monotonic_time now);
+    void applyReceived(pool_decisions& decisions, monotonic_time now);
+    void applyOwn(pool_decisions& decisions, monotonic_time now);
+    void startOwn(const grant& granted);
+    /// Returns whether the grant can be used; a slot that cannot is given back.
+    bool accept(std::uint32_t pool, const slot_grant& entry, monotonic_time now);
     void rejectGrant(std::uint32_t pool, std::uint64_t id);
     void startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool);
     void detectSilentOwners(monotonic_time now);
@@ -117,7 +133,7 @@
     std::map<replica_id, std::uint32_t> m_poolByReplica;
     std::unordered_map<std::uint64_t, waiting_entry> m_waiting;
     std::unordered_map<std::uint64_t, running_entry> m_running;
-    pool_decisions m_received;
+    std::vector<received_decisions> m_received;
     std::size_t m_rank = 0;
     std::uint64_t m_lastSession;
     bool m_hasUrgentCalls = false;
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -240,10 +240,7 @@
 void slot_client::receive(const node_id& owner, const slot_reply& reply, monotonic_time now)
 {
     if (wasPaused(now)) {
-        // Another owner may have taken over during the pause, and this one may have granted these slots to others.
-        for (auto& link : m_links)
-            close(link);
-        m_lastActiveAt = now;
+        resumeAfterPause(now);
         return;
     }
     if (reply.pool.number >= m_links.size())
@@ -272,24 +269,56 @@
         if (limit.perSecond)
             m_local.setRequestLimit(limit.replica, *limit.perSecond, now);
     }
-    for (const auto& granted : reply.grants)
-        onGrant(reply.pool.number, granted, now);
-    for (const auto& refused : reply.refusals) {
-        if (m_waiting.erase(refused.id) > 0)
-            m_received.refusals.push_back(refused);
+    if (!reply.grants.empty() || !reply.refusals.empty() || !reply.waitReports.empty())
+        m_received.push_back({ reply.pool.number, reply.session, reply.grants, reply.refusals, reply.waitReports });
+}
+
+bool slot_client::isWaitingIn(std::optional<std::uint32_t> pool, std::uint64_t id) const
+{
+    const auto found = m_waiting.find(id);
+    return found != m_waiting.end() && found->second.pool == pool;
+}
+
+void slot_client::resumeAfterPause(monotonic_time now)
+{
+    for (auto& link : m_links)
+        close(link);
+    m_lastActiveAt = now;
+    m_hasUrgentCalls = true;
+}
+
+// Decisions take effect here and not as they arrive: until then requests may be withdrawn, and pools may change their owner.
+void slot_client::applyReceived(pool_decisions& decisions, monotonic_time now)
+{
+    for (const auto& received : std::exchange(m_received, {})) {
+        const auto pool = received.pool;
+        const auto isCurrent = [&] { return pool < pools() && m_links[pool].isOpen && m_links[pool].session == received.session; };
+        // The next session lists the requests again.
+        if (!isCurrent())
+            continue;
+        for (const auto& entry : received.grants) {
+            if (accept(pool, entry, now))
+                decisions.grants.push_back(entry.granted);
+        }
+        for (const auto& refused : received.refusals) {
+            if (!isWaitingIn(pool, refused.id))
+                continue;
+            m_waiting.erase(refused.id);
+            decisions.refusals.push_back(refused);
+        }
+        std::ranges::copy_if(received.waitReports, std::back_inserter(decisions.waitReports),
+            [&](const wait_report& report) { return isWaitingIn(pool, report.id); });
     }
-    std::ranges::copy_if(reply.waitReports, std::back_inserter(m_received.waitReports),
-        [this](const wait_report& report) { return m_waiting.contains(report.id); });
 }
 
-void slot_client::onGrant(std::uint32_t pool, const slot_grant& entry, monotonic_time now)
+bool slot_client::accept(std::uint32_t pool, const slot_grant& entry, monotonic_time now)
 {
     const auto& granted = entry.granted;
-    const auto found = m_waiting.find(granted.id);
-    if (found == m_waiting.end() || found->second.pool != pool) {
+    if (!isWaitingIn(pool, granted.id)) {
         rejectGrant(pool, granted.id);
-        return;
+        return false;
     }
+    const auto found = m_waiting.find(granted.id);
     auto request = std::move(found->second.request);
     m_waiting.erase(found);
     m_local.setReportedSpeed(granted.replica, entry.speed);
@@ -302,10 +331,10 @@
         rejectGrant(pool, granted.id);
         request.excluded.push_back(granted.replica);
         enqueueLocally(std::move(request));
-        return;
+        return false;
     }
     startRunning(request, granted, pool);
-    m_received.grants.push_back(granted);
+    return true;
 }
 
 // The request ended, was withdrawn or cannot use the endpoint. The slot is free again; an earlier one that it still holds is not.
@@ -371,32 +400,49 @@
 
 pool_decisions slot_client::decide(monotonic_time now)
 {
-    // Replies that arrived during a pause of this process are still unread, so the silence was its own.
-    if (!wasPaused(now))
+    if (wasPaused(now))
+        resumeAfterPause(now);
+    else
         detectSilentOwners(now);
     m_lastActiveAt = now;
+    pool_decisions decisions;
+    applyReceived(decisions, now);
     rebalance(now);
-    auto decisions = std::exchange(m_received, {});
-    auto own = m_local.decide(now);
+    applyOwn(decisions, now);
+    return decisions;
+}
+
+void slot_client::applyOwn(pool_decisions& decisions, monotonic_time now)
+{
+    const auto own = m_local.decide(now);
     for (const auto& granted : own.grants) {
-        const auto found = m_waiting.find(granted.id);
-        if (found == m_waiting.end())
-            continue;
-        const auto pool = poolOfReplica(granted.replica);
-        const auto previous = m_running.find(granted.id);
-        if (previous != m_running.end() && m_links[previous->second.pool].isOpen)
-            m_links[previous->second.pool].next.outcomes.push_back({ granted.id, outcome::timed_out, 0 });
-        startRunning(found->second.request, granted, pool);
-        if (m_links[pool].isOpen)
-            m_links[pool].next.adopted.push_back(m_running.at(granted.id).request);
-        m_waiting.erase(found);
+        if (isWaitingIn(std::nullopt, granted.id)) {
+            startOwn(granted);
+            decisions.grants.push_back(granted);
+        } else {
+            m_local.recordOutcome(granted.id, outcome::cancelled, 0, now);
+        }
     }
-    for (const auto& refused : own.refusals)
+    for (const auto& refused : own.refusals) {
+        if (!isWaitingIn(std::nullopt, refused.id))
+            continue;
         m_waiting.erase(refused.id);
-    std::ranges::move(own.grants, std::back_inserter(decisions.grants));
-    std::ranges::move(own.refusals, std::back_inserter(decisions.refusals));
-    std::ranges::move(own.waitReports, std::back_inserter(decisions.waitReports));
-    return decisions;
+        decisions.refusals.push_back(refused);
+    }
+    std::ranges::copy(own.waitReports, std::back_inserter(decisions.waitReports));
+}
+
+void slot_client::startOwn(const grant& granted)
+{
+    const auto found = m_waiting.find(granted.id);
+    const auto pool = poolOfReplica(granted.replica);
+    const auto previous = m_running.find(granted.id);
+    if (previous != m_running.end() && m_links[previous->second.pool].isOpen)
+        m_links[previous->second.pool].next.outcomes.push_back({ granted.id, outcome::timed_out, 0 });
+    startRunning(found->second.request, granted, pool);
+    if (m_links[pool].isOpen)
+        m_links[pool].next.adopted.push_back(m_running.at(granted.id).request);
+    m_waiting.erase(found);
 }
 
 std::vector<addressed_call> slot_client::takeCalls(monotonic_time now)
--- /dev/null
+++ b/libs/placement/tests/decision_order_tests.cpp
@@ -0,0 +1,229 @@
+#include "slot_test_fleet.h"
+
+#include <random>
+
+namespace carawaylink::placement {
+namespace {
+
+constexpr std::size_t nodes = 4;
+constexpr std::size_t stepsPerSeed = 60;
+constexpr unsigned seeds = 200;
+
+/// Draws orders of submissions, withdrawals, outcomes, lost messages, pauses, and changes of owners and pools. Knows of each request
+/// whether it waits, as an exchange does.
+class decision_order_fleet {
+public:
+    explicit decision_order_fleet(unsigned seed)
+        : m_random(seed)
+        , m_fleet(nodes, engineRecords(onePool, 1))
+    {
+        m_fleet.onDecisions = [this](const pool_decisions& decisions) { check(decisions); };
+        m_fleet.beforeDecisions = [this](std::size_t) {
+            if (draw(4) == 0)
+                changeRequest();
+        };
+        m_fleet.run(150ms);
+    }
+
+    void play()
+    {
+        for (std::size_t step = 0; step < stepsPerSeed; ++step) {
+            draw(3) == 0 ? changeFleet() : changeRequest();
+            m_fleet.run(std::chrono::milliseconds(draw(12)));
+        }
+        comeToRest();
+    }
+
+    std::size_t orders() const { return m_orders; }
+    std::size_t decisions() const { return m_decisions; }
+    /// Decisions that reached a request which waited for none.
+    std::size_t unexpected() const { return m_unexpected; }
+
+    std::size_t heldSlots()
+    {
+        std::size_t held = 0;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            held += m_fleet.client(node).local().totalLoad().running;
+            for (const auto& [id, owner] : m_fleet.owned(node).pools())
+                held += owner->load().running;
+        }
+        return held;
+    }
+
+private:
+    struct request_state {
+        bool waits = false;
+        std::optional<replica_id> runsAt;
+    };
+
+    static constexpr std::size_t onePool = 3;
+    static constexpr std::size_t twoPools = 80;
+
+    std::size_t draw(std::size_t count) { return m_random() % count; }
+
+    std::optional<std::uint64_t> drawRequest(bool (*matches)(const request_state&))
+    {
+        std::vector<std::uint64_t> found;
+        for (const auto& [id, state] : m_requests) {
+            if (matches(state))
+                found.push_back(id);
+        }
+        return found.empty() ? std::nullopt : std::optional(found[draw(found.size())]);
+    }
+
+    void changeRequest()
+    {
+        ++m_orders;
+        switch (draw(5)) {
+        case 0:
+        case 1:
+            m_requests[m_fleet.submit(draw(nodes))].waits = true;
+            break;
+        case 2:
+            if (const auto id = drawRequest([](const request_state& state) { return state.waits; }))
+                withdraw(*id);
+            break;
+        case 3:
+            if (const auto id = drawRequest([](const request_state& state) { return state.runsAt.has_value(); }))
+                endAttempt(*id);
+            break;
+        case 4:
+            if (const auto id = drawRequest([](const request_state& state) { return state.runsAt && !state.waits; }))
+                resubmit(*id);
+            break;
+        }
+    }
+
+    void withdraw(std::uint64_t id)
+    {
+        m_fleet.withdraw(id);
+        m_requests.at(id).waits = false;
+    }
+
+    // A request that waits for a replacement no longer needs it.
+    void endAttempt(std::uint64_t id)
+    {
+        auto& state = m_requests.at(id);
+        if (state.waits)
+            withdraw(id);
+        const auto previous = *std::exchange(state.runsAt, std::nullopt);
+        const bool isSentAgain = draw(2) == 0;
+        m_fleet.end(id, isSentAgain ? outcome::replaced : outcome::completed);
+        if (isSentAgain) {
+            m_fleet.resubmit(id, previous);
+            state.waits = true;
+        }
+    }
+
+    // Asks for a replacement of an unresponsive endpoint.
+    void resubmit(std::uint64_t id)
+    {
+        auto& state = m_requests.at(id);
+        m_fleet.resubmit(id, *state.runsAt);
+        state.waits = true;
+    }
+
+    void changeFleet()
+    {
+        ++m_orders;
+        const auto node = draw(nodes);
+        switch (draw(7)) {
+        case 0:
+            m_fleet.freeze(node);
+            break;
+        case 1:
+            m_fleet.cut(node);
+            break;
+        case 2:
+        case 3:
+            m_fleet.thaw(node);
+            m_fleet.heal(node);
+            break;
+        case 4:
+            m_fleet.setLiveWithout(node);
+            break;
+        case 5:
+            m_fleet.setLive({});
+            break;
+        case 6:
+            m_fleet.setRecords(engineRecords(draw(2) == 0 ? onePool : twoPools, 1));
+            break;
+        }
+    }
+
+    void check(const pool_decisions& decisions)
+    {
+        for (const auto& granted : decisions.grants) {
+            auto& state = m_requests.at(granted.id);
+            const bool isKnown = state.waits || state.runsAt;
+            countDecision(state);
+            // Nobody ends the attempt of a request that has left.
+            if (isKnown)
+                state.runsAt = granted.replica;
+        }
+        for (const auto& refused : decisions.refusals) {
+            // A refusal of a replacement leaves the request where it runs.
+            countDecision(m_requests.at(refused.id));
+        }
+    }
+
+    void countDecision(request_state& state)
+    {
+        ++m_decisions;
+        if (!std::exchange(state.waits, false))
+            ++m_unexpected;
+    }
+
+    void comeToRest()
+    {
+        m_fleet.beforeDecisions = [](std::size_t) {};
+        for (std::size_t node = 0; node < nodes; ++node) {
+            m_fleet.thaw(node);
+            m_fleet.heal(node);
+        }
+        m_fleet.setLive({});
+        m_fleet.run(500ms);
+        for (auto& [id, state] : m_requests) {
+            if (state.waits)
+                withdraw(id);
+        }
+        for (auto& [id, state] : m_requests) {
+            if (std::exchange(state.runsAt, std::nullopt))
+                m_fleet.end(id, outcome::completed);
+        }
+        m_fleet.run(2s);
+    }
+
+    std::minstd_rand m_random;
+    slot_test_fleet m_fleet;
+    std::map<std::uint64_t, request_state> m_requests;
+    std::size_t m_orders = 0;
+    std::size_t m_decisions = 0;
+    std::size_t m_unexpected = 0;
+};
+
+TEST(decision_order_test, decision_reachesOnlyARequestThatWaitsForIt)
+{
+    // A grant or refusal that was overtaken by a withdrawal, another pool or another owner sent a request twice, or refused one that ran.
+    std::size_t orders = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        decision_order_fleet fleet(seed);
+        fleet.play();
+        EXPECT_EQ(fleet.unexpected(), 0U) << "seed " << seed << ", of " << fleet.decisions();
+        orders += fleet.orders();
+    }
+    EXPECT_GE(orders, 10'000U);
+}
+
+TEST(decision_order_test, slots_atRest_areHeldByNobody)
+{
+    // A grant for a request that had left in the same moment held its slot for ever, and its endpoint counted as stalled.
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        decision_order_fleet fleet(seed);
+        fleet.play();
+        EXPECT_EQ(fleet.heldSlots(), 0U) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace carawaylink::placement
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -4,6 +4,7 @@
 #include "placement/slot_client.h"
 
 #include <algorithm>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
@@ -59,14 +60,42 @@
         return request.id;
     }
 
+    /// Submits a request again that is running or was granted before, without its previous endpoint.
+    void resubmit(std::uint64_t id, const replica_id& previous)
+    {
+        waiting_request request;
+        request.id = id;
+        request.prompt = tokens { 1000 };
+        request.output = tokens { 90 };
+        request.arrived = now;
+        request.target = now + 2s;
+        request.deadline = now + 8s;
+        request.excluded = { previous };
+        m_nodes[m_home.at(id)]->client.submit(request, now);
+    }
+
+    void withdraw(std::uint64_t id) { m_nodes[m_home.at(id)]->client.withdraw(id); }
+
     void finish(std::uint64_t id)
     {
-        auto& client = m_nodes[m_home.at(id)]->client;
-        client.recordProgress(id, 1, now);
-        client.recordOutcome(id, outcome::completed, 1, now);
+        m_nodes[m_home.at(id)]->client.recordProgress(id, 1, now);
+        end(id, outcome::completed, 1);
+    }
+
+    /// The request ended at its endpoint after this number of events.
+    void end(std::uint64_t id, outcome result, std::size_t events = 0)
+    {
+        m_nodes[m_home.at(id)]->client.recordOutcome(id, result, events, now);
         grants.erase(id);
     }
 
+    /// Replaces the endpoints of the service at all nodes.
+    void setRecords(std::vector<discovery::endpoint_record> records)
+    {
+        m_records = std::move(records);
+        updateViews();
+    }
+
     /// The response of a granted request names a limit of its endpoint, or none.
     void nameLimit(std::uint64_t id, std::optional<double> perSecond)
     {
@@ -134,6 +163,9 @@
     std::map<std::string, std::vector<monotonic_time>> grantTimes;
     std::vector<refusal> refusals;
     std::size_t messages = 0;
+    /// Called at a node between what it receives and what it decides, and with what it decides.
+    std::function<void(std::size_t node)> beforeDecisions = [](std::size_t) {};
+    std::function<void(const pool_decisions& decisions)> onDecisions = [](const pool_decisions&) {};
 
 private:
     struct node_state {
@@ -193,7 +225,9 @@
             node.nextTick = now + 25ms;
         for (auto& entry : node.owned.takeReplies(now))
             post({ now + messageDelay, index, indexOf(entry.node), std::nullopt, std::move(entry.reply) });
+        beforeDecisions(index);
         const auto decisions = node.client.decide(now);
+        onDecisions(decisions);
         for (const auto& granted : decisions.grants) {
             grants.insert_or_assign(granted.id, granted);
             m_grantedAt[granted.id] = now;
