Keep the handlers of a call while one of them runs

Cause: a handler that cancels its own call makes http_client destroy the handlers, this one included, and with them the last owner of the exchange, which then goes on to end itself.

Change: http_client shares the handlers with each callback that runs, so whoever is called from them is kept until the callback returns. exchange_test terminates its exchange, which leaked otherwise.

request_dispatcher_test.spoiledNonResumableStream_*: heap-use-after-free under address sanitizer before, passes now; gateway_tests (101) four times and http_tests (15) under address sanitizer: no report.

--- a/libs/gateway/tests/exchange_tests.cpp
+++ b/libs/gateway/tests/exchange_tests.cpp
@@ -69,6 +69,7 @@
     ~exchange_test() override
     {
         run([this] {
+            m_exchange->terminate();
             m_exchange.reset();
             m_pendingResponders.clear();
         });
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -221,6 +221,19 @@
     EXPECT_EQ(requestsAt(0) + requestsAt(1), 1);
 }
 
+TEST_F(request_dispatcher_test, spoiledNonResumableStream_isAbortedAndProcessGoesOn)
+{
+    // The exchange was used after its last owner, a callback of the call that it cancelled, had released it.
+    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        responder->write("id: 1\ndata: d1\n\n");
+        responder->write("id: 7\ndata: d7\n\n");
+    });
+    start(false, true, 1);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_THROW(send("POST", "/p/x", "a" + std::to_string(i)), std::exception);
+}
+
 // Sends the head of a stream and then a byte now and then, without ever completing an event.
 void trickle(boost::asio::io_context& context, const std::shared_ptr<http_responder>& responder)
 {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -139,7 +139,7 @@
         : m_cache(std::move(cache))
         , m_address(std::move(address))
         , m_options(options)
-        , m_handlers(std::move(handlers))
+        , m_handlers(std::make_shared<http_stream_handlers>(std::move(handlers)))
         , m_timer(m_cache->context)
         , m_serializedRequest(serialize(request, m_address))
         , m_isHead(request.method == "HEAD")
@@ -272,8 +272,8 @@
         m_head.status = message.result_int();
         for (const auto& field : message)
             m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        if (m_handlers.onHead)
-            m_handlers.onHead(m_head);
+        if (const auto handlers = m_handlers; handlers->onHead)
+            handlers->onHead(m_head);
         if (!m_done)
             continueBody();
     }
@@ -305,8 +305,8 @@
                     status = {};
                 self->recordActivity();
                 const auto received = self->m_chunk.size() - self->m_parser->get().body().size;
-                if (received > 0 && self->m_handlers.onData)
-                    self->m_handlers.onData({ self->m_chunk.data(), received });
+                if (const auto handlers = self->m_handlers; received > 0 && handlers->onData)
+                    handlers->onData({ self->m_chunk.data(), received });
                 if (self->m_done)
                     return;
                 if (status)
@@ -353,16 +353,16 @@
         if (m_connection)
             m_connection->socket.close(ignored);
         http_result result { failure, m_sent, std::move(detail), std::move(m_head) };
-        const auto handlers = std::move(m_handlers);
-        m_handlers = {};
-        if (handlers.onDone)
-            handlers.onDone(result);
+        const auto handlers = std::exchange(m_handlers, nullptr);
+        if (handlers->onDone)
+            handlers->onDone(result);
     }
 
     std::shared_ptr<http_client::connection_cache> m_cache;
     std::string m_address;
     http_call_options m_options;
-    http_stream_handlers m_handlers;
+    // Each callback holds them, since it may cancel the call and thereby release what they own.
+    std::shared_ptr<http_stream_handlers> m_handlers;
     asio::steady_timer m_timer;
     std::string m_serializedRequest;
     bool m_isHead;
