--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -75,6 +75,16 @@
     EXPECT_LE(requestsAt(0), 1);
 }
 
+TEST_F(request_dispatcher_test, refusedConnection_isProofThatNothingWasSent)
+{
+    // Guards against an unknown outcome where the endpoint cannot have received the request.
+    endpoint("one", respondWith(200));
+    m_endpoints[0]->server.stopAccepting();
+    start(false, false, 1);
+    EXPECT_EQ(send("POST").status, 503U);
+    EXPECT_EQ(requestsAt(0), 0);
+}
+
 TEST_F(request_dispatcher_test, responseToAnotherRequest_isNotForwarded)
 {
     // A reused connection may deliver a second response to an earlier request.
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -2,6 +2,7 @@
 #include "http/client.h"
 #include "http/server.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
@@ -29,11 +30,13 @@
         result.maxHeaderBytes = 2048;
         result.maxBodyBytes = 1000;
         result.headerTimeout = std::chrono::milliseconds(200);
+        result.bodyTimeout = std::chrono::milliseconds(200);
         return result;
     }
 
     void handle(const http_request& request, const std::shared_ptr<http_responder>& responder)
     {
+        ++handledRequests;
         if (request.path() == "/echo")
             responder->send({ 200, { { "X-Query", request.query("q").value_or("none") } }, request.body });
         else if (request.path() == "/stream" || request.path() == "/broken") {
@@ -76,6 +79,7 @@
     std::string address;
     http_client client;
     std::shared_ptr<http_responder> heldResponder;
+    std::atomic<int> handledRequests = 0;
     std::promise<void> clientDisconnected;
 };
 
@@ -173,6 +177,14 @@
     EXPECT_NE(sendRaw("GET /echo HTTP/1.1\r\nX-Slow").find("408"), std::string::npos);
 }
 
+// Guards against a 408, which says that the request was not executed, for one that was passed on.
+TEST_F(http_loopback, request_without_its_whole_body_is_answered_408_and_not_handled)
+{
+    const auto response = sendRaw("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf");
+    EXPECT_NE(response.find("408"), std::string::npos);
+    EXPECT_EQ(handledRequests, 0);
+}
+
 // Guards against an address with a host name or no port being accepted.
 TEST_F(http_loopback, malformed_address_throws_invalid_argument)
 {
