End an exchange in one place, once and with one result

Cause: sendFailure(), onRefused() and terminate() aborted the response before they ended the exchange. A connection that is aborted calls the handler for a caller that leaves, which ended the exchange as "caller_left"; the aborting function then ended it again. A request that was never sent released its quota units twice.

Change: end() is the only place where an exchange ends. It marks the exchange as ended before it tells the caller, and does nothing the second time.

Evidence: exchange_test.termination_whileWaiting_endsOnce, exchange_test.refusal_ofAStreamThatHasBegun_endsOnce and request_dispatcher_test.spoiledNonResumableStream_endsOnceWithOneResult failed before (20 requests: 20 broken_off and 20 caller_left), pass now; all 105 tests of gateway_tests pass. The recording responder of exchange_test now calls the close handler as a connection does.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -226,8 +226,7 @@
         return;
     }
     if (m_headForwarded) {
-        m_responder->abort();
-        finish("broken_off");
+        abortResponse("broken_off");
         return;
     }
     if (m_endpointFailure) {
@@ -344,8 +343,7 @@
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
     recordOutcome(placement::outcome::completed);
-    m_responder->finish();
-    finish("served");
+    end("served", [this] { m_responder->finish(); });
 }
 
 void exchange::onBodyComplete()
@@ -469,8 +467,7 @@
 void exchange::sendFailure(placement::outcome result)
 {
     if (m_headForwarded) {
-        m_responder->abort();
-        finish("broken_off");
+        abortResponse("broken_off");
     } else if (m_endpointFailure) {
         respond(std::move(*m_endpointFailure), "endpoint_failure");
     } else if (!m_sends.mayHaveExecuted()) {
@@ -508,8 +505,7 @@
     if (m_state == state::done)
         return;
     abandonAttempt();
-    m_responder->abort();
-    finish("stopped");
+    abortResponse("stopped");
 }
 
 void exchange::onCallerClosed()
@@ -517,7 +513,7 @@
     if (m_state == state::done)
         return;
     abandonAttempt();
-    finish("caller_left");
+    end("caller_left", [] { });
 }
 
 void exchange::abandonAttempt()
@@ -551,13 +547,21 @@
 void exchange::respond(http_response response, std::string_view reason)
 {
     m_callerStatus = response.status;
-    m_responder->send(std::move(response));
-    finish(reason);
+    end(reason, [&] { m_responder->send(std::move(response)); });
 }
 
-void exchange::finish(std::string_view result)
+void exchange::abortResponse(std::string_view reason)
 {
-    m_state = state::done;
+    end(reason, [this] { m_responder->abort(); });
+}
+
+// The only place where an exchange ends. It is marked as ended before the caller is told, because a responder that aborts calls
+// onCallerClosed() meanwhile.
+template <std::invocable Action> void exchange::end(std::string_view result, Action tellCaller)
+{
+    if (std::exchange(m_state, state::done) == state::done)
+        return;
+    tellCaller();
     if (m_admitted.team && !m_isQuotaCommitted)
         m_dispatcher.releaseQuota(*m_admitted.team, m_admitted.quotaUnits);
     m_dispatcher.log()
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -4,6 +4,7 @@
 #include "request_dispatcher.h"
 #include "send_record.h"
 
+#include <concepts>
 #include <memory>
 #include <string>
 #include <vector>
@@ -93,7 +94,9 @@
     void sendFailure(placement::outcome result);
     void respond(http_response response, std::string_view reason);
     void recordOutcome(placement::outcome result);
-    void finish(std::string_view result);
+    void abortResponse(std::string_view reason);
+    /// Ends the exchange with this result, unless it has ended; tellCaller ends the response.
+    template <std::invocable Action> void end(std::string_view result, Action tellCaller);
     void logSend();
     /// Returns whether the exchange waits for a decision of the pool; logs the given one if it does not.
     bool awaits(std::string_view decision);
--- a/libs/gateway/tests/exchange_tests.cpp
+++ b/libs/gateway/tests/exchange_tests.cpp
@@ -13,31 +13,42 @@
     void start(unsigned startedStatus, std::vector<http_header>) override { status = startedStatus; }
     void write(std::string_view) override { }
     void finish() override { }
-    void abort() override { wasAborted = true; }
+    // Like a connection, it calls the handler while it aborts.
+    void abort() override
+    {
+        if (!wasAborted.exchange(true) && m_onClosed)
+            std::exchange(m_onClosed, nullptr)();
+    }
     std::size_t pendingBytes() const override { return 0; }
     void onDrained(std::function<void()>) override { }
-    void onClosed(std::function<void()>) override { }
+    void onClosed(std::function<void()> handler) override { m_onClosed = std::move(handler); }
     bool closed() const override { return wasAborted; }
     std::size_t threadIndex() const override { return 0; }
 
     std::atomic<unsigned> status = 0;
     std::atomic<bool> wasAborted = false;
+
+private:
+    std::function<void()> m_onClosed;
 };
 
 /// Hands decisions to one exchange of a request that may run once, in any state.
 class exchange_test : public request_dispatcher_test {
 protected:
-    void startExchange()
+    void startExchange(bool isResumableStream = false)
     {
         start(false, false, 1);
-        run([this] {
+        run([this, isResumableStream] {
             admitted_request admitted;
             // Not one of the dispatcher's, which would decide as well.
             admitted.id = 1'000'000;
             admitted.metadata.attempt = "a1";
             admitted.request = { "POST", "/p/x", { { "attempt", "a1" } }, "body" };
             admitted.route.name = "route";
-            admitted.route.maxAttempts = 1;
+            admitted.route.maxAttempts = isResumableStream ? 2 : 1;
+            admitted.route.streaming = isResumableStream;
+            admitted.route.resumable = isResumableStream;
+            admitted.route.latencyTarget = 500ms;
             admitted.service = service_id { "service" };
             admitted.arrived = std::chrono::steady_clock::now();
             admitted.responseDeadline = admitted.arrived + 3s;
@@ -113,6 +124,38 @@
     EXPECT_EQ(m_responder->status, 503U);
 }
 
+TEST_F(exchange_test, termination_whileWaiting_endsOnce)
+{
+    // Aborting the response ended the exchange as "caller_left", and the termination ended it again.
+    startExchange();
+    run([this] { m_exchange->start(); });
+    run([this] {
+        m_exchange->terminate();
+        m_exchange->terminate();
+    });
+    EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "stopped", 1 } }));
+}
+
+TEST_F(exchange_test, refusal_ofAStreamThatHasBegun_endsOnce)
+{
+    // A stream that finds no endpoint to continue on was counted as broken off and as left by its caller.
+    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        responder->write("id: 1\ndata: d1\n\n");
+        responder->onDrained([responder] { responder->abort(); });
+    });
+    startExchange(true);
+    run([this] { m_exchange->start(); });
+    grantAt(0);
+    ASSERT_TRUE(eventually([this] { return m_responder->status == 200; }));
+    // A refusal has no effect until the endpoint's end has been noticed.
+    ASSERT_TRUE(eventually([this] {
+        refuse();
+        return m_responder->wasAborted.load();
+    }));
+    EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "broken_off", 1 } }));
+}
+
 TEST(send_record_test, send_countsAsExecutedUntilItIsProvedNotToBe)
 {
     // Guards against a refusal that promises "not executed" while a send is in progress.
--- a/libs/gateway/tests/request_dispatcher_fixture.h
+++ b/libs/gateway/tests/request_dispatcher_fixture.h
@@ -11,7 +11,9 @@
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <map>
 #include <numeric>
+#include <regex>
 #include <thread>
 
 namespace carawaylink::gateway {
@@ -150,6 +152,18 @@
 
     int requestsAt(std::size_t index) const { return m_endpoints[index]->requests; }
 
+    // Number of requests that ended, by result, as the metrics count them.
+    std::map<std::string, int> endsByResult()
+    {
+        static const std::regex series("carawaylink_gateway_requests_total\\{.*result=\"(\\w+)\".*\\} (\\d+)");
+        std::string text;
+        run([&] { text = m_metrics.text(); });
+        std::map<std::string, int> ends;
+        for (std::sregex_iterator found(text.begin(), text.end(), series), end; found != end; ++found)
+            ends[(*found)[1]] += std::stoi((*found)[2]);
+        return ends;
+    }
+
     static http_handler respondWith(unsigned status, std::vector<http_header> headers = {}, std::string body = "whole")
     {
         return [=](const http_request&, const std::shared_ptr<http_responder>& responder) { responder->send({ status, headers, body }); };
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -244,6 +244,21 @@
         EXPECT_THROW(send("POST", "/p/x", "a" + std::to_string(i)), std::exception);
 }
 
+TEST_F(request_dispatcher_test, spoiledNonResumableStream_endsOnceWithOneResult)
+{
+    // Aborting the response ran the handler for a caller that leaves, which ended the exchange a second time as "caller_left".
+    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->start(200, { { "Content-Type", "text/event-stream" } });
+        responder->write("id: 1\ndata: d1\n\n");
+        responder->write("id: 7\ndata: d7\n\n");
+    });
+    start(false, true, 1);
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i)
+        EXPECT_THROW(send("POST", "/p/x", "a" + std::to_string(i)), std::exception);
+    EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "broken_off", requests } }));
+}
+
 // Sends the head of a stream and then a byte now and then, without ever completing an event.
 void trickle(boost::asio::io_context& context, const std::shared_ptr<http_responder>& responder)
 {
