End a cancelled engine stream before its call, not inside the end of the call

Callers of the product's own interface could lose all requests of a process: cancel() of a stream whose output was complete used freed memory.

Cause: cancel() cancelled the call first. The end of the call ended the stream, whose owner released it in onDone; the handlers that were released after that held its last reference, and cancel() then ended the destroyed stream.

Change: cancel() only calls finish(), which keeps the stream alive, changes the generation and then cancels the call, whose end has no effect any more.

Evidence: engine_stream_test.cancel_whose_end_releases_the_stream_ends_once gave heap-use-after-free in finish(), called by cancel(), under address sanitizer before; the 55 tests of node_tests pass after.

--- a/libs/node/src/engine_stream.cpp
+++ b/libs/node/src/engine_stream.cpp
@@ -248,8 +248,6 @@
         return;
     // The caller has the complete output; only the end of the engine's HTTP response is outstanding.
     if (m_doneSeen) {
-        // The call keeps this stream alive until it ends.
-        m_call->cancel();
         finish(stream_outcome::complete, {});
         return;
     }
@@ -279,7 +277,8 @@
     const auto self = shared_from_this();
     ++m_generation;
     m_timer.cancel();
-    if (m_call && outcome != stream_outcome::complete)
+    // The generation has changed, so that the end of the call does not end the stream again.
+    if (m_call)
         m_call->cancel();
     m_result.outcome = outcome;
     m_result.outputTokens = tokens(m_nextOffset);
--- a/libs/node/tests/engine_stream_tests.cpp
+++ b/libs/node/tests/engine_stream_tests.cpp
@@ -261,6 +261,26 @@
     expectTokens(3);
 }
 
+// Guards against a stream that its owner releases while it ends itself: it used its memory after that, which address sanitizer reports.
+TEST_F(engine_stream_test, cancel_whose_end_releases_the_stream_ends_once)
+{
+    answers = { { tokenEvents(0, 3) + streamEnd(), engine_answer::ending::keepOpen } };
+    std::shared_ptr<engine_stream> owner;
+    int ends = 0;
+    engine_stream_handlers handlers;
+    handlers.onEvent = [this](std::string_view event) { doneEvents += event.find("[DONE]") != std::string_view::npos ? 1 : 0; };
+    handlers.onDone = [&](const stream_result&) {
+        ++ends;
+        owner.reset();
+    };
+    owner = std::make_shared<engine_stream>(context, client, endpoint_id(address), request_id { 1, 2 }, 200ms, std::move(handlers));
+    owner->dispatch("/v1/completions", "{}");
+    runUntil(context, [this] { return doneEvents == 1; });
+    owner->cancel();
+    EXPECT_EQ(ends, 1);
+    EXPECT_EQ(owner, nullptr);
+}
+
 // Guards against relaying data that a faulty engine sends after [DONE].
 TEST_F(engine_stream_test, events_after_the_end_of_the_answer_are_dropped)
 {
