Parse responses with a limit for each part of them

Cause: the client read into a buffer without a maximum, and the parser asks for more bytes until it finds the end of a chunk header or of the trailers; no handler runs meanwhile, so neither the limit of bodies nor that of events is reached. The limit of heads does not hold there.

Related, found while writing the test: a last chunk that arrives as "0\r\n", "\r", "\n" ends the process, by an assertion of the parser library; and a 1xx answer was taken for the final one, so that any number of them had no limit either.

Change: response_parser takes the bytes as they arrive and does no I/O. The library parses the head; chunked_decoder decodes chunks without keeping any byte. Limits: head 65536 bytes, 8 interim responses, chunk header 4096, trailers 16384; the fault names the part. Only a head or a part of the body counts as activity for the idle timeout. A call that is resumed goes on from the event loop, not inside its consumer's call.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -513,7 +513,7 @@
     if (m_state == state::done)
         return;
     abandonAttempt();
-    end("caller_left", [] { });
+    end("caller_left", [] {});
 }
 
 void exchange::abandonAttempt()
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "response_parser.h"
+
 #include "base/error.h"
 
 #include <algorithm>
@@ -27,7 +29,6 @@
 constexpr auto maxIdleTime = std::chrono::seconds(2);
 constexpr std::size_t maxIdlePerAddress = 64;
 constexpr std::size_t readBufferBytes = 16384;
-constexpr std::uint32_t maxResponseHeaderBytes = 65536;
 // Bounds the memory for the keys of a connection.
 constexpr std::size_t maxKeysPerConnection = 128;
 
@@ -142,12 +143,8 @@
         , m_handlers(std::make_shared<http_stream_handlers>(std::move(handlers)))
         , m_timer(m_cache->context)
         , m_serializedRequest(serialize(request, m_address))
-        , m_isHead(request.method == "HEAD")
+        , m_parser(request.method == "HEAD")
     {
-        m_parser.emplace();
-        m_parser->body_limit(boost::none);
-        m_parser->header_limit(maxResponseHeaderBytes);
-        m_parser->skip(m_isHead);
     }
 
     void start()
@@ -181,7 +178,8 @@
             return;
         m_readDeferred = false;
         recordActivity();
-        readBody();
+        // Not from here, since the consumer may be inside a callback of this call.
+        asio::post(m_cache->context, [self = shared_from_this()] { self->parse(); });
     }
     http_connection connection() const override { return m_connectionInfo; }
 
@@ -247,85 +245,70 @@
                     return;
                 }
                 self->recordActivity();
-                self->readHead();
+                self->read();
             });
     }
 
-    void readHead()
+    void read()
     {
-        http::async_read_header(
-            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
+        m_connection->socket.async_read_some(
+            asio::buffer(m_chunk), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
                 if (self->m_done)
                     return;
                 if (status) {
                     self->handleReadError(status);
                     return;
                 }
-                self->recordActivity();
-                self->handleHead();
+                self->m_parser.append({ self->m_chunk.data(), size });
+                self->parse();
             });
     }
 
-    void handleHead()
-    {
-        const auto& message = m_parser->get();
-        m_head.status = message.result_int();
-        for (const auto& field : message)
-            m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        if (const auto handlers = m_handlers; handlers->onHead)
-            handlers->onHead(m_head);
-        if (!m_done)
-            continueBody();
-    }
-
-    void continueBody()
+    // Only a head or a part of the body counts as activity: a peer could send chunk headers or interim responses for ever.
+    void parse()
     {
-        if (m_parser->is_done()) {
-            complete();
-            return;
-        }
-        if (m_paused) {
-            m_readDeferred = true;
-            return;
+        while (!m_done) {
+            if (m_paused) {
+                m_readDeferred = true;
+                return;
+            }
+            // Each callback holds the handlers, since it may cancel the call and thereby release what they own.
+            const auto handlers = m_handlers;
+            switch (m_parser.next()) {
+            case response_parser::step::needs_bytes:
+                read();
+                return;
+            case response_parser::step::head:
+                recordActivity();
+                if (handlers->onHead)
+                    handlers->onHead(m_parser.head());
+                break;
+            case response_parser::step::data:
+                recordActivity();
+                if (handlers->onData)
+                    handlers->onData(m_parser.data());
+                break;
+            case response_parser::step::complete:
+                complete();
+                return;
+            case response_parser::step::invalid:
+                end(http_failure::invalid, "the response of " + m_address + " is invalid: " + std::string(m_parser.fault()));
+                return;
+            }
         }
-        readBody();
-    }
-
-    void readBody()
-    {
-        auto& body = m_parser->get().body();
-        body.data = m_chunk.data();
-        body.size = m_chunk.size();
-        body.more = true;
-        http::async_read_some(
-            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
-                if (self->m_done)
-                    return;
-                if (status == http::error::need_buffer)
-                    status = {};
-                self->recordActivity();
-                const auto received = self->m_chunk.size() - self->m_parser->get().body().size;
-                if (const auto handlers = self->m_handlers; received > 0 && handlers->onData)
-                    handlers->onData({ self->m_chunk.data(), received });
-                if (self->m_done)
-                    return;
-                if (status)
-                    self->handleReadError(status);
-                else
-                    self->continueBody();
-            });
     }
 
     void handleReadError(boost::system::error_code status)
     {
-        const bool ended = status == http::error::end_of_stream || status == http::error::partial_message || status == asio::error::eof
-            || status == asio::error::connection_reset || status == asio::error::broken_pipe;
-        end(ended ? http_failure::broken : http_failure::invalid, "cannot read the response of " + m_address + ": " + status.message());
+        if (status == asio::error::eof && m_parser.finish() == response_parser::step::complete)
+            complete();
+        else
+            end(http_failure::broken, "cannot read the response of " + m_address + ": " + status.message());
     }
 
     void complete()
     {
-        if (m_parser->keep_alive() && m_buffer.size() == 0)
+        if (m_parser.keepsConnection())
             m_cache->put(m_address, std::move(m_connection), reusableTime());
         end(http_failure::none, {});
     }
@@ -334,7 +317,7 @@
     duration reusableTime() const
     {
         constexpr std::string_view timeoutParameter = "timeout=";
-        const std::string_view announced = m_parser->get()[http::field::keep_alive];
+        const auto announced = m_parser.head().header("Keep-Alive").value_or(std::string_view());
         const auto position = announced.find(timeoutParameter);
         int seconds = 0;
         if (position == std::string_view::npos
@@ -352,7 +335,7 @@
         boost::system::error_code ignored;
         if (m_connection)
             m_connection->socket.close(ignored);
-        http_result result { failure, m_sent, std::move(detail), std::move(m_head) };
+        http_result result { failure, m_sent, std::move(detail), m_parser.head() };
         const auto handlers = std::exchange(m_handlers, nullptr);
         if (handlers->onDone)
             handlers->onDone(result);
@@ -361,17 +344,13 @@
     std::shared_ptr<http_client::connection_cache> m_cache;
     std::string m_address;
     http_call_options m_options;
-    // Each callback holds them, since it may cancel the call and thereby release what they own.
     std::shared_ptr<http_stream_handlers> m_handlers;
     asio::steady_timer m_timer;
     std::string m_serializedRequest;
-    bool m_isHead;
+    response_parser m_parser;
     std::unique_ptr<open_connection> m_connection;
     http_connection m_connectionInfo;
-    beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, readBufferBytes> m_chunk {};
-    http_response m_head;
     monotonic_time m_lastActivity;
     bool m_connecting = false;
     bool m_sent = false;
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -243,25 +243,62 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 5s);
 }
 
-// Guards against memory that fills up with bytes that are no answer: they may come without end, in a head or in a body.
-TEST_F(client_in_trouble_test, endless_head_and_endless_body_end_the_call)
+// Guards against memory that fills up with bytes that are no answer: they may come without end in the place of any part of it.
+TEST_F(client_in_trouble_test, endless_part_of_an_answer_ends_the_call)
 {
-    for (const std::string start :
-        { "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" }) {
-        const bool isChunked = start.find("chunked") != std::string::npos;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct endless_part {
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<endless_part> parts {
+        { head + "X: ", "x" },
+        { head + "\r\n", "x" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { chunked, "400\r\n" + std::string(1024, 'x') + "\r\n" },
+        { chunked, "x" },
+        { chunked, "0" },
+        { chunked + "5;", "x" },
+        { chunked + "0\r\n", "X: y\r\n" },
+        { chunked + "0\r\nX: ", "x" },
+    };
+    // What the sockets of both sides may hold on top of what the client keeps.
+    constexpr std::size_t maxSentBytes = 32U << 20;
+    for (const auto& part : parts) {
+        std::atomic<std::size_t> sent = 0;
+        std::string piece;
+        while (piece.size() < 16384)
+            piece += part.repeated;
         scripted_server server([&](tcp::socket& peer, std::size_t) {
             boost::system::error_code status;
             readRequest(peer);
-            asio::write(peer, asio::buffer(start), status);
-            const auto chunk = isChunked ? "400\r\n" + std::string(1024, 'x') + "\r\n" : std::string(1024, 'x');
-            while (!status)
-                asio::write(peer, asio::buffer(chunk), status);
+            asio::write(peer, asio::buffer(part.start), status);
+            while (!status && sent < 2 * maxSentBytes)
+                sent += asio::write(peer, asio::buffer(piece), status);
         });
         http_call_options options;
         options.maxBodyBytes = 1 << 20;
-        EXPECT_EQ(httpFailureNames.name(call(server.address(), "/", options).failure), "invalid") << start;
+        EXPECT_EQ(httpFailureNames.name(call(server.address(), "/", options).failure), "invalid") << part.start << part.repeated;
+        EXPECT_LE(sent, maxSentBytes) << part.start << part.repeated;
     }
 }
 
+// Guards against a process that an endpoint can end: the last chunk of an answer in three pieces did.
+TEST_F(client_in_trouble_test, last_chunk_in_small_pieces_ends_the_answer)
+{
+    scripted_server server([](tcp::socket& peer, std::size_t) {
+        boost::system::error_code ignored;
+        peer.set_option(tcp::no_delay(true));
+        readRequest(peer);
+        for (const std::string piece : { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0\r\n", "\r", "\n" }) {
+            asio::write(peer, asio::buffer(piece), ignored);
+            std::this_thread::sleep_for(10ms);
+        }
+        readRequest(peer);
+    });
+    EXPECT_TRUE(call(server.address(), "/").ok());
+}
+
 } // namespace
 } // namespace carawaylink
