Decode the chunks of requests with the decoder of responses

Callers saw: nothing yet.

Cause: the library expects at least five bytes when it looks at the last chunk for the second time.

Change: the server reads the head with the library and the body itself, with chunked_decoder; a chunk header or trailers above their limits are refused with 400, which names the part. The buffer of a connection may hold a whole head of the configured size, so that a longer one gets 431.

--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "chunked_decoder.h"
+
 #include "base/error.h"
 #include "base/log.h"
 
@@ -189,6 +191,14 @@
     void setOnClosed(std::function<void()> handler) { m_onClosed = m_closed ? nullptr : std::move(handler); }
 
 private:
+    /// How much of a request body has arrived.
+    enum class body_state {
+        incomplete,
+        complete,
+        malformed,
+        too_large,
+    };
+
     template <typename Message> void fillHead(Message& message, unsigned status, const std::vector<http_header>& headers)
     {
         message.version(m_version);
@@ -238,6 +248,8 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeaderBytes));
         m_parser->body_limit(m_state->limits.maxBodyBytes);
+        // Above the limit of a head, so that one that is too long is reported as such.
+        m_buffer.max_size(std::max(m_buffer.size(), m_state->limits.maxHeaderBytes) + readBufferBytes);
         armTimer(limit);
         http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
             if (self->m_closed || self->m_phase != phase::head)
@@ -261,19 +273,88 @@
     void readBody()
     {
         m_phase = phase::body;
+        m_body.clear();
+        m_chunks = {};
         if (m_parser->is_done()) {
             dispatch();
             return;
         }
         armTimer(m_state->limits.bodyTimeout);
-        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code status, std::size_t) {
-            if (self->m_closed || self->m_phase != phase::body)
-                return;
-            if (status)
-                self->handleReadError(status);
-            else
-                self->dispatch();
-        });
+        continueBody();
+    }
+
+    void continueBody()
+    {
+        switch (takeBody()) {
+        case body_state::incomplete:
+            break;
+        case body_state::complete:
+            dispatch();
+            return;
+        case body_state::malformed:
+            refuseBody(400, "malformed_request", "the chunks of the request body are invalid: " + std::string(m_chunks.fault()),
+                "check the client");
+            return;
+        case body_state::too_large:
+            refuseTooLargeBody();
+            return;
+        }
+        m_socket.async_read_some(m_buffer.prepare(beast::read_size_or_throw(m_buffer, readBufferBytes)),
+            [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+                if (self->m_closed || self->m_phase != phase::body)
+                    return;
+                if (status) {
+                    self->close();
+                    return;
+                }
+                self->m_buffer.commit(size);
+                self->continueBody();
+            });
+    }
+
+    body_state takeBody()
+    {
+        const auto received = m_buffer.data();
+        std::string_view input(static_cast<const char*>(received.data()), received.size());
+        const auto state = m_parser->chunked() ? takeChunks(input) : takeBytes(input);
+        m_buffer.consume(received.size() - input.size());
+        return state;
+    }
+
+    body_state takeChunks(std::string_view& input)
+    {
+        while (true) {
+            const auto step = m_chunks.next(input);
+            if (step == chunked_decoder::step::needs_bytes)
+                return body_state::incomplete;
+            if (step == chunked_decoder::step::complete)
+                return body_state::complete;
+            if (step == chunked_decoder::step::invalid)
+                return body_state::malformed;
+            if (m_body.size() + m_chunks.data().size() > m_state->limits.maxBodyBytes)
+                return body_state::too_large;
+            m_body += m_chunks.data();
+        }
+    }
+
+    body_state takeBytes(std::string_view& input)
+    {
+        const auto missing = static_cast<std::size_t>(*m_parser->content_length()) - m_body.size();
+        const auto part = input.substr(0, missing);
+        m_body += part;
+        input.remove_prefix(part.size());
+        return part.size() == missing ? body_state::complete : body_state::incomplete;
+    }
+
+    void refuseBody(unsigned status, std::string_view type, std::string_view message, std::string_view remedy)
+    {
+        m_phase = phase::response;
+        sendErrorAndClose(errorResponse(status, type, message, remedy));
+    }
+
+    void refuseTooLargeBody()
+    {
+        refuseBody(413, "body_too_large", "the request body is larger than limits.max_body_bytes", "send a smaller body");
     }
 
     void handleReadError(boost::system::error_code status)
@@ -283,8 +364,7 @@
             sendErrorAndClose(errorResponse(
                 431, "header_too_large", "the request header is larger than limits.max_header_bytes", "send fewer or shorter headers"));
         } else if (status == http::error::body_limit) {
-            sendErrorAndClose(
-                errorResponse(413, "body_too_large", "the request body is larger than limits.max_body_bytes", "send a smaller body"));
+            refuseTooLargeBody();
         } else if (status.category() == make_error_code(http::error::bad_method).category() && status != http::error::end_of_stream
             && status != http::error::partial_message) {
             sendErrorAndClose(errorResponse(400, "malformed_request", "the request is not valid HTTP/1.1", "check the client"));
@@ -315,7 +395,7 @@
         request.target = message.target();
         for (const auto& field : message)
             request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(message.body());
+        request.body = std::move(m_body);
         watchForClose();
         auto responder = std::make_shared<connection_responder>(shared_from_this(), m_exchange);
         try {
@@ -431,7 +511,9 @@
     asio::steady_timer m_timer;
     std::size_t m_thread;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::request_parser<http::empty_body>> m_parser;
+    chunked_decoder m_chunks;
+    std::string m_body;
     phase m_phase = phase::head;
     std::uint64_t m_exchange = 0;
     unsigned m_version = 11;
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -6,10 +6,13 @@
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace carawaylink {
 namespace {
 
+using tcp_socket = boost::asio::ip::tcp::socket;
+
 class http_loopback : public testing::Test {
 protected:
     http_loopback()
@@ -61,23 +64,64 @@
         return promise.get_future().get();
     }
 
-    std::string sendRaw(const std::string& bytes)
+    tcp_socket connect()
     {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket(context);
         const auto parsed = parseAddress(address);
+        tcp_socket socket(rawContext);
         socket.connect({ boost::asio::ip::make_address(parsed.ip), parsed.port });
-        boost::asio::write(socket, boost::asio::buffer(bytes));
+        socket.set_option(boost::asio::ip::tcp::no_delay(true));
+        return socket;
+    }
+
+    static std::string readAll(tcp_socket& socket)
+    {
         std::string response;
+        boost::system::error_code ignored;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(response), ignored);
+        return response;
+    }
+
+    // Sends the pieces one after another, so that they arrive apart, and returns the response.
+    std::string sendPieces(const std::vector<std::string>& pieces)
+    {
+        auto socket = connect();
+        for (const auto& piece : pieces) {
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(piece), ignored);
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return readAll(socket);
+    }
+
+    // Sends the same bytes again and again until a response arrives, which it returns; empty if 64 MiB were sent without one.
+    std::string sendEndless(const std::string& start, const std::string& repeated)
+    {
+        constexpr std::size_t maxBytes = 64U << 20;
+        auto socket = connect();
+        std::string piece;
+        while (piece.size() < 1000)
+            piece += repeated;
         boost::system::error_code status;
-        boost::asio::read(socket, boost::asio::dynamic_buffer(response), status);
+        boost::asio::write(socket, boost::asio::buffer(start), status);
+        for (std::size_t sent = 0; sent < maxBytes && !status && socket.available(status) == 0; sent += piece.size())
+            boost::asio::write(socket, boost::asio::buffer(piece), status);
+        std::string response(4096, '\0');
+        response.resize(socket.read_some(boost::asio::buffer(response), status));
         return response;
     }
 
+    std::string sendRaw(const std::string& bytes)
+    {
+        auto socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        return readAll(socket);
+    }
+
     io_threads threads { 2 };
     http_server server;
     std::string address;
     http_client client;
+    boost::asio::io_context rawContext;
     std::shared_ptr<http_responder> heldResponder;
     std::atomic<int> handledRequests = 0;
     std::promise<void> clientDisconnected;
@@ -177,6 +221,38 @@
     EXPECT_NE(sendRaw("GET /echo HTTP/1.1\r\nX-Slow").find("408"), std::string::npos);
 }
 
+// Guards against a process that any caller can end: the last chunk of a body in three pieces did.
+TEST_F(http_loopback, chunked_request_in_small_pieces_is_handled)
+{
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_TRUE(sendPieces({ head, "0\r\n", "\r", "\n" }).starts_with("HTTP/1.1 200"));
+    const auto response = sendPieces({ head, "5", ";a=b\r", "\nhel", "lo\r\n0\r\nX: ", "y\r\n\r", "\n" });
+    EXPECT_TRUE(response.ends_with("\r\n\r\nhello")) << response;
+}
+
+// Guards against memory that fills up with a part of a request that has no end.
+TEST_F(http_loopback, endless_part_of_a_request_is_refused_at_its_limit)
+{
+    const std::string chunked = "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct endless_part {
+        std::string start;
+        std::string repeated;
+        std::string status;
+    };
+    const std::vector<endless_part> parts {
+        { "GET /", "x", "431" },
+        { "GET /echo HTTP/1.1\r\n", "X: y\r\n", "431" },
+        { chunked, "0", "400" },
+        { chunked + "5;", "x", "400" },
+        { chunked, "5\r\nhello\r\n", "413" },
+        { chunked + "0\r\n", "X: y\r\n", "400" },
+        { chunked + "0\r\nX: ", "x", "400" },
+    };
+    for (const auto& part : parts)
+        EXPECT_TRUE(sendEndless(part.start, part.repeated).starts_with("HTTP/1.1 " + part.status)) << part.start << part.repeated;
+    EXPECT_EQ(handledRequests, 0);
+}
+
 // Guards against a 408, which says that the request was not executed, for one that was passed on.
 TEST_F(http_loopback, request_without_its_whole_body_is_answered_408_and_not_handled)
 {
