Limit the bytes of all messages of a process together

Callers saw: several answers without end at once, each within the limit of one (8 MB), fill the memory of a process, which is killed with all its requests. The same hung on callers that upload or read slowly, on peers and on the store.

Cause: each message had a limit, all messages together had none, and nothing followed from the memory of the vm.

Beyond it the largest holder ends, from the event loop: an answer that has begun is cut, a request that may have run gets 502 "unknown", one that did not run and a body that still arrives get 503. Log line memory_exceeded, counter and gauge. Beside it: idle connections drop large buffers, a sent request is not kept by its call, answers of the store are limited to 16 MiB, queries of readiness, directory and metrics to 64 KiB of body.

--- a/libs/gateway/include/gateway/event_splitter.h
+++ b/libs/gateway/include/gateway/event_splitter.h
@@ -23,6 +23,7 @@
     /// Number of complete events returned so far.
     std::size_t eventCount() const { return m_eventCount; }
     bool hasPartialEvent() const { return !m_partial.empty(); }
+    std::size_t partialBytes() const { return m_partial.size(); }
     /// Whether an event id was skipped.
     bool hasGap() const { return m_hasGap; }
     /// Whether an event exceeded the size limit; the rest of the stream cannot be split.
--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -36,6 +36,8 @@
     duration stopGracePeriod = std::chrono::seconds(8);
     /// Limit of concurrent caller connections; further ones are closed without being read.
     std::size_t maxCallerConnections = 4000;
+    /// Limit of the bytes of messages that are incomplete or not sent yet, to all callers, endpoints, peers and the store together.
+    std::size_t maxMessageBytes = 64U << 20;
     /// Processor capacity of this vm in thousandths of a core; 0 if unknown.
     unsigned processorCapacity = 0;
     /// TTL of directory responses, at most the longest that callers honor.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -84,6 +84,7 @@
     , m_admitted(std::move(admitted))
     , m_responder(std::move(responder))
     , m_splitter(m_admitted.metadata.lastEventId)
+    , m_memory(dispatcher.memory(), "exchange", [this] { endForMemory(); })
 {
 }
 
@@ -93,6 +94,7 @@
         if (const auto alive = self.lock())
             alive->onCallerClosed();
     });
+    countMemory();
     enqueue(m_admitted.arrived, false);
 }
 
@@ -259,6 +261,11 @@
     m_state = isStream ? state::streaming : state::buffering;
 }
 
+void exchange::countMemory()
+{
+    m_memory.set(m_admitted.request.body.size() + m_body.size() + m_splitter.partialBytes());
+}
+
 void exchange::onResponseData(std::string_view bytes)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -266,6 +273,7 @@
         m_lastProgressAt = now;
         cancelReplacement();
         m_body += bytes;
+        countMemory();
         if (m_body.size() > maxBufferedBytes)
             attemptFailed(placement::outcome::invalid, "response body exceeds the limit");
         return;
@@ -274,6 +282,7 @@
         return;
     // Bytes that complete no event are no progress: a stalled endpoint may send one now and then.
     auto events = m_splitter.append(bytes);
+    countMemory();
     if (!events.empty()) {
         m_lastProgressAt = now;
         cancelReplacement();
@@ -530,10 +539,22 @@
 
 void exchange::endUnanswered(std::string_view reason, duration retryAfter)
 {
-    if (m_state == state::done || m_isAnswered)
-        return;
+    if (m_state != state::done && !m_isAnswered)
+        endNow(reason, retryAfter);
+}
+
+void exchange::endForMemory()
+{
+    if (m_state != state::done)
+        endNow("out_of_memory", defaultRetryAfter);
+}
+
+void exchange::endNow(std::string_view reason, duration retryAfter)
+{
     abandonAttempt();
-    if (m_sends.mayHaveExecuted())
+    if (m_headForwarded)
+        abortResponse(reason);
+    else if (m_sends.mayHaveExecuted())
         respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), reason);
     else
         respond(refusalResponse(statusUnavailable, reason, retryAfter), reason);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -44,6 +44,8 @@
     void tick(monotonic_time now);
     /// Refuses the request unless an endpoint has begun to answer it; cancels its attempt.
     void endUnanswered(std::string_view reason, duration retryAfter);
+    /// Ends the request because its messages hold the most memory while the node holds too much.
+    void endForMemory();
     /// Aborts the request immediately; used when a drain reaches its deadline.
     void terminate();
 
@@ -85,6 +87,10 @@
     /// Complete events that the current attempt has delivered.
     std::size_t eventsOfAttempt() const { return m_splitter.eventCount() - m_eventsBeforeAttempt; }
     void recordAnswer();
+    /// Counts the bytes that the request and its response hold.
+    void countMemory();
+    /// Ends the request now with what is true of it: aborts a response that has begun, else says whether the request may have run.
+    void endNow(std::string_view reason, duration retryAfter);
     /// Cancels the attempt, or withdraws the request while it waits.
     void abandonAttempt();
     /// Records that the latest send was not executed, if the outcome proves it.
@@ -137,6 +143,7 @@
     duration m_longestEventGap {};
     /// Time of the last response head, complete event or part of a buffered body.
     monotonic_time m_lastProgressAt;
+    memory_budget::holding m_memory;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -28,6 +28,9 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t maxDirectoryAddresses = 64;
+// Connections for readiness, the directory and metrics, each.
+constexpr std::size_t maxQueryConnections = 1000;
+constexpr std::size_t maxQueryBodyBytes = 65536;
 // The fleet is the only one on its addresses and has no secret of its own; the key only tells its datagrams from others.
 const std::string membershipCluster = "platform";
 const key_ring::key membershipKey { "platform", "carawaylink-platform" };
@@ -58,27 +61,51 @@
         , log(settings.nodeName)
         , threads(1)
         , context(threads.context(0))
-        , client(context)
+        , memory(settings.maxMessageBytes, [this](std::function<void()> work) { threads.post(0, std::move(work)); })
+        , client(context, &memory)
         , dispatcher(context, settings, *codec, client, log, metrics)
         , members(node_id { settings.peerAddress }, settings.processorCapacity, std::chrono::steady_clock::now())
         , membership(context, membershipCluster, { membershipKey }, [this](const member_changed& change) { onMemberChanged(change); })
         , store(context, settings, *codec, log, members, storeHandlers())
-        , links(context, node_id { settings.peerAddress }, log, linkHandlers())
-        , frontend(threads, frontendLimits(),
+        , links(context, node_id { settings.peerAddress }, log, linkHandlers(), &memory)
+        , frontend(
+              threads, frontendLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) {
                   dispatcher.handle(std::move(request), std::move(responder));
-              })
-        , readiness(threads, {},
+              },
+              &memory)
+        , readiness(threads, queryLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) { answerReadiness(request, *responder); })
-        , directory(threads, {},
+        , directory(threads, queryLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) { answerDirectory(request, *responder); })
-        , metricsServer(threads, {},
+        , metricsServer(threads, queryLimits(),
               [this](const http_request&, std::shared_ptr<http_responder> responder) {
                   responder->send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
               })
         , ticker(context)
         , random(randomSeed())
     {
+        dispatcher.setMemoryBudget(&memory);
+        memory.setOnExcess([this](const memory_budget::excess& excess) { logMemoryExcess(excess); });
+    }
+
+    void logMemoryExcess(const memory_budget::excess& excess)
+    {
+        log.event("memory_exceeded", excess.kind)
+            .field("ended", excess.kind)
+            .field("bytes", excess.holderBytes)
+            .field("all_bytes", excess.usedBytes)
+            .field("limit", memory.maxBytes());
+        metrics.memoryExceeded(excess.kind);
+    }
+
+    // Of servers whose requests need no body.
+    static http_server_limits queryLimits()
+    {
+        http_server_limits result;
+        result.maxBodyBytes = maxQueryBodyBytes;
+        result.maxConnections = maxQueryConnections;
+        return result;
     }
 
     store_sync::handlers storeHandlers()
@@ -244,6 +271,7 @@
         if (now - lastFlushAt > std::chrono::seconds(1)) {
             lastFlushAt = now;
             dispatcher.updateGauges();
+            metrics.setMessageBytes(memory.usedBytes());
             metrics.setLiveNodes(members.serving().size());
             log.flush();
         }
@@ -294,6 +322,7 @@
     gateway_metrics metrics;
     io_threads threads;
     boost::asio::io_context& context;
+    memory_budget memory;
     http_client client;
     request_dispatcher dispatcher;
     fleet_members members;
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -30,12 +30,17 @@
                                 .Name("carawaylink_gateway_unexpected_decisions_total")
                                 .Help("Grants and refusals that reached a request that did not wait for them")
                                 .Register(m_registry))
+    , m_memoryExceeded(prometheus::BuildCounter()
+                           .Name("carawaylink_gateway_memory_exceeded_total")
+                           .Help("Messages that were ended because all messages together held too much memory, by kind")
+                           .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
                        .Help("Time from the arrival of a request to its response or first event")
                        .Register(m_registry)
                        .Add({}, firstEventSeconds))
+    , m_messageBytes(m_gauges.Add({ { "kind", "message_bytes" } }))
     , m_waiting(m_gauges.Add({ { "kind", "waiting_requests" } }))
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
     , m_liveNodes(m_gauges.Add({ { "kind", "live_nodes" } }))
@@ -65,6 +70,16 @@
     m_unexpectedDecisions.Add({ { "decision", std::string(decision) } }).Increment();
 }
 
+void gateway_metrics::memoryExceeded(std::string_view kind)
+{
+    m_memoryExceeded.Add({ { "kind", std::string(kind) } }).Increment();
+}
+
+void gateway_metrics::setMessageBytes(std::size_t bytes)
+{
+    m_messageBytes.Set(static_cast<double>(bytes));
+}
+
 void gateway_metrics::setWaiting(std::size_t requests)
 {
     m_waiting.Set(static_cast<double>(requests));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -23,6 +23,9 @@
     void attemptFailed(placement::outcome result);
     /// A pool's decision reached a request that did not wait for it.
     void unexpectedDecision(std::string_view decision);
+    /// A message was ended because all messages together held too much memory.
+    void memoryExceeded(std::string_view kind);
+    void setMessageBytes(std::size_t bytes);
     void setWaiting(std::size_t requests);
     void setActive(std::size_t requests);
     void setLiveNodes(std::size_t nodes);
@@ -38,8 +41,10 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_unexpectedDecisions;
+    prometheus::Family<prometheus::Counter>& m_memoryExceeded;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
+    prometheus::Gauge& m_messageBytes;
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_active;
     prometheus::Gauge& m_liveNodes;
--- a/libs/gateway/src/peer_links.cpp
+++ b/libs/gateway/src/peer_links.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxMessageBytes = 8U << 20;
 constexpr std::size_t maxQueuedBytes = 16U << 20;
 constexpr std::size_t readBufferBytes = 16384;
+// A connection keeps no larger buffer than this between messages.
+constexpr std::size_t maxIdleBufferBytes = 65536;
 // Messages to a peer that could not be reached are dropped for this long.
 constexpr auto redialDelay = std::chrono::milliseconds(100);
 constexpr auto connectTimeout = std::chrono::milliseconds(800);
@@ -50,11 +52,15 @@
 // One connection to a peer, dialed by either side. Closes itself on an invalid message, an error or a full queue.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
-    peer_connection(tcp::socket socket, std::weak_ptr<peer_links*> owner, decision_log& log)
+    peer_connection(tcp::socket socket, std::weak_ptr<peer_links*> owner, decision_log& log, memory_budget* memory)
         : m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
         , m_owner(std::move(owner))
         , m_log(log)
+        , m_memory(memory, "peer", [this] {
+            const auto self = shared_from_this();
+            close();
+        })
     {
     }
 
@@ -96,6 +102,7 @@
             return;
         }
         m_queue.push_back(std::move(frame));
+        countMemory();
         flush();
     }
 
@@ -106,6 +113,7 @@
         boost::system::error_code ignored;
         m_timer.cancel();
         m_socket.close(ignored);
+        m_memory.set(0);
         if (const auto owner = m_owner.lock(); owner && !m_peer.value.empty())
             (*owner)->onClosed(m_peer, this, reasonOf(wasRefused));
     }
@@ -128,13 +136,21 @@
                 return;
             }
             self->m_buffer.append(self->m_chunk.data(), size);
-            if (self->handleMessages())
-                self->read();
-            else
+            if (!self->handleMessages()) {
                 self->close();
+                return;
+            }
+            self->countMemory();
+            self->read();
         });
     }
 
+    void countMemory()
+    {
+        if (!m_isClosed)
+            m_memory.set(m_buffer.size() + m_queuedBytes);
+    }
+
     bool handleMessages()
     {
         std::size_t position = 0;
@@ -150,6 +166,8 @@
             position += lengthBytes + size;
         }
         m_buffer.erase(0, position);
+        if (m_buffer.size() < maxIdleBufferBytes && m_buffer.capacity() > maxIdleBufferBytes)
+            m_buffer.shrink_to_fit();
         return true;
     }
 
@@ -199,7 +217,9 @@
             if (self->m_isClosed)
                 return;
             self->m_isWriting = false;
+            self->m_writing.clear();
             self->m_queuedBytes -= bytes;
+            self->countMemory();
             if (status)
                 self->close();
             else
@@ -221,13 +241,15 @@
     bool m_isConnected = false;
     bool m_isWriting = false;
     bool m_isClosed = false;
+    memory_budget::holding m_memory;
 };
 
-peer_links::peer_links(asio::io_context& context, node_id self, decision_log& log, peer_link_handlers handlers)
+peer_links::peer_links(asio::io_context& context, node_id self, decision_log& log, peer_link_handlers handlers, memory_budget* memory)
     : m_context(context)
     , m_self(std::move(self))
     , m_log(log)
     , m_handlers(std::move(handlers))
+    , m_memory(memory)
     , m_acceptor(context)
     , m_alive(std::make_shared<peer_links*>(this))
 {
@@ -261,7 +283,7 @@
         if (status == asio::error::operation_aborted)
             return;
         if (!status)
-            std::make_shared<peer_connection>(std::move(socket), m_alive, m_log)->startAccepted();
+            std::make_shared<peer_connection>(std::move(socket), m_alive, m_log, m_memory)->startAccepted();
         accept();
     });
 }
@@ -296,7 +318,7 @@
 
 void peer_links::dial(const node_id& peer, std::shared_ptr<const std::string> firstFrame)
 {
-    const auto connection = std::make_shared<peer_connection>(tcp::socket(m_context), m_alive, m_log);
+    const auto connection = std::make_shared<peer_connection>(tcp::socket(m_context), m_alive, m_log, m_memory);
     m_connections[peer] = connection;
     if (firstFrame)
         connection->send(std::move(firstFrame));
--- a/libs/gateway/src/peer_links.h
+++ b/libs/gateway/src/peer_links.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "decision_log.h"
+
+#include "base/memory_budget.h"
 #include "wire/generated/peer_state_generated.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,7 +29,9 @@
 /// directions. What a lost connection still held is not sent again. Runs on one event loop.
 class peer_links {
 public:
-    peer_links(boost::asio::io_context& context, node_id self, decision_log& log, peer_link_handlers handlers);
+    /// memory: counts messages that are incomplete or not written yet; must outlive the connections.
+    peer_links(
+        boost::asio::io_context& context, node_id self, decision_log& log, peer_link_handlers handlers, memory_budget* memory = nullptr);
     ~peer_links();
 
     /// Throws error(unavailable) if the address is in use.
@@ -60,6 +64,7 @@
     node_id m_self;
     decision_log& m_log;
     peer_link_handlers m_handlers;
+    memory_budget* m_memory;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<node_id, std::shared_ptr<peer_connection>> m_connections;
     std::map<node_id, monotonic_time> m_nextDialAt;
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -30,6 +30,8 @@
         decision_log& log, gateway_metrics& metrics);
     ~request_dispatcher();
 
+    /// Limits the memory of the requests' messages; must outlive them.
+    void setMemoryBudget(memory_budget* memory) { m_memory = memory; }
     void handle(http_request request, std::shared_ptr<http_responder> responder);
 
     /// Applies the configuration; returns false if it is not newer than the current one.
@@ -75,6 +77,7 @@
     /// Releases the reserved units of a request that was not sent.
     void releaseQuota(const team_id& team, double units);
     void onExchangeEnded(const exchange& source);
+    memory_budget* memory() const { return m_memory; }
     const protocol_codec& codec() const { return m_codec; }
     http_client& client() { return m_client; }
     decision_log& log() { return m_log; }
@@ -98,6 +101,7 @@
     http_client& m_client;
     decision_log& m_log;
     gateway_metrics& m_metrics;
+    memory_budget* m_memory = nullptr;
     std::shared_ptr<const routing::route_table> m_routes;
     random_source m_random;
     node_id m_self;
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -15,6 +15,7 @@
 // Delay before the next try after a failure; doubles with each further one.
 constexpr auto minRetryDelay = std::chrono::milliseconds(250);
 constexpr auto maxRetryDelay = std::chrono::milliseconds(1000);
+constexpr std::size_t maxStoreResponseBytes = 16U << 20;
 constexpr unsigned statusOk = 200;
 
 constexpr auto topicNames = enumTable<store_topic>({
@@ -60,6 +61,7 @@
     options.connectTimeout = storeConnectTimeout;
     options.idleTimeout = m_options.wait + responseTimeout;
     options.totalTimeout = m_options.wait + totalResponseTimeout;
+    options.maxBodyBytes = maxStoreResponseBytes;
     // The connection of a failed request may never respond again.
     options.reuseConnection = m_isReachable;
     m_client.send(
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -34,6 +34,7 @@
 constexpr auto configurationGrace = std::chrono::milliseconds(150);
 constexpr auto publishTimeout = std::chrono::seconds(2);
 constexpr auto publishRetryDelay = std::chrono::milliseconds(500);
+constexpr std::size_t maxPublishResponseBytes = 65536;
 
 std::uint32_t ageInMilliseconds(monotonic_time asOf, monotonic_time now)
 {
@@ -93,6 +94,7 @@
 {
     http_call_options options;
     options.idleTimeout = publishTimeout;
+    options.maxBodyBytes = maxPublishResponseBytes;
     m_client.send(
         m_settings.storeAddress, m_codec.publish(topic, key, value), options, [this, topic, key, value](const http_result& result) {
             if (result.ok() && result.response.status == statusOk)
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -259,6 +259,27 @@
     EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "broken_off", requests } }));
 }
 
+TEST_F(request_dispatcher_test, answersThatHoldTooMuchMemory_endTheLargestAndNoOther)
+{
+    // Several answers of less than the limit of one filled the memory of the process, which ended with all its requests.
+    constexpr std::size_t memoryLimit = 1U << 20;
+    memory_budget memory(memoryLimit, [this](std::function<void()> work) { m_threads.post(0, std::move(work)); });
+    m_dispatcher.setMemoryBudget(&memory);
+    endpoint("one", [this](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        m_pendingResponders.push_back(responder);
+        responder->start(200, {});
+        responder->write(std::string(request.target == "/p/large" ? memoryLimit : memoryLimit / 4, 'x'));
+    });
+    start(false, false, 1);
+    auto small = std::async(std::launch::async, [this] { return send("POST", "/p/small", "small"); });
+    auto large = std::async(std::launch::async, [this] { return send("POST", "/p/large", "large"); });
+    EXPECT_EQ(large.get().status, 502U);
+    run([this] { std::ranges::for_each(m_pendingResponders, [](const auto& responder) { responder->finish(); }); });
+    EXPECT_EQ(small.get().status, 200U);
+    EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "out_of_memory", 1 }, { "served", 1 } }));
+    run([&] { EXPECT_EQ(memory.usedBytes(), 0U); });
+}
+
 // Sends the head of a stream and then a byte now and then, without ever completing an event.
 void trickle(boost::asio::io_context& context, const std::shared_ptr<http_responder>& responder)
 {
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -2,6 +2,7 @@
 
 #include "base/enum_table.h"
 #include "base/ids.h"
+#include "base/memory_budget.h"
 #include "http/message.h"
 
 #include <cstdint>
@@ -97,7 +98,8 @@
 ///     client.send("127.0.0.1:80", { "GET", "/load" }, {}, [](http_result result) { ... });
 class http_client {
 public:
-    explicit http_client(boost::asio::io_context& context);
+    /// memory: counts the response bodies that send() collects; must outlive the calls.
+    explicit http_client(boost::asio::io_context& context, memory_budget* memory = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/memory_budget.h"
 #include "http/io_threads.h"
 #include "http/message.h"
 
@@ -51,7 +52,9 @@
 /// HTTP/1.1 server. The handler runs on the thread of the request's connection.
 class http_server {
 public:
-    http_server(io_threads& threads, http_server_limits limits, http_handler handler);
+    /// memory: counts request bodies that arrive and responses that are not written yet; only for servers with a single thread, which it
+    /// must outlive.
+    http_server(io_threads& threads, http_server_limits limits, http_handler handler, memory_budget* memory = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -86,8 +86,9 @@
 } // namespace
 
 struct http_client::connection_cache {
-    explicit connection_cache(asio::io_context& loop)
+    connection_cache(asio::io_context& loop, memory_budget* budget)
         : context(loop)
+        , memory(budget)
     {
     }
 
@@ -127,6 +128,7 @@
     }
 
     asio::io_context& context;
+    memory_budget* memory;
     std::uint64_t openedConnections = 0;
     std::unordered_map<std::string, std::deque<idle_connection>> idle;
 };
@@ -244,6 +246,7 @@
                         "connection to " + self->m_address + " failed while sending the request: " + status.message());
                     return;
                 }
+                self->m_serializedRequest = {};
                 self->recordActivity();
                 self->read();
             });
@@ -361,8 +364,8 @@
 
 } // namespace
 
-http_client::http_client(asio::io_context& context)
-    : m_cache(std::make_shared<connection_cache>(context))
+http_client::http_client(asio::io_context& context, memory_budget* memory)
+    : m_cache(std::make_shared<connection_cache>(context, memory))
 {
 }
 
@@ -385,22 +388,30 @@
         bool tookTooLong = false;
         std::weak_ptr<http_call> call;
         asio::steady_timer timer;
+        memory_budget::holding held;
 
-        explicit collector(asio::io_context& context)
+        collector(asio::io_context& context, memory_budget* memory)
             : timer(context)
+            , held(memory, "collected_response", [this] { endAsTooLarge(); })
         {
         }
+
+        void endAsTooLarge()
+        {
+            tooLarge = true;
+            if (const auto running = call.lock())
+                running->cancel();
+        }
     };
-    auto state = std::make_shared<collector>(m_cache->context);
+    auto state = std::make_shared<collector>(m_cache->context, m_cache->memory);
     http_stream_handlers handlers;
     handlers.onData = [state, limit = options.maxBodyBytes](std::string_view bytes) {
         if (state->body.size() + bytes.size() <= limit) {
             state->body += bytes;
+            state->held.set(state->body.size());
             return;
         }
-        state->tooLarge = true;
-        if (const auto call = state->call.lock())
-            call->cancel();
+        state->endAsTooLarge();
     };
     handlers.onDone = [state, onDone = std::move(onDone)](const http_result& result) {
         state->timer.cancel();
@@ -412,7 +423,7 @@
         }
         if (state->tooLarge) {
             fullResult.failure = http_failure::invalid;
-            fullResult.detail = "response body exceeds the size limit";
+            fullResult.detail = "response body exceeds the size limit, or the memory for all messages";
         }
         onDone(std::move(fullResult));
     };
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -21,10 +21,11 @@
 using tcp = asio::ip::tcp;
 
 struct http_server::shared_state {
-    shared_state(io_threads& pool, http_server_limits serverLimits, http_handler requestHandler)
+    shared_state(io_threads& pool, http_server_limits serverLimits, http_handler requestHandler, memory_budget* budget)
         : threads(pool)
         , limits(serverLimits)
         , handler(std::move(requestHandler))
+        , memory(budget)
         , acceptor(pool.context(0))
         , acceptRetryTimer(pool.context(0))
     {
@@ -33,6 +34,7 @@
     io_threads& threads;
     http_server_limits limits;
     http_handler handler;
+    memory_budget* memory;
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetryTimer;
     std::atomic<std::size_t> connections = 0;
@@ -46,6 +48,11 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 65536;
+// Size of the reads of a body whose length is known.
+constexpr std::size_t minBodyReadBytes = 512;
+constexpr std::size_t maxBodyReadBytes = 16384;
+// A connection that waits for its next request keeps no larger buffers than this.
+constexpr std::size_t maxIdleBufferBytes = 16384;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 template <typename Body> void appendMessage(std::string& out, http::response<Body>& message)
@@ -108,6 +115,7 @@
         , m_timer(m_socket.get_executor())
         , m_thread(thread)
         , m_buffer(readBufferBytes)
+        , m_memory(m_state->memory, "connection", [this] { endForMemory(); })
     {
         ++m_state->connections;
     }
@@ -172,6 +180,7 @@
         boost::system::error_code ignored;
         m_timer.cancel();
         m_socket.close(ignored);
+        m_memory.set(0);
         const auto handler = std::move(m_onClosed);
         m_onClosed = nullptr;
         m_onDrained = nullptr;
@@ -285,7 +294,9 @@
 
     void continueBody()
     {
-        switch (takeBody()) {
+        const auto state = takeBody();
+        m_memory.set(m_body.size());
+        switch (state) {
         case body_state::incomplete:
             break;
         case body_state::complete:
@@ -299,7 +310,8 @@
             refuseTooLargeBody();
             return;
         }
-        m_socket.async_read_some(m_buffer.prepare(beast::read_size_or_throw(m_buffer, readBufferBytes)),
+        const auto missing = m_parser->chunked() ? minBodyReadBytes : static_cast<std::size_t>(*m_parser->content_length()) - m_body.size();
+        m_socket.async_read_some(m_buffer.prepare(std::clamp(missing, minBodyReadBytes, maxBodyReadBytes)),
             [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
                 if (self->m_closed || self->m_phase != phase::body)
                     return;
@@ -352,6 +364,18 @@
         sendErrorAndClose(errorResponse(status, type, message, remedy));
     }
 
+    // This connection holds more than any other message while the process holds too much.
+    void endForMemory()
+    {
+        const auto self = shared_from_this();
+        if (m_phase != phase::body) {
+            close();
+            return;
+        }
+        m_body = {};
+        refuseBody(503, "out_of_memory", "this node has no memory left for the request", "send the request again later");
+    }
+
     void refuseTooLargeBody()
     {
         refuseBody(413, "body_too_large", "the request body is larger than limits.max_body_bytes", "send a smaller body");
@@ -396,6 +420,9 @@
         for (const auto& field : message)
             request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
         request.body = std::move(m_body);
+        m_memory.set(0);
+        if (m_buffer.size() == 0 && m_buffer.capacity() > maxIdleBufferBytes)
+            m_buffer.shrink_to_fit();
         watchForClose();
         auto responder = std::make_shared<connection_responder>(shared_from_this(), m_exchange);
         try {
@@ -434,7 +461,10 @@
 
     void flush()
     {
-        if (m_writeActive || m_closed)
+        if (m_closed)
+            return;
+        m_memory.set(pendingBytes());
+        if (m_writeActive)
             return;
         if (m_pending.empty()) {
             if (m_responseDone)
@@ -449,6 +479,8 @@
         armWriteTimer();
         asio::async_write(m_socket, asio::buffer(m_writing), [self = shared_from_this()](boost::system::error_code status, std::size_t) {
             self->m_writeActive = false;
+            if (self->m_writing.capacity() > maxIdleBufferBytes)
+                self->m_writing = {};
             self->m_writing.clear();
             if (self->m_closed)
                 return;
@@ -530,6 +562,8 @@
     std::string m_writing;
     std::function<void()> m_onDrained;
     std::function<void()> m_onClosed;
+    /// Of the body that arrives, then of the response that is not written.
+    memory_budget::holding m_memory;
 };
 
 connection_responder::~connection_responder()
@@ -605,8 +639,8 @@
 
 } // namespace
 
-http_server::http_server(io_threads& threads, http_server_limits limits, http_handler handler)
-    : m_state(std::make_shared<shared_state>(threads, limits, std::move(handler)))
+http_server::http_server(io_threads& threads, http_server_limits limits, http_handler handler, memory_budget* memory)
+    : m_state(std::make_shared<shared_state>(threads, limits, std::move(handler), memory))
 {
 }
 
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -261,6 +261,89 @@
     EXPECT_EQ(handledRequests, 0);
 }
 
+/// A server whose connections may hold little memory together; each of its responses is large.
+class http_memory_test : public testing::Test {
+protected:
+    static constexpr std::size_t maxBytes = 1U << 20;
+
+    http_memory_test()
+    {
+        http_server_limits limits;
+        limits.maxBodyBytes = 8 * maxBytes;
+        m_server.emplace(
+            m_threads, limits,
+            [](const http_request&, const std::shared_ptr<http_responder>& responder) {
+                responder->send({ 200, {}, std::string(16 * maxBytes, 'x') });
+            },
+            &m_memory);
+        m_endpoint = { boost::asio::ip::make_address("127.0.0.1"), parseAddress(m_server->listen("127.0.0.1:0")).port };
+    }
+    ~http_memory_test() override
+    {
+        m_server->stopAccepting();
+        m_threads.stop();
+    }
+
+    tcp_socket send(const std::string& bytes)
+    {
+        tcp_socket socket(m_context);
+        socket.connect(m_endpoint);
+        boost::system::error_code ignored; // the server may close the connection first
+        boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+        return socket;
+    }
+
+    std::size_t usedBytes()
+    {
+        std::promise<std::size_t> used;
+        m_threads.post(0, [&] { used.set_value(m_memory.usedBytes()); });
+        return used.get_future().get();
+    }
+
+    bool eventuallyUses(std::size_t bytes)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (std::chrono::steady_clock::now() < end) {
+            if (usedBytes() == bytes)
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return false;
+    }
+
+    boost::asio::io_context m_context;
+    io_threads m_threads { 1 };
+    memory_budget m_memory { maxBytes, [this](std::function<void()> work) { m_threads.post(0, std::move(work)); } };
+    std::optional<http_server> m_server;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+};
+
+// Guards against callers that fill the memory of the process with bodies that never end.
+TEST_F(http_memory_test, body_that_exceeds_the_memory_is_refused_as_not_run)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n";
+    auto small = send(head + std::string(maxBytes / 2, 'x'));
+    ASSERT_TRUE(eventuallyUses(maxBytes / 2));
+    auto large = send(head + std::string(maxBytes, 'x'));
+    std::string response(4096, '\0');
+    boost::system::error_code status;
+    response.resize(large.read_some(boost::asio::buffer(response), status));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+    EXPECT_NE(response.find("\"ran\":\"no\""), std::string::npos) << response;
+    EXPECT_TRUE(eventuallyUses(maxBytes / 2));
+}
+
+// Guards against responses that stay in memory because their callers do not read them.
+TEST_F(http_memory_test, response_that_is_not_read_and_exceeds_the_memory_is_cut)
+{
+    auto slow = send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    boost::system::error_code status;
+    std::string response;
+    boost::asio::read(slow, boost::asio::dynamic_buffer(response), status);
+    EXPECT_LT(response.size(), 16 * maxBytes);
+    EXPECT_TRUE(eventuallyUses(0));
+}
+
 // Guards against an address with a host name or no port being accepted.
 TEST_F(http_loopback, malformed_address_throws_invalid_argument)
 {
