Do not list a request as running in the call that reports its end

Cause: a node that decides itself, since the owner of a pool does not reply, lists what it has started with its next call. A request that started and ended before that call was listed as ended and as started; the owner applies ends first, so that it counted the slot for good. The same held for a grant that was given back and whose earlier attempt ended before the next call.

Change: a request that releases its slot is taken from the list of what the next call adopts.

--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -106,6 +106,8 @@
     void returnToOwners(monotonic_time now);
     /// Moves a request from the queue of a full pool to another pool that has room.
     void rebalance(monotonic_time now);
+    /// Reports with the next call that the request no longer holds its slot.
+    static void release(owner_link& link, const outcome_report& report);
     /// Ends the session; the next one lists everything anew.
     void close(owner_link& link);
     void markSilent(std::uint32_t pool, monotonic_time now);
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -218,12 +218,20 @@
     m_running.erase(found);
     if (!link.isOpen)
         return;
-    link.next.outcomes.push_back({ id, result, events });
+    release(link, { id, result, events });
     // A free slot matters at once only if a request waits for it.
     if (link.load.waiting > 0 || link.load.running + 1 >= link.load.slots)
         m_hasUrgentCalls = true;
 }
 
+// The owner applies outcomes first. A request that has ended must not be listed as running in the same call, or its slot would be held by
+// nobody.
+void slot_client::release(owner_link& link, const outcome_report& report)
+{
+    std::erase_if(link.next.adopted, [&](const adopted_request& entry) { return entry.id == report.id; });
+    link.next.outcomes.push_back(report);
+}
+
 bool slot_client::recordRequestLimit(const replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt, monotonic_time now)
 {
     const bool hasChanged = perSecond ? m_local.setRequestLimit(replica, *perSecond, now) : m_local.liftRequestLimit(replica, sentAt);
@@ -340,11 +348,11 @@
 // The request ended, was withdrawn or cannot use the endpoint. The slot is free again; an earlier one that it still holds is not.
 void slot_client::rejectGrant(std::uint32_t pool, std::uint64_t id)
 {
-    auto& next = m_links[pool].next;
-    next.outcomes.push_back({ id, outcome::cancelled, 0 });
+    auto& link = m_links[pool];
+    release(link, { id, outcome::cancelled, 0 });
     const auto running = m_running.find(id);
     if (running != m_running.end() && running->second.pool == pool)
-        next.adopted.push_back(running->second.request);
+        link.next.adopted.push_back(running->second.request);
     m_hasUrgentCalls = true;
 }
 
@@ -438,7 +446,7 @@
     const auto pool = poolOfReplica(granted.replica);
     const auto previous = m_running.find(granted.id);
     if (previous != m_running.end() && m_links[previous->second.pool].isOpen)
-        m_links[previous->second.pool].next.outcomes.push_back({ granted.id, outcome::timed_out, 0 });
+        release(m_links[previous->second.pool], { granted.id, outcome::timed_out, 0 });
     startRunning(found->second.request, granted, pool);
     if (m_links[pool].isOpen)
         m_links[pool].next.adopted.push_back(m_running.at(granted.id).request);
