Take back slots that the owner of a pool counts and their node does not hold

Cause of the class: a grant without a holder. The owner of a pool kept what it had granted until the node reported an end, opened a new session or sent no call for 1.5 s; a busy node does neither, so that any lost release lasted for good.

Change: each call says how many requests of its node run in the pool and which reply has taken effect there. If no grant is on its way and the owner counts more, it ends the session; the next one lists what the node holds. Log line slots_reclaimed. A node of an earlier version says nothing, and nothing is taken back from it.

--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -167,6 +167,10 @@
     for (const auto& request : call.requests)
         message.requests.push_back(encodeRequest(request, now));
     message.limits = encodeLimits(call.limits);
+    if (call.held) {
+        message.held_slots = static_cast<std::int32_t>(call.held->running);
+        message.applied_reply = call.held->appliedReply;
+    }
     return message;
 }
 
@@ -192,6 +196,8 @@
             call.requests.push_back(decodeRequest(*request, lookup, now));
     }
     call.limits = decodeLimits(message.limits, lookup);
+    if (message.held_slots >= 0)
+        call.held = placement::held_slots { static_cast<std::uint32_t>(message.held_slots), message.applied_reply };
     return call;
 }
 
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -191,6 +191,14 @@
         message.body.Set(encodeReply(entry.reply));
         m_handlers.send(entry.node, std::move(message));
     }
+    for (const auto& taken : m_owned.takeReclaimed()) {
+        m_log.event("slots_reclaimed")
+            .field("service", taken.pool.service)
+            .field("pool", taken.pool.number)
+            .field("holder", taken.node)
+            .field("counted", taken.counted)
+            .field("held", taken.held);
+    }
 }
 
 void slot_coordinator::receive(const node_id& node, const peer::slot_callT& call)
--- a/libs/placement/include/placement/owned_pools.h
+++ b/libs/placement/include/placement/owned_pools.h
@@ -27,6 +27,8 @@
     void removeNode(const node_id& node, monotonic_time now);
     /// Decides in all pools and returns the replies to send.
     std::vector<addressed_reply> takeReplies(monotonic_time now);
+    /// Returns the slots that were taken back since the last call.
+    std::vector<reclaimed_slots> takeReclaimed();
 
     const std::map<pool_id, std::unique_ptr<slot_owner>>& pools() const { return m_pools; }
 
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -124,6 +124,8 @@
     void detectSilentOwners(monotonic_time now);
     bool wasPaused(monotonic_time now) const;
     bool isIdle(std::uint32_t pool) const;
+    /// Number of requests that run in the pool.
+    std::uint32_t heldIn(std::uint32_t pool) const;
     void openSession(std::uint32_t pool);
     void collectProgress(std::uint32_t pool);
     std::optional<slot_call> nextCall(std::uint32_t pool, monotonic_time now);
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -4,6 +4,7 @@
 #include "placement/service_pool.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace carawaylink::placement {
@@ -30,6 +31,14 @@
     std::optional<double> perSecond;
 };
 
+/// What a node holds in a pool once a call has been applied, so that the owner notices slots that nobody holds.
+struct held_slots {
+    /// Number of requests of the node that run in the pool.
+    std::uint32_t running = 0;
+    /// Number of the last reply whose decisions have taken effect at the node.
+    std::uint32_t appliedReply = 0;
+};
+
 /// From a node that serves callers to the owner of a pool. Calls of one session are numbered from 1; the first lists everything that the
 /// node has in the pool, so that an owner without any state can continue.
 struct slot_call {
@@ -49,6 +58,8 @@
     std::vector<adopted_request> adopted;
     std::vector<waiting_request> requests;
     std::vector<request_limit_report> limits;
+    /// Not set while the node has received decisions that have not taken effect.
+    std::optional<held_slots> held;
 };
 
 enum class call_status {
@@ -81,6 +92,14 @@
     std::vector<request_limit_report> limits;
 };
 
+/// Slots that an owner took back from a node, because the node did not hold them.
+struct reclaimed_slots {
+    pool_id pool;
+    node_id node;
+    std::size_t counted = 0;
+    std::size_t held = 0;
+};
+
 struct addressed_call {
     node_id owner;
     slot_call call;
--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace carawaylink::placement {
 
@@ -27,6 +28,8 @@
     void removeNode(const node_id& node, monotonic_time now);
     /// Grants and refuses what can be decided now, and returns the replies to send.
     std::vector<addressed_reply> takeReplies(monotonic_time now);
+    /// Returns the slots that were taken back since the last call.
+    std::vector<reclaimed_slots> takeReclaimed() { return std::exchange(m_reclaimed, {}); }
 
     pool_load load() const { return m_pool.totalLoad(); }
 
@@ -36,6 +39,8 @@
         std::uint64_t session = 0;
         std::uint32_t lastCall = 0;
         std::uint32_t lastReply = 0;
+        /// Number of the last reply with grants.
+        std::uint32_t lastGrantReply = 0;
         bool needsReply = false;
         monotonic_time lastHeardAt {};
         /// Ids in the pool by the node's ids.
@@ -54,6 +59,8 @@
     /// Drops the ids of a request that neither waits nor runs any more.
     void forgetIfEnded(node_session& session, std::uint64_t id);
     void releaseAll(node_session& session, monotonic_time now);
+    /// Whether the node holds all slots that are counted for it, as far as the call tells.
+    bool confirms(const node_id& node, const node_session& session, const slot_call& call);
     void removeSilentNodes(monotonic_time now);
     void collectDecisions(monotonic_time now);
 
@@ -62,6 +69,7 @@
     std::map<node_id, node_session> m_nodes;
     std::unordered_map<std::uint64_t, request_origin> m_origins;
     std::vector<addressed_reply> m_rejections;
+    std::vector<reclaimed_slots> m_reclaimed;
     std::uint64_t m_nextRequest = 1;
     monotonic_time m_grantsFrom;
     monotonic_time m_lastDecisionAt;
--- a/libs/placement/src/owned_pools.cpp
+++ b/libs/placement/src/owned_pools.cpp
@@ -78,4 +78,12 @@
     return replies;
 }
 
+std::vector<reclaimed_slots> owned_pools::takeReclaimed()
+{
+    std::vector<reclaimed_slots> reclaimed;
+    for (auto& [id, pool] : m_pools)
+        std::ranges::move(pool->takeReclaimed(), std::back_inserter(reclaimed));
+    return reclaimed;
+}
+
 } // namespace carawaylink::placement
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -492,6 +492,10 @@
     call.session = link.session;
     call.sequence = ++link.lastCall;
     link.lastCallAt = now;
+    const bool hasDecisions = std::ranges::any_of(
+        m_received, [&](const received_decisions& received) { return received.pool == pool && received.session == link.session; });
+    if (!hasDecisions)
+        call.held = held_slots { heldIn(pool), link.lastReply };
     if (call.wantsReply && !link.awaitingSince) {
         link.awaitingSince = now;
         link.awaitedCall = call.sequence;
@@ -506,6 +510,11 @@
     return !m_links[pool].isSilent && std::ranges::none_of(m_waiting, uses) && std::ranges::none_of(m_running, uses);
 }
 
+std::uint32_t slot_client::heldIn(std::uint32_t pool) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_running, [pool](const auto& entry) { return entry.second.pool == pool; }));
+}
+
 void slot_client::openSession(std::uint32_t pool)
 {
     auto& link = m_links[pool];
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -51,6 +51,7 @@
         session.session = call.session;
         session.lastCall = 0;
         session.lastReply = 0;
+        session.lastGrantReply = 0;
         session.pending = {};
     }
     if (call.session != session.session || call.sequence != session.lastCall + 1) {
@@ -60,6 +61,24 @@
     session.lastCall = call.sequence;
     session.needsReply = session.needsReply || call.wantsReply;
     apply(node, session, call, now);
+    // The node opens another session, which lists what it holds.
+    if (!confirms(node, session, call))
+        reject(node, session, call, now);
+}
+
+// A grant that was lost, or whose request has left, would otherwise keep its slot for as long as the node sends calls. Grants on their way
+// are not known to the node yet; releases on their way cannot be missing, since calls arrive in order. An endpoint that only the node
+// knows makes it hold more than is counted here.
+bool slot_owner::confirms(const node_id& node, const node_session& session, const slot_call& call)
+{
+    const bool hasGrantOnItsWay = !session.pending.grants.empty() || !call.held || call.held->appliedReply < session.lastGrantReply;
+    if (hasGrantOnItsWay)
+        return true;
+    const auto counted = std::ranges::count_if(session.requests, [this](const auto& entry) { return m_pool.isRunning(entry.second); });
+    if (static_cast<std::uint32_t>(counted) <= call.held->running)
+        return true;
+    m_reclaimed.push_back({ m_id, node, static_cast<std::size_t>(counted), call.held->running });
+    return false;
 }
 
 // Calls were lost on the way, or belong to a session that this owner does not know any more.
@@ -188,6 +207,8 @@
         reply.processed = session.lastCall;
         reply.session = session.session;
         reply.sequence = ++session.lastReply;
+        if (!reply.grants.empty())
+            session.lastGrantReply = reply.sequence;
         replies.push_back({ node, std::move(reply) });
     }
     return replies;
--- a/libs/placement/tests/decision_order_tests.cpp
+++ b/libs/placement/tests/decision_order_tests.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned seeds = 200;
 #endif
 
-/// Draws orders of submissions, withdrawals, outcomes, lost messages, pauses, and changes of owners and pools. Knows of each request
-/// whether it waits, as an exchange does.
+/// Draws orders of submissions, withdrawals, outcomes, lost messages and connections, pauses, and changes of owners and pools. Knows of
+/// each request whether it waits, as an exchange does.
 class decision_order_fleet {
 public:
     explicit decision_order_fleet(unsigned seed)
@@ -43,6 +43,10 @@
     std::size_t decisions() const { return m_decisions; }
     /// Decisions that reached a request which waited for none.
     std::size_t unexpected() const { return m_unexpected; }
+    /// Slots that an owner took back from a node, though no message of the node can have said so.
+    std::size_t reclaimed() const { return m_fleet.reclaimed.size(); }
+    /// Slots that were held beyond those of running requests while each node ran one.
+    std::size_t surplusWhileBusy() const { return m_surplusWhileBusy; }
 
     std::size_t heldSlots()
     {
@@ -132,7 +136,7 @@
     {
         ++m_orders;
         const auto node = draw(nodes);
-        switch (draw(7)) {
+        switch (draw(9)) {
         case 0:
             m_fleet.freeze(node);
             break;
@@ -153,6 +157,12 @@
         case 6:
             m_fleet.setRecords(engineRecords(draw(2) == 0 ? onePool : twoPools, 1));
             break;
+        case 7:
+            m_fleet.resetConnections(node);
+            break;
+        case 8:
+            m_fleet.loseMessages();
+            break;
         }
     }
 
@@ -192,6 +202,7 @@
             if (state.waits)
                 withdraw(id);
         }
+        countSurplusWhileBusy();
         for (auto& [id, state] : m_requests) {
             if (std::exchange(state.runsAt, std::nullopt))
                 m_fleet.end(id, outcome::completed);
@@ -200,12 +211,27 @@
             m_fleet.run(50ms);
     }
 
+    // The calls of a busy node keep its session alive, so that no slot comes back because the node is silent.
+    void countSurplusWhileBusy()
+    {
+        m_fleet.setRecords(engineRecords(twoPools, 2));
+        for (std::size_t node = 0; node < nodes; ++node)
+            m_requests[m_fleet.submit(node)].waits = true;
+        m_fleet.run(1s);
+        const auto running
+            = std::ranges::count_if(m_requests, [](const auto& entry) { return entry.second.runsAt && !entry.second.waits; });
+        // Each is counted by its node and by the owner of its pool.
+        const auto expected = 2 * static_cast<std::size_t>(running);
+        m_surplusWhileBusy = heldSlots() > expected ? heldSlots() - expected : 0;
+    }
+
     std::minstd_rand m_random;
     slot_test_fleet m_fleet;
     std::map<std::uint64_t, request_state> m_requests;
     std::size_t m_orders = 0;
     std::size_t m_decisions = 0;
     std::size_t m_unexpected = 0;
+    std::size_t m_surplusWhileBusy = 0;
 };
 
 /// Plays all seeds once; each test looks at one property of the results.
@@ -217,6 +243,8 @@
         std::size_t decisions = 0;
         std::size_t unexpected = 0;
         std::size_t heldSlots = 0;
+        std::size_t reclaimed = 0;
+        std::size_t surplusWhileBusy = 0;
     };
 
     static void SetUpTestSuite()
@@ -226,7 +254,8 @@
         for (unsigned seed = 1; seed <= seeds; ++seed) {
             decision_order_fleet fleet(seed);
             fleet.play();
-            played.push_back({ seed, fleet.orders(), fleet.decisions(), fleet.unexpected(), fleet.heldSlots() });
+            played.push_back({ seed, fleet.orders(), fleet.decisions(), fleet.unexpected(), fleet.heldSlots(), fleet.reclaimed(),
+                fleet.surplusWhileBusy() });
         }
     }
 
@@ -251,5 +280,20 @@
         EXPECT_EQ(result.heldSlots, 0U) << "seed " << result.seed;
 }
 
+TEST_F(decision_order_test, slots_whileNodesAreBusy_areHeldByRunningRequestsOnly)
+{
+    // A lost slot came back only once its node sent no calls for a while, which a busy node never does.
+    for (const auto& result : played)
+        EXPECT_EQ(result.surplusWhileBusy, 0U) << "seed " << result.seed;
+}
+
+TEST_F(decision_order_test, slots_thatAreHeld_areNotTakenBack)
+{
+    // An owner that mistook a message on its way for a lost slot made the node list everything again, and all its requests lost their
+    // place.
+    for (const auto& result : played)
+        EXPECT_EQ(result.reclaimed, 0U) << "seed " << result.seed;
+}
+
 } // namespace
 } // namespace carawaylink::placement
--- a/libs/placement/tests/slot_reclaim_tests.cpp
+++ b/libs/placement/tests/slot_reclaim_tests.cpp
@@ -1,9 +1,11 @@
+#include "placement/slot_owner.h"
 #include "slot_test_fleet.h"
 
 namespace carawaylink::placement {
 namespace {
 
 constexpr unsigned slots = 2;
+constexpr auto replyInterval = 60ms;
 
 /// A node whose owner does not reply: it decides itself, and tells the owner over the sessions that it opens what it has started.
 class lone_node_test : public testing::Test {
@@ -88,5 +90,103 @@
     EXPECT_EQ(listed(), std::set<std::uint64_t>({ first }));
 }
 
+/// An owner of one endpoint, and what one node sends to it.
+class slot_reclaim_test : public testing::Test {
+protected:
+    slot_reclaim_test()
+    {
+        m_owner.setEndpoints(engineRecords(1, slots), m_now);
+        m_now += 200ms;
+    }
+
+    slot_call nextCall()
+    {
+        slot_call call;
+        call.session = session;
+        call.sequence = ++m_lastCall;
+        call.wantsReply = true;
+        return call;
+    }
+
+    slot_call callWithRequest(std::uint64_t id)
+    {
+        auto call = nextCall();
+        waiting_request request;
+        request.id = id;
+        request.arrived = m_now;
+        request.target = m_now + 2s;
+        request.deadline = m_now + 8s;
+        call.requests = { request };
+        return call;
+    }
+
+    slot_call callThatHolds(std::uint32_t running, std::uint32_t appliedReply)
+    {
+        auto call = nextCall();
+        call.held = held_slots { running, appliedReply };
+        return call;
+    }
+
+    /// Returns the only reply to the call.
+    slot_reply send(const slot_call& call)
+    {
+        m_owner.receive(m_node, call, m_now);
+        m_now += replyInterval;
+        const auto replies = m_owner.takeReplies(m_now);
+        EXPECT_EQ(replies.size(), 1U);
+        return replies.empty() ? slot_reply {} : replies.front().reply;
+    }
+
+    static constexpr std::uint64_t session = 7;
+
+    monotonic_time m_now { 100s };
+    const node_id m_node = nodeNumber(1);
+    slot_owner m_owner { { engineService, 0 }, 1, m_now };
+    std::uint32_t m_lastCall = 0;
+};
+
+TEST_F(slot_reclaim_test, grantThatTheNodeDoesNotHold_comesBackWithTheNextCall)
+{
+    // A grant whose request had left stayed counted for as long as the node sent calls, and its endpoint was taken for stalled for good.
+    const auto granted = send(callWithRequest(1));
+    ASSERT_EQ(granted.grants.size(), 1U);
+    EXPECT_EQ(m_owner.load().running, 1U);
+    EXPECT_EQ(send(callThatHolds(0, granted.sequence)).status, call_status::unknown_session);
+    EXPECT_EQ(m_owner.load().running, 0U);
+    const auto reclaimed = m_owner.takeReclaimed();
+    ASSERT_EQ(reclaimed.size(), 1U);
+    EXPECT_EQ(reclaimed.front().node, m_node);
+    EXPECT_EQ(reclaimed.front().counted, 1U);
+    EXPECT_EQ(reclaimed.front().held, 0U);
+}
+
+TEST_F(slot_reclaim_test, grantOnItsWay_isNotTakenBack)
+{
+    // The node sent its call before it had the grant.
+    const auto granted = send(callWithRequest(1));
+    ASSERT_EQ(granted.grants.size(), 1U);
+    EXPECT_EQ(send(callThatHolds(0, granted.sequence - 1)).status, call_status::accepted);
+    EXPECT_EQ(send(callThatHolds(1, granted.sequence)).status, call_status::accepted);
+    EXPECT_EQ(m_owner.load().running, 1U);
+    EXPECT_TRUE(m_owner.takeReclaimed().empty());
+}
+
+TEST_F(slot_reclaim_test, callThatDoesNotSayWhatItsNodeHolds_takesNothingBack)
+{
+    // Nodes of an earlier version say nothing of the kind.
+    ASSERT_EQ(send(callWithRequest(1)).grants.size(), 1U);
+    EXPECT_EQ(send(nextCall()).status, call_status::accepted);
+    EXPECT_EQ(m_owner.load().running, 1U);
+}
+
+TEST_F(slot_reclaim_test, nodeThatHoldsMoreThanIsCounted_keepsItsSession)
+{
+    // An endpoint that only the node knows yet would end its session again and again.
+    auto call = callThatHolds(1, 0);
+    call.adopted = { { 5, {}, replica_id { "unknown" }, tokens { 10 }, tokens { 10 }, 50ms, false } };
+    EXPECT_EQ(send(call).status, call_status::accepted);
+    EXPECT_TRUE(m_owner.takeReclaimed().empty());
+}
+
 } // namespace
 } // namespace carawaylink::placement
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -117,6 +117,15 @@
     /// A frozen node does nothing; what it is sent waits for it.
     void freeze(std::size_t node) { m_frozen.insert(node); }
     void thaw(std::size_t node) { m_frozen.erase(node); }
+    /// The node notices that its connections to the others were lost, and messages with them.
+    void resetConnections(std::size_t node)
+    {
+        std::erase_if(m_messages, [node](const message& sent) { return sent.from != sent.to && (sent.from == node || sent.to == node); });
+        for (const auto& other : m_nodes)
+            m_nodes[node]->client.loseOwner(other->id, now);
+    }
+    /// The messages that are on their way get lost, without either side noticing.
+    void loseMessages() { m_messages.clear(); }
     /// Messages from and to the node are lost.
     void cut(std::size_t node) { m_cut.insert(node); }
     void heal(std::size_t node) { m_cut.erase(node); }
@@ -162,6 +171,8 @@
     /// Times of all grants by endpoint.
     std::map<std::string, std::vector<monotonic_time>> grantTimes;
     std::vector<refusal> refusals;
+    /// Slots that owners took back because their nodes did not hold them.
+    std::vector<reclaimed_slots> reclaimed;
     std::size_t messages = 0;
     /// Called at a node between what it receives and what it decides, and with what it decides.
     std::function<void(std::size_t node)> beforeDecisions = [](std::size_t) {};
@@ -225,6 +236,7 @@
             node.nextTick = now + 25ms;
         for (auto& entry : node.owned.takeReplies(now))
             post({ now + messageDelay, index, indexOf(entry.node), std::nullopt, std::move(entry.reply) });
+        std::ranges::move(node.owned.takeReclaimed(), std::back_inserter(reclaimed));
         beforeDecisions(index);
         const auto decisions = node.client.decide(now);
         onDecisions(decisions);
