Give back slots whose request does not exist at its own node

Callers saw: nothing yet; by reading, a grant that found no exchange was logged and dropped, and its slot stayed taken at the node and at the owner.

Change: such a grant reports its end at once. Once a second each node compares the requests of its pools with its exchanges, withdraws or releases those that have none, and logs slot_without_request for each.

Evidence: exchange_test.grantsOfRequestsThatHaveEnded_leaveTheirSlotsFree failed before (no fifth grant with four slots), passes now; slot_coordinator_test.slotsOfRequestsThatDoNotExist_areGivenBack; gateway_tests pass.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -271,6 +271,7 @@
         if (now - lastFlushAt > std::chrono::seconds(1)) {
             lastFlushAt = now;
             dispatcher.updateGauges();
+            dispatcher.releaseUnknownSlots();
             metrics.setMessageBytes(memory.usedBytes());
             metrics.setLiveNodes(members.serving().size());
             log.flush();
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -229,7 +229,9 @@
     std::function<void(const node_id&, peer::envelopeT)> send, std::function<void(const node_id&)> onOwnerSilent)
 {
     m_send = std::move(send);
-    m_slots.setHandlers({ m_send, [this](const placement::pool_decisions& decisions) { apply(decisions); }, std::move(onOwnerSilent) });
+    m_slots.setHandlers(
+        { m_send, [this](const service_id& service, const placement::pool_decisions& decisions) { apply(service, decisions); },
+            std::move(onOwnerSilent) });
 }
 
 void request_dispatcher::setMembers(const fleet_members& members)
@@ -307,6 +309,11 @@
     m_metrics.setLimitedEndpoints(m_slots.limitedCount());
 }
 
+void request_dispatcher::releaseUnknownSlots()
+{
+    m_slots.releaseUnknown([this](std::uint64_t id) { return m_exchanges.contains(id); });
+}
+
 limits::retry_budget& request_dispatcher::retryBudget(const service_id& name)
 {
     return m_retryBudgets.try_emplace(name, limits::retry_budget(m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow))
@@ -318,11 +325,13 @@
     m_slots.submit(source->service(), std::move(request));
 }
 
-void request_dispatcher::apply(const placement::pool_decisions& decisions)
+void request_dispatcher::apply(const service_id& service, const placement::pool_decisions& decisions)
 {
     for (const auto& granted : decisions.grants) {
         if (const auto running = findExchange(granted.id, "grant"))
             running->onGranted(granted);
+        else
+            m_slots.recordOutcome(service, granted.id, placement::outcome::cancelled, 0);
     }
     std::ranges::for_each(decisions.waitReports, [this](const placement::wait_report& wait) { logWait(wait); });
     for (const auto& refused : decisions.refusals) {
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -55,6 +55,8 @@
     void tick();
     /// Updates the gauges that need a pass over endpoints; call about once per second.
     void updateGauges();
+    /// Gives back slots of requests that have ended; call about once per second.
+    void releaseUnknownSlots();
     bool isConfigured() const { return m_routes != nullptr; }
     config_version version() const;
     std::size_t active() const { return m_exchanges.size(); }
@@ -89,7 +91,7 @@
     void logQuotaExceeded(const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now);
     /// Sends a message to a node, which may be this one.
     void send(const node_id& node, peer::envelopeT message);
-    void apply(const placement::pool_decisions& decisions);
+    void apply(const service_id& service, const placement::pool_decisions& decisions);
     /// Returns the exchange that the decision is for; logs the decision and returns nullptr if it has ended.
     std::shared_ptr<exchange> findExchange(std::uint64_t id, std::string_view decision);
     void logWait(const placement::wait_report& wait);
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -131,6 +131,20 @@
     return state ? state->client.firstEventTimeout(id) : duration {};
 }
 
+// A request ends by withdrawing or by reporting its outcome, so that there is none of these unless that went wrong.
+void slot_coordinator::releaseUnknown(const std::function<bool(std::uint64_t id)>& exists)
+{
+    for (const auto& [name, state] : m_services) {
+        for (const auto id : state->client.requests()) {
+            if (exists(id))
+                continue;
+            m_log.event("slot_without_request").field("service", name).field("id", id);
+            withdraw(name, id);
+            recordOutcome(name, id, placement::outcome::cancelled, 0);
+        }
+    }
+}
+
 void slot_coordinator::tick()
 {
     decide(true);
@@ -161,7 +175,7 @@
         const auto decisions = state->client.decide(now);
         logSilentOwners(name, *state);
         if (!decisions.grants.empty() || !decisions.refusals.empty() || !decisions.waitReports.empty())
-            m_handlers.onDecisions(decisions);
+            m_handlers.onDecisions(name, decisions);
         if (state->client.hasUrgentCalls())
             schedule();
     }
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -19,7 +19,7 @@
 public:
     struct handlers {
         std::function<void(const node_id& node, peer::envelopeT message)> send;
-        std::function<void(const placement::pool_decisions& decisions)> onDecisions;
+        std::function<void(const service_id& service, const placement::pool_decisions& decisions)> onDecisions;
         /// The owner does not reply over the present connection.
         std::function<void(const node_id& owner)> onOwnerSilent;
     };
@@ -40,6 +40,8 @@
     void recordRequestLimit(
         const service_id& service, const discovery::replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt);
     duration firstEventTimeout(const service_id& service, std::uint64_t id) const;
+    /// Withdraws the requests and gives back the slots of the ids that are not known to exist.
+    void releaseUnknown(const std::function<bool(std::uint64_t id)>& exists);
 
     /// Decides what is due; call every 25 ms.
     void tick();
--- a/libs/gateway/tests/exchange_tests.cpp
+++ b/libs/gateway/tests/exchange_tests.cpp
@@ -41,7 +41,7 @@
         run([this, isResumableStream] {
             admitted_request admitted;
             // Not one of the dispatcher's, which would decide as well.
-            admitted.id = 1'000'000;
+            admitted.id = m_nextId++;
             admitted.metadata.attempt = "a1";
             admitted.request = { "POST", "/p/x", { { "attempt", "a1" } }, "body" };
             admitted.route.name = "route";
@@ -86,6 +86,7 @@
         });
     }
 
+    std::uint64_t m_nextId = 1'000'000;
     std::shared_ptr<recording_responder> m_responder = std::make_shared<recording_responder>();
     std::shared_ptr<exchange> m_exchange;
 };
@@ -156,6 +157,25 @@
     EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "broken_off", 1 } }));
 }
 
+TEST_F(exchange_test, grantsOfRequestsThatHaveEnded_leaveTheirSlotsFree)
+{
+    // A grant that found no exchange was logged and dropped, and its slot stayed taken.
+    constexpr int moreThanTheSlots = 9;
+    endpoint("one", respondWith(200));
+    for (int i = 1; i <= moreThanTheSlots; ++i) {
+        startExchange();
+        run([this] { m_exchange->start(); });
+        const auto expected = "unexpected_decisions_total{decision=\"grant\"} " + std::to_string(i);
+        ASSERT_TRUE(eventually([&] {
+            bool found = false;
+            run([&] { found = m_metrics.text().find(expected) != std::string::npos; });
+            return found;
+        })) << "grant "
+            << i;
+    }
+    EXPECT_EQ(send("POST", "/p/x", "present").status, 200U);
+}
+
 TEST(send_record_test, send_countsAsExecutedUntilItIsProvedNotToBe)
 {
     // Guards against a refusal that promises "not executed" while a send is in progress.
--- a/libs/gateway/tests/slot_coordinator_tests.cpp
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -46,7 +46,7 @@
             auto& node = *m_nodes[i];
             slot_coordinator::handlers handlers;
             handlers.send = [this, &node](const node_id& to, peer::envelopeT message) { deliver(node, to, std::move(message)); };
-            handlers.onDecisions = [&node](const placement::pool_decisions& decisions) {
+            handlers.onDecisions = [&node](const service_id&, const placement::pool_decisions& decisions) {
                 for (const auto& granted : decisions.grants)
                     node.grants.insert_or_assign(granted.id, granted);
             };
@@ -137,5 +137,21 @@
     EXPECT_EQ(m_nodes[0]->sent, 0U);
 }
 
+TEST_F(slot_coordinator_test, slotsOfRequestsThatDoNotExist_areGivenBack)
+{
+    // Whatever loses the end of a request, its slot must not stay taken for as long as the process runs.
+    start(1, 1, 2);
+    auto& node = *m_nodes[0];
+    for (const std::uint64_t id : { 1, 2 })
+        node.slots.submit(service, request(id));
+    ASSERT_TRUE(runUntil([&] { return node.grants.size() == 2; }));
+    node.slots.releaseUnknown([](std::uint64_t id) { return id == 1; });
+    for (const std::uint64_t id : { 3, 4 })
+        node.slots.submit(service, request(id));
+    EXPECT_TRUE(runUntil([&] { return node.grants.size() == 3; }));
+    node.slots.releaseUnknown([](std::uint64_t id) { return id == 1; });
+    EXPECT_EQ(node.slots.waitingCount(), 0U);
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -50,6 +50,8 @@
 
     /// Whether a call should be sent before the next tick.
     bool hasUrgentCalls() const { return m_hasUrgentCalls; }
+    /// Ids of the requests that wait or run; one that does both appears twice.
+    std::vector<std::uint64_t> requests() const;
     bool hasWaiting() const { return !m_waiting.empty(); }
     std::size_t waitingCount() const { return m_waiting.size(); }
     /// Whether this node decides itself because the owner of a pool does not reply.
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace carawaylink::placement {
@@ -510,6 +511,14 @@
     return !m_links[pool].isSilent && std::ranges::none_of(m_waiting, uses) && std::ranges::none_of(m_running, uses);
 }
 
+std::vector<std::uint64_t> slot_client::requests() const
+{
+    std::vector<std::uint64_t> ids;
+    std::ranges::copy(m_waiting | std::views::keys, std::back_inserter(ids));
+    std::ranges::copy(m_running | std::views::keys, std::back_inserter(ids));
+    return ids;
+}
+
 std::uint32_t slot_client::heldIn(std::uint32_t pool) const
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(m_running, [pool](const auto& entry) { return entry.second.pool == pool; }));
