Try a stalled endpoint again with one request every five seconds

Cause: a stall was a conclusion without an end. Only progress or a count of zero ended it, and with a lost slot neither came.

Change: after five seconds, and each five seconds after that, one request may go to a stalled endpoint, if no other endpoint has a slot for it. Progress ends the stall as before. A hung endpoint still gets nothing within three seconds (service_pool_test.hungEndpoint_*, unchanged).

Evidence: service_pool_test.stalledEndpoint_isTriedAgainByOneRequestAtATime fails on the code before, passes now; placement_tests 71 pass.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -209,6 +209,8 @@
         endpoint_load load;
         request_limit limit;
         monotonic_time lastProgress {};
+        /// Time of the last request that tried whether a stalled endpoint makes progress again.
+        monotonic_time stallTriedAt {};
         bool isListed = true;
     };
     struct running_request {
@@ -246,6 +248,9 @@
     bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     bool hasFreeSlot(const endpoint_state& endpoint, monotonic_time now) const;
     bool isUsable(const endpoint_state& endpoint, monotonic_time now) const;
+    /// Since when the endpoint makes no progress though requests run there; nullopt if it does or nothing runs.
+    std::optional<monotonic_time> stalledSince(const endpoint_state& endpoint, monotonic_time now) const;
+    /// Whether the endpoint is stalled and is not to be tried now.
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
     bool isExcluded(const endpoint_state& endpoint, const waiting_request& request) const;
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -19,6 +19,10 @@
 // An endpoint with running requests of this node gets no new ones if it has made no progress for this long plus twice the expected time of
 // its pending prefill.
 constexpr auto stallTimeout = std::chrono::milliseconds(500);
+// Interval at which one request tries a stalled endpoint again.
+constexpr auto stallRetryInterval = std::chrono::seconds(5);
+// A stalled endpoint is tried only if no other has a slot.
+constexpr double stalledPenaltyMs = 10'000;
 // Penalty in the score of a fully used endpoint, so that similar endpoints fill evenly.
 constexpr double utilizationPenaltyMs = 60;
 // Weight of the streaming time in the score, relative to the time to the first event.
@@ -342,6 +346,8 @@
         score += handshakeMs;
     if (endpoint.record.domain != request.domain)
         score += otherDomainMs;
+    if (stalledSince(endpoint, now))
+        score += stalledPenaltyMs;
     return score;
 }
 
@@ -373,12 +379,20 @@
     return *median;
 }
 
-bool service_pool::isStalled(const endpoint_state& endpoint, monotonic_time now) const
+std::optional<monotonic_time> service_pool::stalledSince(const endpoint_state& endpoint, monotonic_time now) const
 {
     if (endpoint.load.running == 0)
-        return false;
+        return std::nullopt;
     const auto expected = endpoint.model.timeToFirstEvent(endpoint.load.pendingPrefill, tokens { 0 });
-    return now - endpoint.lastProgress > stallTimeout + 2 * expected;
+    const auto since = endpoint.lastProgress + stallTimeout + 2 * expected;
+    return now > since ? std::optional(since) : std::nullopt;
+}
+
+// Without a try now and then, the conclusion would last for as long as something counts as running there.
+bool service_pool::isStalled(const endpoint_state& endpoint, monotonic_time now) const
+{
+    const auto since = stalledSince(endpoint, now);
+    return since && now - std::max(*since, endpoint.stallTriedAt) < stallRetryInterval;
 }
 
 unsigned service_pool::usableSlots(const endpoint_state& endpoint) const
@@ -454,6 +468,8 @@
 {
     recordOutcome(request.id, outcome::timed_out, 0, now);
     auto& endpoint = *chosen.endpoint;
+    if (stalledSince(endpoint, now))
+        endpoint.stallTriedAt = now;
     countRunning(endpoint, request.id,
         { endpoint.record.id, request.sender, request.prompt, m_prefillCost.work(request.prompt),
             tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
--- a/libs/placement/tests/service_pool_tests.cpp
+++ b/libs/placement/tests/service_pool_tests.cpp
@@ -1,5 +1,6 @@
 #include "placement/service_pool.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <map>
 
@@ -509,6 +510,47 @@
     }
 }
 
+TEST_F(service_pool_test, stalledEndpoint_isTriedAgainByOneRequestAtATime)
+{
+    // An endpoint without progress stayed unused for as long as anything counted as running there, though it had recovered long ago.
+    listEndpoints({ "only" }, 6);
+    ASSERT_TRUE(place(request(1)));
+    std::uint64_t nextId = 2;
+    const auto grantedOfTwo = [&] {
+        const std::array ids { nextId++, nextId++ };
+        std::ranges::for_each(ids, [&](std::uint64_t id) { m_pool.submit(request(id)); });
+        const auto granted = m_pool.decide(m_now).grants.size();
+        std::ranges::for_each(ids, [&](std::uint64_t id) { m_pool.withdraw(id); });
+        return granted;
+    };
+    m_now += 3s;
+    EXPECT_EQ(grantedOfTwo(), 0U);
+    m_now += 3s;
+    EXPECT_EQ(grantedOfTwo(), 1U);
+    m_now += 3s;
+    EXPECT_EQ(grantedOfTwo(), 0U);
+    m_now += 3s;
+    EXPECT_EQ(grantedOfTwo(), 1U);
+    m_pool.recordProgress(1, 1, m_now);
+    EXPECT_EQ(grantedOfTwo(), 2U);
+}
+
+TEST_F(service_pool_test, stalledEndpoint_isNotTriedWhileAnotherHasASlot)
+{
+    // A request that can wait for a try costs its caller nothing while another endpoint is free.
+    listEndpoints({ "stalled", "free" }, 6);
+    auto first = request(1);
+    first.excluded = { replica_id { "free" } };
+    ASSERT_TRUE(place(first));
+    m_now += 8s;
+    for (std::uint64_t id = 2; id < 5; ++id) {
+        const auto granted = place(request(id));
+        ASSERT_TRUE(granted);
+        EXPECT_EQ(granted->replica.value, "free");
+        m_pool.recordProgress(id, 1, m_now);
+    }
+}
+
 TEST_F(service_pool_test, connectionThatWasIdleForLong_countsAsClosed)
 {
     // Endpoints close idle connections; an estimate that ignores it would keep sending to an endpoint for no benefit.
