Bound what the system keeps for connections that nobody reads

Callers saw: nothing yet.

Cause: the system lets the receive buffer of a connection grow to megabytes. An idle connection to an endpoint was looked at only when its address was called again, so that a peer could fill it meanwhile, and one that the peer had closed stayed open.

Change: receive buffers of callers and of endpoints, peers' interfaces and the store's are set to 128 KiB; once a second the client closes idle connections that are due, closed by their peer or hold bytes that nobody asked for.

Evidence: client_in_trouble_test.bytes_without_end_on_an_idle_connection_close_it fails on the code before (not closed after 20 s), passes now. paused_call_leaves_its_peer_waiting guards the pause and passes on the code before as well. http_tests 29, gateway_tests 108, node_tests 55 pass.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -29,6 +29,11 @@
 constexpr auto maxIdleTime = std::chrono::seconds(2);
 constexpr std::size_t maxIdlePerAddress = 64;
 constexpr std::size_t readBufferBytes = 16384;
+// Of the system's buffer for bytes that a peer sends and nobody reads yet, on a paused call or an idle connection. By itself it may grow
+// to several megabytes a connection.
+constexpr int receiveBufferBytes = 131072;
+// Interval at which idle connections are looked through.
+constexpr auto idleCheckInterval = std::chrono::seconds(1);
 // Bounds the memory for the keys of a connection.
 constexpr std::size_t maxKeysPerConnection = 128;
 
@@ -58,6 +63,14 @@
     return status == asio::error::would_block;
 }
 
+// Takes effect on the window that the peer may fill only before the connection is established.
+void limitReceiveBuffer(tcp::socket& socket, const tcp::endpoint& peer)
+{
+    boost::system::error_code ignored;
+    socket.open(peer.protocol(), ignored);
+    socket.set_option(tcp::socket::receive_buffer_size(receiveBufferBytes), ignored);
+}
+
 std::string serialize(const http_request& request, const std::string& address)
 {
     http::request<http::string_body> message;
@@ -85,10 +98,11 @@
 
 } // namespace
 
-struct http_client::connection_cache {
+struct http_client::connection_cache : std::enable_shared_from_this<connection_cache> {
     connection_cache(asio::io_context& loop, memory_budget* budget)
         : context(loop)
         , memory(budget)
+        , idleCheckTimer(loop)
     {
     }
 
@@ -125,10 +139,40 @@
         while (!list.empty() && (list.size() >= maxIdlePerAddress || now >= list.front().usableUntil))
             list.pop_front();
         list.push_back({ std::move(connection), now + reusableTime });
+        scheduleIdleCheck();
+    }
+
+    // Connections to an address that is not called again would stay open until their peers close them, and what arrives on them would stay
+    // in memory.
+    void scheduleIdleCheck()
+    {
+        if (std::exchange(isIdleCheckScheduled, true))
+            return;
+        idleCheckTimer.expires_after(idleCheckInterval);
+        idleCheckTimer.async_wait([self = weak_from_this()](boost::system::error_code status) {
+            const auto cache = self.lock();
+            if (status || !cache)
+                return;
+            cache->isIdleCheckScheduled = false;
+            cache->closeUnusable();
+        });
+    }
+
+    void closeUnusable()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto& [address, list] : idle)
+            std::erase_if(
+                list, [&](const idle_connection& entry) { return now >= entry.usableUntil || !isUsable(entry.connection->socket); });
+        std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
+        if (!idle.empty())
+            scheduleIdleCheck();
     }
 
     asio::io_context& context;
     memory_budget* memory;
+    asio::steady_timer idleCheckTimer;
+    bool isIdleCheckScheduled = false;
     std::uint64_t openedConnections = 0;
     std::unordered_map<std::string, std::deque<idle_connection>> idle;
 };
@@ -165,8 +209,10 @@
             m_connection = m_cache->open();
             m_connectionInfo = m_connection->info;
             m_connecting = true;
-            m_connection->socket.async_connect({ asio::ip::make_address(parsed.ip), parsed.port },
-                [self = shared_from_this()](boost::system::error_code status) { self->handleConnect(status); });
+            const tcp::endpoint peer(asio::ip::make_address(parsed.ip), parsed.port);
+            limitReceiveBuffer(m_connection->socket, peer);
+            m_connection->socket.async_connect(
+                peer, [self = shared_from_this()](boost::system::error_code status) { self->handleConnect(status); });
         } catch (const error& failure) {
             asio::post(m_cache->context, [self = shared_from_this(), text = failure.message()] { self->end(http_failure::connect, text); });
         }
@@ -450,7 +496,7 @@
     options.idleTimeout = timeout;
     options.reuseConnection = false;
     client.send(address, request, options, [&result](http_result value) { result = std::move(value); });
-    context.run_for(timeout);
+    for (const auto end = std::chrono::steady_clock::now() + timeout; !result && context.run_one_until(end) > 0;) { }
     if (!result)
         throw error(error_kind::timeout, "no response from " + address + " within the time limit",
             "check that the process at that address runs and is not overloaded");
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -48,6 +48,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 65536;
+// Of the system's buffer for what a caller sends while nobody reads it.
+constexpr int receiveBufferBytes = 131072;
 // Size of the reads of a body whose length is known.
 constexpr std::size_t minBodyReadBytes = 512;
 constexpr std::size_t maxBodyReadBytes = 16384;
@@ -656,6 +658,8 @@
     try {
         m_state->acceptor.open(endpoint.protocol());
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        // Connections inherit it. By itself the buffer may grow to several megabytes a connection.
+        m_state->acceptor.set_option(tcp::acceptor::receive_buffer_size(receiveBufferBytes));
         m_state->acceptor.bind(endpoint);
         m_state->acceptor.listen(4096);
     } catch (const boost::system::system_error& failure) {
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -284,6 +284,50 @@
     }
 }
 
+// Guards against memory of the system that fills up with bytes that arrive on a connection which nobody uses any more.
+TEST_F(client_in_trouble_test, bytes_without_end_on_an_idle_connection_close_it)
+{
+    std::atomic<bool> isClosed = false;
+    scripted_server server([&](tcp::socket& peer, std::size_t) {
+        boost::system::error_code status;
+        readRequest(peer);
+        asio::write(peer, asio::buffer(answer("x")), status);
+        std::this_thread::sleep_for(20ms);
+        const std::string piece(16384, 'x');
+        while (!status)
+            asio::write(peer, asio::buffer(piece), status);
+        isClosed = true;
+    });
+    EXPECT_EQ(call(server.address(), "/").response.body, "x");
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!isClosed && std::chrono::steady_clock::now() < end)
+        m_context.run_one_until(end);
+    EXPECT_TRUE(isClosed);
+}
+
+// Guards against a call that reads faster than its consumer: what it leaves unread must stay small, in the system's buffer too.
+TEST_F(client_in_trouble_test, paused_call_leaves_its_peer_waiting)
+{
+    constexpr std::size_t maxSentBytes = 1U << 20;
+    std::atomic<std::size_t> sent = 0;
+    scripted_server server([&](tcp::socket& peer, std::size_t) {
+        boost::system::error_code status;
+        peer.set_option(tcp::socket::send_buffer_size(65536));
+        readRequest(peer);
+        asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")), status);
+        const std::string piece(16384, 'x');
+        while (!status && sent < 16 * maxSentBytes)
+            sent += asio::write(peer, asio::buffer(piece), status);
+    });
+    http_stream_handlers handlers;
+    std::shared_ptr<http_call> running;
+    handlers.onData = [&](std::string_view) { running->pause(); };
+    running = m_client.stream(server.address(), { "GET", "/", {}, {} }, {}, std::move(handlers));
+    m_context.run_for(300ms);
+    EXPECT_LE(sent, maxSentBytes);
+    running->cancel();
+}
+
 // Guards against a process that an endpoint can end: the last chunk of an answer in three pieces did.
 TEST_F(client_in_trouble_test, last_chunk_in_small_pieces_ends_the_answer)
 {
