--- a/scripts/run_fuzzers.sh
+++ b/scripts/run_fuzzers.sh
@@ -14,7 +14,7 @@
     *) targets+=("$1"); shift ;;
     esac
 done
-[ "${#targets[@]}" -gt 0 ] || targets=(frames datagrams daemon_settings fleet_configuration completion_body log_page ticket trace)
+[ "${#targets[@]}" -gt 0 ] || targets=(frames datagrams daemon_settings fleet_configuration completion_body log_page response ticket trace)
 ./build.sh --fuzz fuzz_seeds "${targets[@]/#/fuzz_}" >&2
 work=build-fuzz/corpus
 findings=build-fuzz/findings
