Keep an exchange while the memory budget ends it

By reading: the budget calls the exchange without holding it, and ending it drops the dispatcher's reference, which may be the last. An ended exchange also counts no bytes any more, since its response is counted by its connection from then on. gateway_tests 108 pass.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -545,6 +545,7 @@
 
 void exchange::endForMemory()
 {
+    const auto self = shared_from_this();
     if (m_state != state::done)
         endNow("out_of_memory", defaultRetryAfter);
 }
@@ -582,6 +583,7 @@
 {
     if (std::exchange(m_state, state::done) == state::done)
         return;
+    m_memory.set(0);
     tellCaller();
     if (m_admitted.team && !m_isQuotaCommitted)
         m_dispatcher.releaseQuota(*m_admitted.team, m_admitted.quotaUnits);
