--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,6 +1,6 @@
 #include "http/server.h"
 
-#include "chunked_decoder.h"
+#include "request_body.h"
 
 #include "base/error.h"
 #include "base/log.h"
@@ -50,9 +50,6 @@
 constexpr std::size_t readBufferBytes = 65536;
 // Of the system's buffer for what a caller sends while nobody reads it.
 constexpr int receiveBufferBytes = 131072;
-// Size of the reads of a body whose length is known.
-constexpr std::size_t minBodyReadBytes = 512;
-constexpr std::size_t maxBodyReadBytes = 16384;
 // A connection that waits for its next request keeps no larger buffers than this.
 constexpr std::size_t maxIdleBufferBytes = 16384;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
@@ -202,14 +199,6 @@
     void setOnClosed(std::function<void()> handler) { m_onClosed = m_closed ? nullptr : std::move(handler); }
 
 private:
-    /// How much of a request body has arrived.
-    enum class body_state {
-        incomplete,
-        complete,
-        malformed,
-        too_large,
-    };
-
     template <typename Message> void fillHead(Message& message, unsigned status, const std::vector<http_header>& headers)
     {
         message.version(m_version);
@@ -284,37 +273,41 @@
     void readBody()
     {
         m_phase = phase::body;
-        m_body.clear();
-        m_chunks = {};
         if (m_parser->is_done()) {
             dispatch();
             return;
         }
+        std::optional<std::size_t> length;
+        if (!m_parser->chunked())
+            length = static_cast<std::size_t>(*m_parser->content_length());
+        m_body.emplace(length, m_state->limits.maxBodyBytes);
         armTimer(m_state->limits.bodyTimeout);
         continueBody();
     }
 
     void continueBody()
     {
-        const auto state = takeBody();
-        m_memory.set(m_body.size());
+        const auto received = m_buffer.data();
+        std::string_view input(static_cast<const char*>(received.data()), received.size());
+        const auto state = m_body->take(input);
+        m_buffer.consume(received.size() - input.size());
+        m_memory.set(m_body->size());
         switch (state) {
-        case body_state::incomplete:
+        case request_body::state::incomplete:
             break;
-        case body_state::complete:
+        case request_body::state::complete:
             dispatch();
             return;
-        case body_state::malformed:
-            refuseBody(400, "malformed_request", "the chunks of the request body are invalid: " + std::string(m_chunks.fault()),
+        case request_body::state::malformed:
+            refuseBody(400, "malformed_request", "the chunks of the request body are invalid: " + std::string(m_body->fault()),
                 "check the client");
             return;
-        case body_state::too_large:
+        case request_body::state::too_large:
             refuseTooLargeBody();
             return;
         }
-        const auto missing = m_parser->chunked() ? minBodyReadBytes : static_cast<std::size_t>(*m_parser->content_length()) - m_body.size();
-        m_socket.async_read_some(m_buffer.prepare(std::clamp(missing, minBodyReadBytes, maxBodyReadBytes)),
-            [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
+        m_socket.async_read_some(
+            m_buffer.prepare(m_body->bytesToRead()), [self = shared_from_this()](boost::system::error_code status, std::size_t size) {
                 if (self->m_closed || self->m_phase != phase::body)
                     return;
                 if (status) {
@@ -326,40 +319,6 @@
             });
     }
 
-    body_state takeBody()
-    {
-        const auto received = m_buffer.data();
-        std::string_view input(static_cast<const char*>(received.data()), received.size());
-        const auto state = m_parser->chunked() ? takeChunks(input) : takeBytes(input);
-        m_buffer.consume(received.size() - input.size());
-        return state;
-    }
-
-    body_state takeChunks(std::string_view& input)
-    {
-        while (true) {
-            const auto step = m_chunks.next(input);
-            if (step == chunked_decoder::step::needs_bytes)
-                return body_state::incomplete;
-            if (step == chunked_decoder::step::complete)
-                return body_state::complete;
-            if (step == chunked_decoder::step::invalid)
-                return body_state::malformed;
-            if (m_body.size() + m_chunks.data().size() > m_state->limits.maxBodyBytes)
-                return body_state::too_large;
-            m_body += m_chunks.data();
-        }
-    }
-
-    body_state takeBytes(std::string_view& input)
-    {
-        const auto missing = static_cast<std::size_t>(*m_parser->content_length()) - m_body.size();
-        const auto part = input.substr(0, missing);
-        m_body += part;
-        input.remove_prefix(part.size());
-        return part.size() == missing ? body_state::complete : body_state::incomplete;
-    }
-
     void refuseBody(unsigned status, std::string_view type, std::string_view message, std::string_view remedy)
     {
         m_phase = phase::response;
@@ -374,7 +333,7 @@
             close();
             return;
         }
-        m_body = {};
+        m_body.reset();
         refuseBody(503, "out_of_memory", "this node has no memory left for the request", "send the request again later");
     }
 
@@ -421,7 +380,9 @@
         request.target = message.target();
         for (const auto& field : message)
             request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        request.body = std::move(m_body);
+        if (m_body)
+            request.body = m_body->release();
+        m_body.reset();
         m_memory.set(0);
         if (m_buffer.size() == 0 && m_buffer.capacity() > maxIdleBufferBytes)
             m_buffer.shrink_to_fit();
@@ -546,8 +507,8 @@
     std::size_t m_thread;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::empty_body>> m_parser;
-    chunked_decoder m_chunks;
-    std::string m_body;
+    /// Of the request that arrives; not set if it has no body.
+    std::optional<request_body> m_body;
     phase m_phase = phase::head;
     std::uint64_t m_exchange = 0;
     unsigned m_version = 11;
