Release the held responses of a test before its threads end

The test left the responders of its endpoint in the fixture, which destroys them after the threads whose sockets and timers they hold. It is a fault of the test, not of its subject; its checks stay.

--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -277,7 +277,12 @@
     run([this] { std::ranges::for_each(m_pendingResponders, [](const auto& responder) { responder->finish(); }); });
     EXPECT_EQ(small.get().status, 200U);
     EXPECT_EQ(endsByResult(), (std::map<std::string, int> { { "out_of_memory", 1 }, { "served", 1 } }));
-    run([&] { EXPECT_EQ(memory.usedBytes(), 0U); });
+    run([&] {
+        EXPECT_EQ(memory.usedBytes(), 0U);
+        m_dispatcher.setMemoryBudget(nullptr);
+        // They hold connections, which must not outlive the threads.
+        m_pendingResponders.clear();
+    });
 }
 
 // Sends the head of a stream and then a byte now and then, without ever completing an event.
