Share the spoiled stream of two tests

Both tests of a stream whose event ids are missing spelled out the same endpoint. Their checks are unchanged; the 35 tests of request_dispatcher_test pass.

--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -231,14 +231,18 @@
     EXPECT_EQ(requestsAt(0) + requestsAt(1), 1);
 }
 
+// Sends a stream in which event ids are missing.
+void spoilStream(const http_request&, const std::shared_ptr<http_responder>& responder)
+{
+    responder->start(200, { { "Content-Type", "text/event-stream" } });
+    responder->write("id: 1\ndata: d1\n\n");
+    responder->write("id: 7\ndata: d7\n\n");
+}
+
 TEST_F(request_dispatcher_test, spoiledNonResumableStream_isAbortedAndProcessGoesOn)
 {
     // The exchange was used after its last owner, a callback of the call that it cancelled, had released it.
-    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
-        responder->start(200, { { "Content-Type", "text/event-stream" } });
-        responder->write("id: 1\ndata: d1\n\n");
-        responder->write("id: 7\ndata: d7\n\n");
-    });
+    endpoint("one", spoilStream);
     start(false, true, 1);
     for (int i = 0; i < 20; ++i)
         EXPECT_THROW(send("POST", "/p/x", "a" + std::to_string(i)), std::exception);
@@ -247,11 +251,7 @@
 TEST_F(request_dispatcher_test, spoiledNonResumableStream_endsOnceWithOneResult)
 {
     // Aborting the response ran the handler for a caller that leaves, which ended the exchange a second time as "caller_left".
-    endpoint("one", [](const http_request&, const std::shared_ptr<http_responder>& responder) {
-        responder->start(200, { { "Content-Type", "text/event-stream" } });
-        responder->write("id: 1\ndata: d1\n\n");
-        responder->write("id: 7\ndata: d7\n\n");
-    });
+    endpoint("one", spoilStream);
     start(false, true, 1);
     constexpr int requests = 20;
     for (int i = 0; i < requests; ++i)
