Decode what answers say of their endpoint, and log what a node has heard

New lines endpoint_leaving, endpoint_rests and endpoint_rest_unreadable, gauges leaving_endpoints and resting_endpoints, counter carawaylink_gateway_unreadable_rests_total. No decision reads them yet.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -62,6 +62,12 @@
     bool isMismatched = false;
     /// Requests per second that the endpoint accepts from all nodes together while it says so.
     std::optional<double> requestLimit;
+    /// The endpoint leaves: it accepts nothing new until its process starts again.
+    bool isLeaving = false;
+    /// Time for which the endpoint, which refused the request, accepts nothing more from this node; zero for none.
+    duration rest {};
+    /// Rest that cannot be read, as the endpoint wrote it, shortened.
+    std::optional<std::string> unreadableRest;
     /// The body is a stream of server-sent events.
     bool isEventStream = false;
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -255,8 +255,11 @@
         attemptFailed(placement::outcome::invalid, "response without attempt id on a connection that carried other requests");
         return;
     }
-    if (!m_headMetadata.isReplaced)
+    // Another process at the address speaks of itself.
+    if (!m_headMetadata.isReplaced) {
         m_dispatcher.recordRequestLimit(*this, m_grant, m_headMetadata.requestLimit, m_sentAt);
+        m_dispatcher.recordNotice(*this, m_grant, m_headMetadata);
+    }
     const bool isStream = m_admitted.route.streaming && head.status == statusOk && m_headMetadata.isEventStream;
     m_state = isStream ? state::streaming : state::buffering;
 }
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -40,12 +40,19 @@
                        .Help("Time from the arrival of a request to its response or first event")
                        .Register(m_registry)
                        .Add({}, firstEventSeconds))
+    , m_unreadableRests(prometheus::BuildCounter()
+                            .Name("carawaylink_gateway_unreadable_rests_total")
+                            .Help("Refusals of endpoints that ask for rest in a form that cannot be read")
+                            .Register(m_registry)
+                            .Add({}))
     , m_messageBytes(m_gauges.Add({ { "kind", "message_bytes" } }))
     , m_waiting(m_gauges.Add({ { "kind", "waiting_requests" } }))
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
     , m_liveNodes(m_gauges.Add({ { "kind", "live_nodes" } }))
     , m_quarantinedParts(m_gauges.Add({ { "kind", "quarantined_prompt_parts" } }))
     , m_limitedEndpoints(m_gauges.Add({ { "kind", "endpoints_with_request_limit" } }))
+    , m_leavingEndpoints(m_gauges.Add({ { "kind", "leaving_endpoints" } }))
+    , m_restingEndpoints(m_gauges.Add({ { "kind", "resting_endpoints" } }))
     , m_configuration(m_gauges.Add({ { "kind", "configuration_version" } }))
 {
 }
@@ -105,6 +112,21 @@
     m_limitedEndpoints.Set(static_cast<double>(endpoints));
 }
 
+void gateway_metrics::setLeavingEndpoints(std::size_t endpoints)
+{
+    m_leavingEndpoints.Set(static_cast<double>(endpoints));
+}
+
+void gateway_metrics::setRestingEndpoints(std::size_t endpoints)
+{
+    m_restingEndpoints.Set(static_cast<double>(endpoints));
+}
+
+void gateway_metrics::unreadableRest()
+{
+    m_unreadableRests.Increment();
+}
+
 void gateway_metrics::setConfiguration(config_version version)
 {
     m_configuration.Set(static_cast<double>(version.value));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -31,6 +31,11 @@
     void setLiveNodes(std::size_t nodes);
     void setQuarantinedParts(std::size_t parts);
     void setLimitedEndpoints(std::size_t endpoints);
+    /// Endpoints whose answers say that they leave, and those that asked this node for rest.
+    void setLeavingEndpoints(std::size_t endpoints);
+    void setRestingEndpoints(std::size_t endpoints);
+    /// An endpoint asked for rest in a form that cannot be read.
+    void unreadableRest();
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -44,12 +49,15 @@
     prometheus::Family<prometheus::Counter>& m_memoryExceeded;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
+    prometheus::Counter& m_unreadableRests;
     prometheus::Gauge& m_messageBytes;
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_active;
     prometheus::Gauge& m_liveNodes;
     prometheus::Gauge& m_quarantinedParts;
     prometheus::Gauge& m_limitedEndpoints;
+    prometheus::Gauge& m_leavingEndpoints;
+    prometheus::Gauge& m_restingEndpoints;
     prometheus::Gauge& m_configuration;
 };
 
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -307,6 +307,9 @@
 {
     m_metrics.setQuarantinedParts(m_quarantine.size(std::chrono::steady_clock::now()));
     m_metrics.setLimitedEndpoints(m_slots.limitedCount());
+    const auto notices = m_slots.noticeCounts();
+    m_metrics.setLeavingEndpoints(notices.leaving);
+    m_metrics.setRestingEndpoints(notices.resting);
 }
 
 void request_dispatcher::releaseUnknownSlots()
@@ -391,6 +394,21 @@
     m_slots.recordRequestLimit(source.service(), grant.replica, perSecond, sentAt);
 }
 
+void request_dispatcher::recordNotice(const exchange& source, const placement::grant& grant, const response_metadata& answer)
+{
+    if (answer.isLeaving)
+        m_slots.recordLeaving(source.service(), grant.replica);
+    if (answer.rest > duration {})
+        m_slots.recordRest(source.service(), grant.replica, answer.rest);
+    if (!answer.unreadableRest)
+        return;
+    m_log.event("endpoint_rest_unreadable")
+        .field("request", source.admitted().metadata.attempt)
+        .field("replica", grant.replica)
+        .field("value", '"' + *answer.unreadableRest + '"');
+    m_metrics.unreadableRest();
+}
+
 duration request_dispatcher::firstEventTimeout(const exchange& source) const
 {
     return m_slots.firstEventTimeout(source.service(), source.id());
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -68,6 +68,8 @@
     void finishAttempt(const exchange& source, placement::outcome result, std::size_t events);
     /// A response of the endpoint named this request limit, or none. sentAt: when its request was sent.
     void recordRequestLimit(const exchange& source, const placement::grant& grant, std::optional<double> perSecond, monotonic_time sentAt);
+    /// What else the endpoint's answer says of it.
+    void recordNotice(const exchange& source, const placement::grant& grant, const response_metadata& answer);
     duration firstEventTimeout(const exchange& source) const;
     bool tryTakeRetry(const service_id& service);
     /// An endpoint began to answer.
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -1,5 +1,7 @@
 #include "slot_coordinator.h"
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <numeric>
@@ -125,6 +127,20 @@
     schedule();
 }
 
+void slot_coordinator::recordLeaving(const service_id& name, const discovery::replica_id& replica)
+{
+    if (!service(name).client.recordLeaving(replica))
+        return;
+    m_log.event("endpoint_leaving").field("service", name).field("replica", replica);
+}
+
+void slot_coordinator::recordRest(const service_id& name, const discovery::replica_id& replica, duration rest)
+{
+    if (!service(name).client.recordRest(replica, std::chrono::steady_clock::now() + rest))
+        return;
+    m_log.event("endpoint_rests").field("service", name).field("replica", replica).field("rest_ms", wholeMilliseconds(rest));
+}
+
 duration slot_coordinator::firstEventTimeout(const service_id& name, std::uint64_t id) const
 {
     const auto* state = find(name);
@@ -277,6 +293,18 @@
         [](std::size_t total, const auto& entry) { return total + entry.second->client.local().requestLimits().size(); });
 }
 
+placement::notice_counts slot_coordinator::noticeCounts() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    placement::notice_counts total;
+    for (const auto& [name, state] : m_services) {
+        const auto counts = state->client.local().countNotices(now);
+        total.leaving += counts.leaving;
+        total.resting += counts.resting;
+    }
+    return total;
+}
+
 std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
 {
     const auto found = m_endpointByHash.find(hash);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -39,6 +39,9 @@
     /// A response of the endpoint named this limit, or none.
     void recordRequestLimit(
         const service_id& service, const discovery::replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt);
+    /// An answer of the endpoint said that it leaves, or asked for this rest.
+    void recordLeaving(const service_id& service, const discovery::replica_id& replica);
+    void recordRest(const service_id& service, const discovery::replica_id& replica, duration rest);
     duration firstEventTimeout(const service_id& service, std::uint64_t id) const;
     /// Withdraws the requests and gives back the slots of the ids that are not known to exist.
     void releaseUnknown(const std::function<bool(std::uint64_t id)>& exists);
@@ -55,6 +58,8 @@
     std::size_t waitingCount() const;
     /// Endpoints that name a request limit.
     std::size_t limitedCount() const;
+    /// Endpoints that said of themselves that they leave or rest, as known to this node.
+    placement::notice_counts noticeCounts() const;
     std::size_t ownedCount() const { return m_owned.pools().size(); }
 
 private:
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -9,7 +9,7 @@
 
 /// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond
 /// with "ran: no" if they did not execute the request, "other: yes" if they are not the addressed replica and "unnamed: yes" if the
-/// response names no attempt, and name a request limit in "limit".
+/// response names no attempt, name a request limit in "limit", say that they leave in "leaving" and ask for rest (ms) in "rest".
 class test_codec : public protocol_codec {
 public:
     request_metadata decodeRequest(const http_request& request) const override
@@ -44,6 +44,9 @@
         metadata.isMismatched = metadata.identity == response_identity::other;
         if (const auto limit = response.header("limit"))
             metadata.requestLimit = std::stod(std::string(*limit));
+        metadata.isLeaving = response.header("leaving").has_value();
+        if (const auto rest = response.header("rest"))
+            metadata.rest = std::chrono::milliseconds(std::stoi(std::string(*rest)));
         metadata.isEventStream = response.header("Content-Type").value_or("") == "text/event-stream";
         return metadata;
     }
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -6,6 +6,7 @@
 #include "discovery/endpoint_table.h"
 #include "placement/connection_estimate.h"
 #include "placement/endpoint_health.h"
+#include "placement/endpoint_notice.h"
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
 #include "placement/request_limit.h"
@@ -133,6 +134,12 @@
     bool hasFirstEvent = false;
 };
 
+/// Number of endpoints by what they said of themselves.
+struct notice_counts {
+    std::size_t leaving = 0;
+    std::size_t resting = 0;
+};
+
 struct pool_limits {
     /// KV cache capacity of one engine; not set for plain services.
     std::optional<tokens> memory;
@@ -178,6 +185,14 @@
     /// Endpoints with a limit.
     std::map<replica_id, double> requestLimits() const;
 
+    /// What an endpoint said of itself in an answer. startedAtMs: start of its process. Both return whether it is news.
+    bool setLeaving(const replica_id& replica, std::int64_t startedAtMs);
+    bool setRest(const replica_id& replica, std::int64_t startedAtMs, const node_id& node, monotonic_time until);
+    /// Start of the endpoint's process in Unix milliseconds, as registered last; 0 for an unknown endpoint.
+    std::int64_t startOf(const replica_id& replica) const;
+    /// Number of listed endpoints that say that they leave, and that rest for any node.
+    notice_counts countNotices(monotonic_time now) const;
+
     void submit(waiting_request request);
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
     /// timed_out. Returns false if the endpoint is draining or no longer listed.
@@ -208,6 +223,7 @@
         endpoint_health health;
         endpoint_load load;
         request_limit limit;
+        endpoint_notice notice;
         monotonic_time lastProgress {};
         /// Time of the last request that tried whether a stalled endpoint makes progress again.
         monotonic_time stallTriedAt {};
@@ -240,6 +256,8 @@
         double score = 0;
     };
 
+    /// Whether nothing of the endpoint needs to be kept.
+    bool isForgotten(const endpoint_state& endpoint) const;
     static queue_rank rankOf(const waiting_request& request) { return { request.teamTier, request.isLate, request.tier }; }
     /// Collects the endpoints that can be used now and the starts of the last second, on which all decisions of one pass are based.
     void beginPass(monotonic_time now);
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -35,6 +35,9 @@
     /// A response arrived that names this limit of the endpoint, or none; sentAt: when its request was sent. Returns whether the limit
     /// changed.
     bool recordRequestLimit(const replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt, monotonic_time now);
+    /// An answer of the endpoint said that it leaves, or that it accepts nothing from this node until then. Both return whether it is news.
+    bool recordLeaving(const replica_id& replica);
+    bool recordRest(const replica_id& replica, monotonic_time until);
     /// Time after which a running request without a first event is given up.
     duration firstEventTimeout(std::uint64_t id) const { return m_local.firstEventTimeout(id); }
 
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -76,13 +76,14 @@
             endpoint.limit = {};
         }
         endpoint.record = record;
+        endpoint.notice.registered(record.startedAtMs);
         endpoint.isListed = true;
         if (inserted) {
             endpoint.lastProgress = now;
             endpoint.model.setInitialEstimate(typical);
         }
     }
-    std::erase_if(m_endpoints, [](const auto& entry) { return !entry.second.isListed && entry.second.load.running == 0; });
+    std::erase_if(m_endpoints, [this](const auto& entry) { return isForgotten(entry.second); });
     m_hasChanged = true;
 }
 
@@ -162,6 +163,42 @@
     return result;
 }
 
+bool service_pool::setLeaving(const replica_id& replica, std::int64_t startedAtMs)
+{
+    const auto found = m_endpoints.find(replica);
+    return found != m_endpoints.end() && found->second.notice.setLeaving(startedAtMs);
+}
+
+bool service_pool::setRest(const replica_id& replica, std::int64_t startedAtMs, const node_id& node, monotonic_time until)
+{
+    const auto found = m_endpoints.find(replica);
+    return found != m_endpoints.end() && found->second.notice.setRest(startedAtMs, node, until);
+}
+
+std::int64_t service_pool::startOf(const replica_id& replica) const
+{
+    const auto found = m_endpoints.find(replica);
+    return found == m_endpoints.end() ? 0 : found->second.record.startedAtMs;
+}
+
+notice_counts service_pool::countNotices(monotonic_time now) const
+{
+    notice_counts counts;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (!endpoint.isListed)
+            continue;
+        counts.leaving += endpoint.notice.isLeaving() ? 1 : 0;
+        counts.resting += endpoint.notice.rests(now) ? 1 : 0;
+    }
+    return counts;
+}
+
+// What an endpoint said must outlive an entry of the registry that is missing for a while.
+bool service_pool::isForgotten(const endpoint_state& endpoint) const
+{
+    return !endpoint.isListed && endpoint.load.running == 0;
+}
+
 void service_pool::submit(waiting_request request)
 {
     m_waiting.push_back(std::move(request));
@@ -577,7 +614,7 @@
     endpoint.health.record(result, now);
     if (result == outcome::completed)
         m_connections.release(running.sender, running.replica, now);
-    if (!endpoint.isListed && endpoint.load.running == 0)
+    if (isForgotten(endpoint))
         m_endpoints.erase(position);
 }
 
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -246,6 +246,16 @@
     return hasChanged;
 }
 
+bool slot_client::recordLeaving(const replica_id& replica)
+{
+    return m_local.setLeaving(replica, m_local.startOf(replica));
+}
+
+bool slot_client::recordRest(const replica_id& replica, monotonic_time until)
+{
+    return m_local.setRest(replica, m_local.startOf(replica), {}, until);
+}
+
 void slot_client::receive(const node_id& owner, const slot_reply& reply, monotonic_time now)
 {
     if (wasPaused(now)) {
