Send nothing more to an endpoint whose answers say that it leaves

Callers saw requests at endpoints that were about to end (DRAIN), though an answer had told their node so. Change: the word is kept per endpoint and start of its process, in the pools of the node that heard it and of the owner, which is told with the next call and with the first call of a session. It outlives a missing entry of the registry (ten minutes) and ends with a later start of the process. A node declines grants that it cannot use, tells the owner why, and lets the request wait at the owner for another endpoint; it names the endpoint as excluded, so that an owner that does not understand the word cannot grant it in a loop. New line grant_declined with the reason.

--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -336,6 +336,7 @@
         else
             m_slots.recordOutcome(service, granted.id, placement::outcome::cancelled, 0);
     }
+    std::ranges::for_each(decisions.declined, [this](const placement::declined_grant& declined) { logDeclined(declined); });
     std::ranges::for_each(decisions.waitReports, [this](const placement::wait_report& wait) { logWait(wait); });
     for (const auto& refused : decisions.refusals) {
         if (const auto running = findExchange(refused.id, "refusal"))
@@ -354,6 +355,17 @@
     return nullptr;
 }
 
+void request_dispatcher::logDeclined(const placement::declined_grant& declined)
+{
+    const auto found = m_exchanges.find(declined.id);
+    if (found == m_exchanges.end())
+        return;
+    m_log.event("grant_declined")
+        .field("request", found->second->admitted().metadata.attempt)
+        .field("replica", declined.replica)
+        .field("reason", placement::unusableReasonNames.name(declined.reason));
+}
+
 void request_dispatcher::logWait(const placement::wait_report& wait)
 {
     const auto found = m_exchanges.find(wait.id);
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -96,6 +96,7 @@
     void apply(const service_id& service, const placement::pool_decisions& decisions);
     /// Returns the exchange that the decision is for; logs the decision and returns nullptr if it has ended.
     std::shared_ptr<exchange> findExchange(std::uint64_t id, std::string_view decision);
+    void logDeclined(const placement::declined_grant& declined);
     void logWait(const placement::wait_report& wait);
     /// Ends the requests whose prompt parts are quarantined.
     void endQuarantined();
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -190,7 +190,7 @@
     for (auto& [name, state] : m_services) {
         const auto decisions = state->client.decide(now);
         logSilentOwners(name, *state);
-        if (!decisions.grants.empty() || !decisions.refusals.empty() || !decisions.waitReports.empty())
+        if (!decisions.isEmpty())
             m_handlers.onDecisions(name, decisions);
         if (state->client.hasUrgentCalls())
             schedule();
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -146,11 +146,37 @@
     unsigned tokensPerEvent = 1;
 };
 
+/// Why an endpoint accepts no request of a node.
+enum class unusable_reason {
+    /// The registry does not list it, as far as this node knows.
+    unlisted,
+    /// The registry lists it as draining.
+    draining,
+    /// Its answers say that it leaves.
+    leaving,
+};
+
+inline constexpr auto unusableReasonNames = enumTable<unusable_reason>({
+    { unusable_reason::unlisted, "unlisted" },
+    { unusable_reason::draining, "draining" },
+    { unusable_reason::leaving, "leaving" },
+});
+
+/// A grant of an owner that the node does not use; the request waits again.
+struct declined_grant {
+    std::uint64_t id = 0;
+    replica_id replica;
+    unusable_reason reason = unusable_reason::unlisted;
+};
+
 struct pool_decisions {
     std::vector<grant> grants;
     std::vector<refusal> refusals;
+    std::vector<declined_grant> declined;
     /// Requests that have just exceeded the wait report threshold; reported once each.
     std::vector<wait_report> waitReports;
+
+    bool isEmpty() const { return grants.empty() && refusals.empty() && declined.empty() && waitReports.empty(); }
 };
 
 /// Queue and placement of requests over a set of endpoints of one service. The owner of a pool uses all slots of its endpoints; a node
@@ -188,6 +214,12 @@
     /// What an endpoint said of itself in an answer. startedAtMs: start of its process. Both return whether it is news.
     bool setLeaving(const replica_id& replica, std::int64_t startedAtMs);
     bool setRest(const replica_id& replica, std::int64_t startedAtMs, const node_id& node, monotonic_time until);
+    /// Why the endpoint accepts no new requests; nullopt if it does.
+    std::optional<unusable_reason> whyUnusable(const replica_id& replica) const;
+    /// What the endpoint has said of itself; nullptr for an unknown one.
+    const endpoint_notice* noticeOf(const replica_id& replica) const;
+    /// Endpoints that say that they leave, and the start of their process.
+    std::map<replica_id, std::int64_t> leaving() const;
     /// Start of the endpoint's process in Unix milliseconds, as registered last; 0 for an unknown endpoint.
     std::int64_t startOf(const replica_id& replica) const;
     /// Number of listed endpoints that say that they leave, and that rest for any node.
@@ -195,7 +227,7 @@
 
     void submit(waiting_request request);
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
-    /// timed_out. Returns false if the endpoint is draining or no longer listed.
+    /// timed_out. Returns false if the endpoint accepts no new requests.
     bool adopt(const adopted_request& request, monotonic_time now);
     /// Removes a waiting request; returns false if it is not waiting.
     bool withdraw(std::uint64_t id);
@@ -228,6 +260,7 @@
         /// Time of the last request that tried whether a stalled endpoint makes progress again.
         monotonic_time stallTriedAt {};
         bool isListed = true;
+        monotonic_time unlistedAt {};
     };
     struct running_request {
         replica_id replica;
@@ -256,8 +289,9 @@
         double score = 0;
     };
 
+    static std::optional<unusable_reason> whyUnusable(const endpoint_state& endpoint);
     /// Whether nothing of the endpoint needs to be kept.
-    bool isForgotten(const endpoint_state& endpoint) const;
+    static bool isForgotten(const endpoint_state& endpoint, monotonic_time now);
     static queue_rank rankOf(const waiting_request& request) { return { request.teamTier, request.isLate, request.tier }; }
     /// Collects the endpoints that can be used now and the starts of the last second, on which all decisions of one pass are based.
     void beginPass(monotonic_time now);
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -122,8 +122,12 @@
     void applyReceived(pool_decisions& decisions, monotonic_time now);
     void applyOwn(pool_decisions& decisions, monotonic_time now);
     void startOwn(const grant& granted);
-    /// Returns whether the grant can be used; a slot that cannot is given back.
-    bool accept(std::uint32_t pool, const slot_grant& entry, monotonic_time now);
+    /// Adds the grant to the decisions if it can be used; otherwise its slot is given back.
+    void accept(std::uint32_t pool, const slot_grant& entry, pool_decisions& decisions, monotonic_time now);
+    /// Does not use the grant of a waiting request, tells the owner why, and lets the request wait for another endpoint.
+    void decline(std::uint32_t pool, const declined_grant& declined, monotonic_time now);
+    /// Tells the owner of the endpoint's pool with the next call what the endpoint has said of itself.
+    void reportNotice(const replica_id& replica);
     void rejectGrant(std::uint32_t pool, std::uint64_t id);
     void startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool);
     void detectSilentOwners(monotonic_time now);
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -31,6 +31,14 @@
     std::optional<double> perSecond;
 };
 
+/// What the answers of an endpoint said of it.
+struct notice_report {
+    replica_id replica;
+    /// Start of the process that said so, in Unix milliseconds.
+    std::int64_t startedAtMs = 0;
+    bool isLeaving = false;
+};
+
 /// What a node holds in a pool once a call has been applied, so that the owner notices slots that nobody holds.
 struct held_slots {
     /// Number of requests of the node that run in the pool.
@@ -56,6 +64,7 @@
     std::vector<outcome_report> outcomes;
     /// Requests that run on endpoints of the pool without a grant of this session.
     std::vector<adopted_request> adopted;
+    std::vector<notice_report> notices;
     std::vector<waiting_request> requests;
     std::vector<request_limit_report> limits;
     /// Not set while the node has received decisions that have not taken effect.
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -36,6 +36,9 @@
 constexpr double otherDomainMs = 3;
 // Interval at which outdated estimates of connections are dropped.
 constexpr auto connectionExpiryInterval = std::chrono::seconds(2);
+// What an endpoint said of itself is kept for this long after the registry has stopped listing it. Far longer than the registry, a copy or
+// a snapshot of it may still list the process.
+constexpr auto noticeRetention = std::chrono::minutes(10);
 // Window for measuring the rate at which queued requests start.
 constexpr auto queueRateWindow = std::chrono::seconds(1);
 // Minimum time between two passes over the queue if nothing has changed that could start a request.
@@ -63,8 +66,10 @@
 
 void service_pool::setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now)
 {
-    for (auto& [id, endpoint] : m_endpoints)
-        endpoint.isListed = false;
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (std::exchange(endpoint.isListed, false))
+            endpoint.unlistedAt = now;
+    }
     const auto typical = meanEndpointSpeed();
     for (const auto& record : records) {
         const auto [position, inserted] = m_endpoints.try_emplace(record.id);
@@ -83,7 +88,7 @@
             endpoint.model.setInitialEstimate(typical);
         }
     }
-    std::erase_if(m_endpoints, [this](const auto& entry) { return isForgotten(entry.second); });
+    std::erase_if(m_endpoints, [now](const auto& entry) { return isForgotten(entry.second, now); });
     m_hasChanged = true;
 }
 
@@ -157,7 +162,7 @@
 {
     std::map<replica_id, double> result;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (const auto perSecond = endpoint.limit.perSecond())
+        if (const auto perSecond = endpoint.limit.perSecond(); perSecond && endpoint.isListed)
             result.emplace(id, *perSecond);
     }
     return result;
@@ -166,7 +171,10 @@
 bool service_pool::setLeaving(const replica_id& replica, std::int64_t startedAtMs)
 {
     const auto found = m_endpoints.find(replica);
-    return found != m_endpoints.end() && found->second.notice.setLeaving(startedAtMs);
+    if (found == m_endpoints.end() || !found->second.notice.setLeaving(startedAtMs))
+        return false;
+    m_hasChanged = true;
+    return true;
 }
 
 bool service_pool::setRest(const replica_id& replica, std::int64_t startedAtMs, const node_id& node, monotonic_time until)
@@ -175,6 +183,39 @@
     return found != m_endpoints.end() && found->second.notice.setRest(startedAtMs, node, until);
 }
 
+std::optional<unusable_reason> service_pool::whyUnusable(const replica_id& replica) const
+{
+    const auto found = m_endpoints.find(replica);
+    return found == m_endpoints.end() ? std::optional(unusable_reason::unlisted) : whyUnusable(found->second);
+}
+
+std::optional<unusable_reason> service_pool::whyUnusable(const endpoint_state& endpoint)
+{
+    if (!endpoint.isListed)
+        return unusable_reason::unlisted;
+    if (endpoint.record.draining)
+        return unusable_reason::draining;
+    if (endpoint.notice.isLeaving())
+        return unusable_reason::leaving;
+    return std::nullopt;
+}
+
+const endpoint_notice* service_pool::noticeOf(const replica_id& replica) const
+{
+    const auto found = m_endpoints.find(replica);
+    return found == m_endpoints.end() ? nullptr : &found->second.notice;
+}
+
+std::map<replica_id, std::int64_t> service_pool::leaving() const
+{
+    std::map<replica_id, std::int64_t> result;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.notice.isLeaving())
+            result.emplace(id, endpoint.notice.startedAtMs());
+    }
+    return result;
+}
+
 std::int64_t service_pool::startOf(const replica_id& replica) const
 {
     const auto found = m_endpoints.find(replica);
@@ -194,9 +235,10 @@
 }
 
 // What an endpoint said must outlive an entry of the registry that is missing for a while.
-bool service_pool::isForgotten(const endpoint_state& endpoint) const
+bool service_pool::isForgotten(const endpoint_state& endpoint, monotonic_time now)
 {
-    return !endpoint.isListed && endpoint.load.running == 0;
+    const bool isRemembered = endpoint.notice.isLeaving() && now - endpoint.unlistedAt < noticeRetention;
+    return !endpoint.isListed && endpoint.load.running == 0 && !isRemembered;
 }
 
 void service_pool::submit(waiting_request request)
@@ -220,7 +262,7 @@
         running.isAdopted = true;
     }
     countRunning(endpoint, request.id, std::move(running), now);
-    return endpoint.isListed && !endpoint.record.draining;
+    return !whyUnusable(endpoint);
 }
 
 bool service_pool::withdraw(std::uint64_t id)
@@ -326,6 +368,8 @@
 {
     wait_report report { request.id, now - request.arrived, ahead };
     for (const auto& [id, endpoint] : m_endpoints) {
+        if (!endpoint.isListed)
+            continue;
         if (!isUsable(endpoint, now) || isExcluded(endpoint, request))
             ++report.unusable;
         else if (!hasCapacity(endpoint, request, now))
@@ -390,7 +434,7 @@
 
 bool service_pool::isUsable(const endpoint_state& endpoint, monotonic_time now) const
 {
-    if (!endpoint.isListed || endpoint.record.draining || endpoint.health.isReplaced())
+    if (whyUnusable(endpoint) || endpoint.health.isReplaced())
         return false;
     if (endpoint.load.running >= endpoint.health.concurrencyLimit(now)
         && (endpoint.health.isUnreachable() || endpoint.health.failureRate() > m_medianFailureRate))
@@ -407,8 +451,10 @@
 double service_pool::medianFailureRate() const
 {
     std::vector<double> rates;
-    for (const auto& [id, endpoint] : m_endpoints)
-        rates.push_back(endpoint.health.failureRate());
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.isListed)
+            rates.push_back(endpoint.health.failureRate());
+    }
     if (rates.empty())
         return 0;
     const auto median = rates.begin() + static_cast<std::ptrdiff_t>((rates.size() - 1) / 2);
@@ -614,7 +660,7 @@
     endpoint.health.record(result, now);
     if (result == outcome::completed)
         m_connections.release(running.sender, running.replica, now);
-    if (isForgotten(endpoint))
+    if (isForgotten(endpoint, now))
         m_endpoints.erase(position);
 }
 
@@ -640,7 +686,7 @@
 {
     pool_load total;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && !endpoint.record.draining)
+        if (!whyUnusable(endpoint))
             total.slots += usableSlots(endpoint);
         total.running += endpoint.load.running;
     }
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -248,7 +248,21 @@
 
 bool slot_client::recordLeaving(const replica_id& replica)
 {
-    return m_local.setLeaving(replica, m_local.startOf(replica));
+    const bool isNews = m_local.setLeaving(replica, m_local.startOf(replica));
+    if (isNews)
+        reportNotice(replica);
+    return isNews;
+}
+
+void slot_client::reportNotice(const replica_id& replica)
+{
+    auto& link = m_links[poolOfReplica(replica)];
+    // The next session lists all notices.
+    const auto* notice = m_local.noticeOf(replica);
+    if (!link.isOpen || !notice || !notice->isLeaving())
+        return;
+    link.next.notices.push_back({ replica, notice->startedAtMs(), true });
+    m_hasUrgentCalls = true;
 }
 
 bool slot_client::recordRest(const replica_id& replica, monotonic_time until)
@@ -316,8 +330,7 @@
         if (!isCurrent())
             continue;
         for (const auto& entry : received.grants) {
-            if (accept(pool, entry, now))
-                decisions.grants.push_back(entry.granted);
+            accept(pool, entry, decisions, now);
         }
         for (const auto& refused : received.refusals) {
             if (!isWaitingIn(pool, refused.id))
@@ -330,30 +343,46 @@
     }
 }
 
-bool slot_client::accept(std::uint32_t pool, const slot_grant& entry, monotonic_time now)
+void slot_client::accept(std::uint32_t pool, const slot_grant& entry, pool_decisions& decisions, monotonic_time now)
 {
     const auto& granted = entry.granted;
     if (!isWaitingIn(pool, granted.id)) {
         rejectGrant(pool, granted.id);
-        return false;
+        return;
+    }
+    if (const auto reason = m_local.whyUnusable(granted.replica)) {
+        decisions.declined.push_back({ granted.id, granted.replica, *reason });
+        decline(pool, decisions.declined.back(), now);
+        return;
     }
     const auto found = m_waiting.find(granted.id);
-    auto request = std::move(found->second.request);
+    const auto request = std::move(found->second.request);
     m_waiting.erase(found);
     m_local.setReportedSpeed(granted.replica, entry.speed);
     const auto previous = m_running.find(granted.id);
     if (previous != m_running.end() && previous->second.pool != pool)
         recordOutcome(granted.id, outcome::timed_out, 0, now);
-    if (!m_local.adopt({ granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now)) {
-        // The owner does not know yet that the endpoint is leaving.
-        m_local.recordOutcome(granted.id, outcome::cancelled, 0, now);
-        rejectGrant(pool, granted.id);
-        request.excluded.push_back(granted.replica);
+    m_local.adopt({ granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now);
+    startRunning(request, granted, pool);
+    decisions.grants.push_back(granted);
+}
+
+// The owner does not know yet what this node does. Excluding the endpoint keeps an owner that never learns it from granting it again; an
+// endpoint that this node does not know cannot be named to the owner.
+void slot_client::decline(std::uint32_t pool, const declined_grant& declined, monotonic_time now)
+{
+    const auto found = m_waiting.find(declined.id);
+    auto request = std::move(found->second.request);
+    m_waiting.erase(found);
+    rejectGrant(pool, declined.id);
+    request.wasAdmitted = true;
+    request.excluded.push_back(declined.replica);
+    if (declined.reason == unusable_reason::unlisted) {
         enqueueLocally(std::move(request));
-        return false;
+        return;
     }
-    startRunning(request, granted, pool);
-    return true;
+    reportNotice(declined.replica);
+    enqueue(std::move(request), now);
 }
 
 // The request ended, was withdrawn or cannot use the endpoint. The slot is free again; an earlier one that it still holds is not.
@@ -494,7 +523,7 @@
         }
         const auto& next = link.next;
         if (!next.wantsReply && next.withdrawn.empty() && next.progress.empty() && next.outcomes.empty() && next.adopted.empty()
-            && next.limits.empty())
+            && next.limits.empty() && next.notices.empty())
             return std::nullopt;
     }
     auto call = std::exchange(link.next, {});
@@ -557,6 +586,10 @@
         if (poolOfReplica(replica) == pool)
             link.next.limits.push_back({ replica, perSecond });
     }
+    for (const auto& [replica, startedAtMs] : m_local.leaving()) {
+        if (poolOfReplica(replica) == pool)
+            link.next.notices.push_back({ replica, startedAtMs, true });
+    }
 }
 
 void slot_client::collectProgress(std::uint32_t pool)
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -128,6 +128,10 @@
         m_pool.adopt(adopted, now);
         forgetIfEnded(session, id);
     }
+    for (const auto& notice : call.notices) {
+        if (notice.isLeaving)
+            m_pool.setLeaving(notice.replica, notice.startedAtMs);
+    }
     for (auto request : call.requests) {
         request.sender = node;
         request.domain = call.domain;
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -102,6 +102,9 @@
         m_nodes[m_home.at(id)]->client.recordRequestLimit(grants.at(id).replica, perSecond, m_grantedAt.at(id), now);
     }
 
+    /// The response of a granted request says that its endpoint leaves.
+    void sayLeaving(std::uint64_t id) { m_nodes[m_home.at(id)]->client.recordLeaving(grants.at(id).replica); }
+
     /// Lets time pass in steps of a millisecond.
     void run(duration span)
     {
@@ -171,12 +174,16 @@
     /// Times of all grants by endpoint.
     std::map<std::string, std::vector<monotonic_time>> grantTimes;
     std::vector<refusal> refusals;
+    /// Grants that nodes did not use.
+    std::vector<declined_grant> declined;
     /// Slots that owners took back because their nodes did not hold them.
     std::vector<reclaimed_slots> reclaimed;
     std::size_t messages = 0;
     /// Called at a node between what it receives and what it decides, and with what it decides.
     std::function<void(std::size_t node)> beforeDecisions = [](std::size_t) {};
     std::function<void(const pool_decisions& decisions)> onDecisions = [](const pool_decisions&) {};
+    /// Called with each call before it is sent.
+    std::function<void(slot_call& call)> beforeCall = [](slot_call&) {};
 
 private:
     struct node_state {
@@ -245,11 +252,14 @@
             m_grantedAt[granted.id] = now;
             grantTimes[granted.replica.value].push_back(now);
         }
+        declined.insert(declined.end(), decisions.declined.begin(), decisions.declined.end());
         refusals.insert(refusals.end(), decisions.refusals.begin(), decisions.refusals.end());
         if (!isTick && !node.client.hasUrgentCalls())
             return;
-        for (auto& entry : node.client.takeCalls(now))
+        for (auto& entry : node.client.takeCalls(now)) {
+            beforeCall(entry.call);
             post({ now + messageDelay, index, indexOf(entry.owner), std::move(entry.call), std::nullopt });
+        }
     }
 
     void post(message sent)
