Keep the rest that an endpoint asks of a node

Callers' requests piled up at endpoints that had refused this node with 503 and asked it for rest (BUDGET). Cause: Retry-After of an endpoint entered no decision; a free slot was enough to send there again. Change: a rest is kept per endpoint, node and start of the process; the longest counts, and it ends with the next start. The node that was told keeps it against grants of an owner that does not know it, also when it decides alone, and reports it to the owner, which places that node's requests elsewhere and goes on granting the endpoint to others. A request whose grant is declined may still run there later; the second time the endpoint is excluded, so that no owner can grant it in a loop. Without another endpoint requests wait, and a refusal asks its caller to return when the rest ends. request_waits and request_refused count the leaving and resting endpoints.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -213,6 +213,7 @@
 {
     if (!awaits("refusal"))
         return;
+    const auto notices = m_dispatcher.noticeCounts(m_admitted.service);
     m_dispatcher.log()
         .event("request_refused")
         .field("request", m_admitted.metadata.attempt)
@@ -221,6 +222,8 @@
         .field("ahead", refusal.ahead)
         .field("waited_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_admitted.arrived))
         .field("retry_after_ms", wholeMilliseconds(refusal.retryAfter))
+        .field("leaving", notices.leaving)
+        .field("resting", notices.resting)
         .field("replaces", m_isReplacementPending);
     // The response of the unresponsive endpoint may still continue.
     if (std::exchange(m_isReplacementPending, false)) {
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -117,7 +117,7 @@
     return result;
 }
 
-std::vector<std::unique_ptr<peer::endpoint_noticeT>> encodeNotices(const std::vector<placement::notice_report>& notices)
+std::vector<std::unique_ptr<peer::endpoint_noticeT>> encodeNotices(const std::vector<placement::notice_report>& notices, monotonic_time now)
 {
     std::vector<std::unique_ptr<peer::endpoint_noticeT>> result;
     for (const auto& notice : notices) {
@@ -125,18 +125,21 @@
         entry->replica = replicaHash(notice.replica);
         entry->started_at_ms = notice.startedAtMs;
         entry->is_leaving = notice.isLeaving;
+        entry->rest_us = encodeSpan(notice.restUntil.value_or(now) - now);
         result.push_back(std::move(entry));
     }
     return result;
 }
 
 std::vector<placement::notice_report> decodeNotices(
-    const std::vector<std::unique_ptr<peer::endpoint_noticeT>>& notices, const replica_lookup& lookup)
+    const std::vector<std::unique_ptr<peer::endpoint_noticeT>>& notices, const replica_lookup& lookup, monotonic_time now)
 {
     std::vector<placement::notice_report> result;
     for (const auto& notice : notices) {
-        if (notice)
-            result.push_back({ replicaOf(notice->replica, lookup), notice->started_at_ms, notice->is_leaving });
+        if (!notice)
+            continue;
+        const auto restUntil = notice->rest_us == 0 ? std::nullopt : std::optional(now + decodeSpan(notice->rest_us));
+        result.push_back({ replicaOf(notice->replica, lookup), notice->started_at_ms, notice->is_leaving, restUntil });
     }
     return result;
 }
@@ -191,7 +194,7 @@
     for (const auto& request : call.requests)
         message.requests.push_back(encodeRequest(request, now));
     message.limits = encodeLimits(call.limits);
-    message.notices = encodeNotices(call.notices);
+    message.notices = encodeNotices(call.notices, now);
     if (call.held) {
         message.held_slots = static_cast<std::int32_t>(call.held->running);
         message.applied_reply = call.held->appliedReply;
@@ -221,7 +224,7 @@
             call.requests.push_back(decodeRequest(*request, lookup, now));
     }
     call.limits = decodeLimits(message.limits, lookup);
-    call.notices = decodeNotices(message.notices, lookup);
+    call.notices = decodeNotices(message.notices, lookup, now);
     if (message.held_slots >= 0)
         call.held = placement::held_slots { static_cast<std::uint32_t>(message.held_slots), message.applied_reply };
     return call;
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -372,6 +372,7 @@
     if (found == m_exchanges.end())
         return;
     const auto& admitted = found->second->admitted();
+    const auto notices = noticeCounts(admitted.service);
     m_log.event("request_waits")
         .field("request", admitted.metadata.attempt)
         .field("team_tier", admitted.teamTier.value + 0)
@@ -382,7 +383,9 @@
         .field("unusable", wait.unusable)
         .field("full", wait.full)
         .field("busy_reading", wait.prefillBusy)
-        .field("too_slow", wait.tooSlow);
+        .field("too_slow", wait.tooSlow)
+        .field("leaving", notices.leaving)
+        .field("resting", notices.resting);
 }
 
 void request_dispatcher::withdraw(const exchange& source)
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -68,6 +68,8 @@
     void finishAttempt(const exchange& source, placement::outcome result, std::size_t events);
     /// A response of the endpoint named this request limit, or none. sentAt: when its request was sent.
     void recordRequestLimit(const exchange& source, const placement::grant& grant, std::optional<double> perSecond, monotonic_time sentAt);
+    /// Endpoints of the service that say that they leave or have asked this node for rest.
+    placement::notice_counts noticeCounts(const service_id& service) const { return m_slots.noticeCounts(service); }
     /// What else the endpoint's answer says of it.
     void recordNotice(const exchange& source, const placement::grant& grant, const response_metadata& answer);
     duration firstEventTimeout(const exchange& source) const;
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -129,14 +129,15 @@
 
 void slot_coordinator::recordLeaving(const service_id& name, const discovery::replica_id& replica)
 {
-    if (!service(name).client.recordLeaving(replica))
+    if (!service(name).client.recordLeaving(replica, std::chrono::steady_clock::now()))
         return;
     m_log.event("endpoint_leaving").field("service", name).field("replica", replica);
 }
 
 void slot_coordinator::recordRest(const service_id& name, const discovery::replica_id& replica, duration rest)
 {
-    if (!service(name).client.recordRest(replica, std::chrono::steady_clock::now() + rest))
+    const auto now = std::chrono::steady_clock::now();
+    if (!service(name).client.recordRest(replica, now + rest, now))
         return;
     m_log.event("endpoint_rests").field("service", name).field("replica", replica).field("rest_ms", wholeMilliseconds(rest));
 }
@@ -295,16 +296,21 @@
 
 placement::notice_counts slot_coordinator::noticeCounts() const
 {
-    const auto now = std::chrono::steady_clock::now();
     placement::notice_counts total;
     for (const auto& [name, state] : m_services) {
-        const auto counts = state->client.local().countNotices(now);
+        const auto counts = noticeCounts(name);
         total.leaving += counts.leaving;
         total.resting += counts.resting;
     }
     return total;
 }
 
+placement::notice_counts slot_coordinator::noticeCounts(const service_id& name) const
+{
+    const auto* state = find(name);
+    return state ? state->client.local().countNotices(std::chrono::steady_clock::now()) : placement::notice_counts {};
+}
+
 std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
 {
     const auto found = m_endpointByHash.find(hash);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -60,6 +60,7 @@
     std::size_t limitedCount() const;
     /// Endpoints that said of themselves that they leave or rest, as known to this node.
     placement::notice_counts noticeCounts() const;
+    placement::notice_counts noticeCounts(const service_id& service) const;
     std::size_t ownedCount() const { return m_owned.pools().size(); }
 
 private:
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -47,6 +47,8 @@
     failure_domain domain;
     /// True for a request that was admitted before, by this node or after a refusal; ordered before new ones of its tier.
     bool wasAdmitted = false;
+    /// True if its node declined a grant of it before; not known to the owner.
+    bool wasDeclined = false;
     /// True if part of the response has reached the caller; such a request is not refused before its deadline.
     bool responseStarted = false;
     /// Time to the first event on the fastest usable endpoint; updated by the pool.
@@ -154,12 +156,15 @@
     draining,
     /// Its answers say that it leaves.
     leaving,
+    /// It asked this node for rest.
+    resting,
 };
 
 inline constexpr auto unusableReasonNames = enumTable<unusable_reason>({
     { unusable_reason::unlisted, "unlisted" },
     { unusable_reason::draining, "draining" },
     { unusable_reason::leaving, "leaving" },
+    { unusable_reason::resting, "resting" },
 });
 
 /// A grant of an owner that the node does not use; the request waits again.
@@ -214,12 +219,12 @@
     /// What an endpoint said of itself in an answer. startedAtMs: start of its process. Both return whether it is news.
     bool setLeaving(const replica_id& replica, std::int64_t startedAtMs);
     bool setRest(const replica_id& replica, std::int64_t startedAtMs, const node_id& node, monotonic_time until);
-    /// Why the endpoint accepts no new requests; nullopt if it does.
-    std::optional<unusable_reason> whyUnusable(const replica_id& replica) const;
+    /// Why the endpoint accepts no new requests of the sender; nullopt if it does.
+    std::optional<unusable_reason> whyUnusable(const replica_id& replica, const node_id& sender, monotonic_time now) const;
     /// What the endpoint has said of itself; nullptr for an unknown one.
     const endpoint_notice* noticeOf(const replica_id& replica) const;
-    /// Endpoints that say that they leave, and the start of their process.
-    std::map<replica_id, std::int64_t> leaving() const;
+    /// Endpoints that have said of themselves what still counts.
+    std::vector<replica_id> withNotice(monotonic_time now) const;
     /// Start of the endpoint's process in Unix milliseconds, as registered last; 0 for an unknown endpoint.
     std::int64_t startOf(const replica_id& replica) const;
     /// Number of listed endpoints that say that they leave, and that rest for any node.
@@ -305,17 +310,20 @@
     /// Whether the endpoint is stalled and is not to be tried now.
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
-    bool isExcluded(const endpoint_state& endpoint, const waiting_request& request) const;
+    /// Whether the request was sent there before, or the endpoint asked its sender for rest.
+    bool isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    /// Time at which the first endpoint accepts requests of the sender again; nullopt if none asked it for rest.
+    std::optional<monotonic_time> firstRestEnd(const waiting_request& request, monotonic_time now) const;
     /// Longest expected gap in milliseconds between events of running responses while the prompt is prefilled.
     double expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens pendingPrefill) const;
-    bool exceedsGapOnAllEndpoints(const waiting_request& request) const;
+    bool exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const;
     /// Fraction of an endpoint that this pool may use.
     double share() const { return 1.0 / static_cast<double>(m_nodeCount); }
     /// Position of this node among those that share the endpoint, 0 to m_nodeCount - 1; differs between endpoints.
     std::size_t positionAt(const replica_id& replica) const;
     /// Slots of the endpoint that this pool may use.
     unsigned usableSlots(const endpoint_state& endpoint) const;
-    std::optional<duration> minTimeToFirstEvent(const waiting_request& request) const;
+    std::optional<duration> minTimeToFirstEvent(const waiting_request& request, monotonic_time now) const;
     double expectedEvents(const waiting_request& request) const;
     /// Lower is better. first: expected time to the first event.
     double scoreOf(const endpoint_state& endpoint, const waiting_request& request, duration first, monotonic_time now) const;
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -36,8 +36,8 @@
     /// changed.
     bool recordRequestLimit(const replica_id& replica, std::optional<double> perSecond, monotonic_time sentAt, monotonic_time now);
     /// An answer of the endpoint said that it leaves, or that it accepts nothing from this node until then. Both return whether it is news.
-    bool recordLeaving(const replica_id& replica);
-    bool recordRest(const replica_id& replica, monotonic_time until);
+    bool recordLeaving(const replica_id& replica, monotonic_time now);
+    bool recordRest(const replica_id& replica, monotonic_time until, monotonic_time now);
     /// Time after which a running request without a first event is given up.
     duration firstEventTimeout(std::uint64_t id) const { return m_local.firstEventTimeout(id); }
 
@@ -127,7 +127,8 @@
     /// Does not use the grant of a waiting request, tells the owner why, and lets the request wait for another endpoint.
     void decline(std::uint32_t pool, const declined_grant& declined, monotonic_time now);
     /// Tells the owner of the endpoint's pool with the next call what the endpoint has said of itself.
-    void reportNotice(const replica_id& replica);
+    void reportNotice(const replica_id& replica, monotonic_time now);
+    std::optional<notice_report> noticeOf(const replica_id& replica, monotonic_time now) const;
     void rejectGrant(std::uint32_t pool, std::uint64_t id);
     void startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool);
     void detectSilentOwners(monotonic_time now);
@@ -135,7 +136,7 @@
     bool isIdle(std::uint32_t pool) const;
     /// Number of requests that run in the pool.
     std::uint32_t heldIn(std::uint32_t pool) const;
-    void openSession(std::uint32_t pool);
+    void openSession(std::uint32_t pool, monotonic_time now);
     void collectProgress(std::uint32_t pool);
     std::optional<slot_call> nextCall(std::uint32_t pool, monotonic_time now);
 
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -37,6 +37,8 @@
     /// Start of the process that said so, in Unix milliseconds.
     std::int64_t startedAtMs = 0;
     bool isLeaving = false;
+    /// Time until which the endpoint accepts nothing from the reporting node.
+    std::optional<monotonic_time> restUntil;
 };
 
 /// What a node holds in a pool once a call has been applied, so that the owner notices slots that nobody holds.
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -183,10 +183,15 @@
     return found != m_endpoints.end() && found->second.notice.setRest(startedAtMs, node, until);
 }
 
-std::optional<unusable_reason> service_pool::whyUnusable(const replica_id& replica) const
+std::optional<unusable_reason> service_pool::whyUnusable(const replica_id& replica, const node_id& sender, monotonic_time now) const
 {
     const auto found = m_endpoints.find(replica);
-    return found == m_endpoints.end() ? std::optional(unusable_reason::unlisted) : whyUnusable(found->second);
+    if (found == m_endpoints.end())
+        return unusable_reason::unlisted;
+    const auto reason = whyUnusable(found->second);
+    if (!reason && found->second.notice.restUntil(sender, now))
+        return unusable_reason::resting;
+    return reason;
 }
 
 std::optional<unusable_reason> service_pool::whyUnusable(const endpoint_state& endpoint)
@@ -206,12 +211,12 @@
     return found == m_endpoints.end() ? nullptr : &found->second.notice;
 }
 
-std::map<replica_id, std::int64_t> service_pool::leaving() const
+std::vector<replica_id> service_pool::withNotice(monotonic_time now) const
 {
-    std::map<replica_id, std::int64_t> result;
+    std::vector<replica_id> result;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.notice.isLeaving())
-            result.emplace(id, endpoint.notice.startedAtMs());
+        if (!endpoint.notice.isEmpty(now))
+            result.push_back(id);
     }
     return result;
 }
@@ -237,7 +242,7 @@
 // What an endpoint said must outlive an entry of the registry that is missing for a while.
 bool service_pool::isForgotten(const endpoint_state& endpoint, monotonic_time now)
 {
-    const bool isRemembered = endpoint.notice.isLeaving() && now - endpoint.unlistedAt < noticeRetention;
+    const bool isRemembered = !endpoint.notice.isEmpty(now) && now - endpoint.unlistedAt < noticeRetention;
     return !endpoint.isListed && endpoint.load.running == 0 && !isRemembered;
 }
 
@@ -282,7 +287,7 @@
     m_hasChanged = false;
     m_lastPassAt = now;
     for (auto& request : m_waiting) {
-        request.minTimeToFirstEvent = minTimeToFirstEvent(request);
+        request.minTimeToFirstEvent = minTimeToFirstEvent(request, now);
         request.isLate = !canMeetTarget(request, now);
     }
     std::ranges::sort(m_waiting, std::ranges::less {}, [](const waiting_request& request) {
@@ -353,7 +358,7 @@
 {
     const auto work = m_prefillCost.work(request.prompt);
     return std::ranges::any_of(m_usable, [&](const endpoint_state* endpoint) {
-        return !isExcluded(*endpoint, request)
+        return !isExcluded(*endpoint, request, now)
             && now + endpoint->model.timeToFirstEvent(tokens { 0 }, work) + timeToFinish(endpoint->model, request) <= request.deadline;
     });
 }
@@ -370,7 +375,7 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!endpoint.isListed)
             continue;
-        if (!isUsable(endpoint, now) || isExcluded(endpoint, request))
+        if (!isUsable(endpoint, now) || isExcluded(endpoint, request, now))
             ++report.unusable;
         else if (!hasCapacity(endpoint, request, now))
             ++report.full;
@@ -396,11 +401,12 @@
         if (endpoint.load.pendingPrefill.value != 0)
             return false;
         if (!exceedsEverywhere)
-            exceedsEverywhere = exceedsGapOnAllEndpoints(request);
+            exceedsEverywhere = exceedsGapOnAllEndpoints(request, now);
         return *exceedsEverywhere;
     };
     for (auto* endpoint : m_usable) {
-        if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request) || !isUsable(*endpoint, now) || !mayPrefill(*endpoint))
+        if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request, now) || !isUsable(*endpoint, now)
+            || !mayPrefill(*endpoint))
             continue;
         const auto first = endpoint->model.timeToFirstEvent(endpoint->load.pendingPrefill, work);
         if (now + first > (mustMeetTarget ? request.target : request.deadline))
@@ -442,9 +448,21 @@
     return !isStalled(endpoint, now);
 }
 
-bool service_pool::isExcluded(const endpoint_state& endpoint, const waiting_request& request) const
+bool service_pool::isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const
 {
-    return std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
+    return endpoint.notice.restUntil(request.sender, now)
+        || std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
+}
+
+std::optional<monotonic_time> service_pool::firstRestEnd(const waiting_request& request, monotonic_time now) const
+{
+    std::optional<monotonic_time> first;
+    for (const auto* endpoint : m_usable) {
+        const auto until = endpoint->notice.restUntil(request.sender, now);
+        if (until && (!first || *until < *first))
+            first = until;
+    }
+    return first;
 }
 
 // Median failure rate. If most endpoints of a service fail alike, excluding the failing ones would leave none.
@@ -520,20 +538,20 @@
     return inMilliseconds(endpoint.model.timeToStream(1)) + std::min(prefillMs, slowedEventMs);
 }
 
-bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request) const
+bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const
 {
     return std::ranges::none_of(m_usable, [&](const endpoint_state* endpoint) {
-        return !isExcluded(*endpoint, request)
+        return !isExcluded(*endpoint, request, now)
             && expectedEventGapMs(*endpoint, request, tokens { 0 }) <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
     });
 }
 
-std::optional<duration> service_pool::minTimeToFirstEvent(const waiting_request& request) const
+std::optional<duration> service_pool::minTimeToFirstEvent(const waiting_request& request, monotonic_time now) const
 {
     const auto work = m_prefillCost.work(request.prompt);
     std::optional<duration> fastest;
     for (const auto* endpoint : m_usable) {
-        if (isExcluded(*endpoint, request))
+        if (isExcluded(*endpoint, request, now))
             continue;
         const auto first = endpoint->model.timeToFirstEvent(tokens { 0 }, work);
         if (!fastest || first < *fastest)
@@ -584,8 +602,11 @@
     const auto retryAfter = std::clamp<duration>(wait, minRetryAfter, maxRetryAfter);
     const auto& fastest = request.minTimeToFirstEvent;
     if (!fastest) {
-        const bool missesTarget = now + minRetryAfter > request.target;
-        return missesTarget ? std::optional(refusal { request.id, refusal_cause::no_endpoint, retryAfter, ahead }) : std::nullopt;
+        if (now + minRetryAfter <= request.target)
+            return std::nullopt;
+        const auto restEnd = firstRestEnd(request, now).value_or(now);
+        const auto untilUsable = std::clamp<duration>(restEnd - now, retryAfter, maxRetryAfter);
+        return refusal { request.id, refusal_cause::no_endpoint, untilUsable, ahead };
     }
     if (now + *fastest > request.deadline)
         return refusal { request.id, refusal_cause::deadline, retryAfter, ahead };
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -246,28 +246,39 @@
     return hasChanged;
 }
 
-bool slot_client::recordLeaving(const replica_id& replica)
+bool slot_client::recordLeaving(const replica_id& replica, monotonic_time now)
 {
     const bool isNews = m_local.setLeaving(replica, m_local.startOf(replica));
     if (isNews)
-        reportNotice(replica);
+        reportNotice(replica, now);
     return isNews;
 }
 
-void slot_client::reportNotice(const replica_id& replica)
+bool slot_client::recordRest(const replica_id& replica, monotonic_time until, monotonic_time now)
+{
+    const bool isNews = m_local.setRest(replica, m_local.startOf(replica), {}, until);
+    if (isNews)
+        reportNotice(replica, now);
+    return isNews;
+}
+
+std::optional<notice_report> slot_client::noticeOf(const replica_id& replica, monotonic_time now) const
 {
-    auto& link = m_links[poolOfReplica(replica)];
-    // The next session lists all notices.
     const auto* notice = m_local.noticeOf(replica);
-    if (!link.isOpen || !notice || !notice->isLeaving())
-        return;
-    link.next.notices.push_back({ replica, notice->startedAtMs(), true });
-    m_hasUrgentCalls = true;
+    if (!notice || notice->isEmpty(now))
+        return std::nullopt;
+    return notice_report { replica, notice->startedAtMs(), notice->isLeaving(), notice->restUntil({}, now) };
 }
 
-bool slot_client::recordRest(const replica_id& replica, monotonic_time until)
+void slot_client::reportNotice(const replica_id& replica, monotonic_time now)
 {
-    return m_local.setRest(replica, m_local.startOf(replica), {}, until);
+    auto& link = m_links[poolOfReplica(replica)];
+    const auto notice = noticeOf(replica, now);
+    // The next session lists all notices.
+    if (!link.isOpen || !notice)
+        return;
+    link.next.notices.push_back(*notice);
+    m_hasUrgentCalls = true;
 }
 
 void slot_client::receive(const node_id& owner, const slot_reply& reply, monotonic_time now)
@@ -350,7 +361,7 @@
         rejectGrant(pool, granted.id);
         return;
     }
-    if (const auto reason = m_local.whyUnusable(granted.replica)) {
+    if (const auto reason = m_local.whyUnusable(granted.replica, {}, now)) {
         decisions.declined.push_back({ granted.id, granted.replica, *reason });
         decline(pool, decisions.declined.back(), now);
         return;
@@ -367,8 +378,9 @@
     decisions.grants.push_back(granted);
 }
 
-// The owner does not know yet what this node does. Excluding the endpoint keeps an owner that never learns it from granting it again; an
-// endpoint that this node does not know cannot be named to the owner.
+// The owner does not know yet what this node does. Excluding the endpoint keeps an owner that never learns it from granting it again; one
+// that only rests is excluded the second time, since the request may run there later. An endpoint that this node does not know cannot be
+// named to the owner.
 void slot_client::decline(std::uint32_t pool, const declined_grant& declined, monotonic_time now)
 {
     const auto found = m_waiting.find(declined.id);
@@ -376,12 +388,14 @@
     m_waiting.erase(found);
     rejectGrant(pool, declined.id);
     request.wasAdmitted = true;
-    request.excluded.push_back(declined.replica);
+    const bool mayRunThereLater = declined.reason == unusable_reason::resting && !std::exchange(request.wasDeclined, true);
+    if (!mayRunThereLater)
+        request.excluded.push_back(declined.replica);
     if (declined.reason == unusable_reason::unlisted) {
         enqueueLocally(std::move(request));
         return;
     }
-    reportNotice(declined.replica);
+    reportNotice(declined.replica, now);
     enqueue(std::move(request), now);
 }
 
@@ -512,7 +526,7 @@
     if (!link.isOpen) {
         if (now < link.nextOpenAt || isIdle(pool))
             return std::nullopt;
-        openSession(pool);
+        openSession(pool, now);
         link.nextOpenAt = now + reopenInterval;
     } else {
         const bool waitsForOwner = std::ranges::any_of(m_waiting, [&](const auto& entry) { return entry.second.pool == pool; });
@@ -563,7 +577,7 @@
     return static_cast<std::uint32_t>(std::ranges::count_if(m_running, [pool](const auto& entry) { return entry.second.pool == pool; }));
 }
 
-void slot_client::openSession(std::uint32_t pool)
+void slot_client::openSession(std::uint32_t pool, monotonic_time now)
 {
     auto& link = m_links[pool];
     link.session = ++m_lastSession;
@@ -586,9 +600,9 @@
         if (poolOfReplica(replica) == pool)
             link.next.limits.push_back({ replica, perSecond });
     }
-    for (const auto& [replica, startedAtMs] : m_local.leaving()) {
+    for (const auto& replica : m_local.withNotice(now)) {
         if (poolOfReplica(replica) == pool)
-            link.next.notices.push_back({ replica, startedAtMs, true });
+            link.next.notices.push_back(*noticeOf(replica, now));
     }
 }
 
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -131,6 +131,8 @@
     for (const auto& notice : call.notices) {
         if (notice.isLeaving)
             m_pool.setLeaving(notice.replica, notice.startedAtMs);
+        if (notice.restUntil)
+            m_pool.setRest(notice.replica, notice.startedAtMs, node, *notice.restUntil);
     }
     for (auto request : call.requests) {
         request.sender = node;
--- a/libs/placement/tests/leaving_endpoint_tests.cpp
+++ b/libs/placement/tests/leaving_endpoint_tests.cpp
@@ -98,7 +98,7 @@
     const auto last = m_fleet.submit(0);
     while (owner.load().running < 2 * slots)
         m_fleet.run(1ms);
-    m_fleet.client(0).recordLeaving(replica_id { m_leaver });
+    m_fleet.client(0).recordLeaving(replica_id { m_leaver }, m_fleet.now);
     m_fleet.run(20ms);
     ASSERT_EQ(m_fleet.declined.size(), 1U);
     EXPECT_EQ(m_fleet.declined.front().id, last);
@@ -159,9 +159,9 @@
     service_pool pool;
     pool.setEndpoints(engineRecords(1, slots), m_fleet.now);
     EXPECT_FALSE(pool.setLeaving(replica_id { "engine-0" }, 0));
-    EXPECT_FALSE(pool.whyUnusable(replica_id { "engine-0" }));
+    EXPECT_FALSE(pool.whyUnusable(replica_id { "engine-0" }, {}, m_fleet.now));
     EXPECT_TRUE(pool.setLeaving(replica_id { "engine-0" }, 1));
-    EXPECT_EQ(pool.whyUnusable(replica_id { "engine-0" }), unusable_reason::leaving);
+    EXPECT_EQ(pool.whyUnusable(replica_id { "engine-0" }, {}, m_fleet.now), unusable_reason::leaving);
 }
 
 // Guards against a new owner that lists the endpoint as ready and was not told.
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -103,7 +103,13 @@
     }
 
     /// The response of a granted request says that its endpoint leaves.
-    void sayLeaving(std::uint64_t id) { m_nodes[m_home.at(id)]->client.recordLeaving(grants.at(id).replica); }
+    void sayLeaving(std::uint64_t id) { m_nodes[m_home.at(id)]->client.recordLeaving(grants.at(id).replica, now); }
+    /// The endpoint of a granted request refuses it and asks for rest.
+    void askForRest(std::uint64_t id, duration rest)
+    {
+        m_nodes[m_home.at(id)]->client.recordRest(grants.at(id).replica, now + rest, now);
+        end(id, outcome::rejected);
+    }
 
     /// Lets time pass in steps of a millisecond.
     void run(duration span)
