--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -131,8 +131,11 @@
     /// Both throw error(invalid_message) if the body is not a valid page.
     virtual snapshot_page decodeSnapshot(const http_response& response) const = 0;
     virtual log_page decodeLog(const http_response& response) const = 0;
-    /// Whether the store no longer retains the requested offset.
+    /// Whether the store does not have the requested offset: it no longer retains it, or its log ends before it.
     virtual bool isOffsetExpired(const http_response& response) const = 0;
+    /// Number of the history that the store's log belongs to: it rises when the store comes back from an older copy, and offsets of
+    /// different histories cannot be compared. nullopt if the response does not tell.
+    virtual std::optional<std::uint64_t> storeHistory(const http_response& response) const = 0;
 
     /// Returns nullopt for records of other keys; throws error(invalid_message) for an invalid configuration.
     virtual std::optional<routing::fleet_configuration> decodeConfiguration(const store_record& record) const = 0;
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -22,6 +22,7 @@
     { store_topic::configuration, "configuration" },
     { store_topic::endpoints, "endpoints" },
     { store_topic::nodes, "nodes" },
+    { store_topic::quarantine, "quarantine" },
 });
 
 } // namespace
@@ -70,6 +71,7 @@
                 self->onFailure(result.detail);
                 return;
             }
+            self->logHistory(result.response);
             try {
                 onResponse(result.response);
             } catch (const error& failure) {
@@ -78,6 +80,19 @@
         });
 }
 
+void store_follower::logHistory(const http_response& response)
+{
+    const auto history = m_codec.storeHistory(response);
+    if (!history || *history == m_history)
+        return;
+    m_log.event("store_history_changed")
+        .field("topic", topicNames.name(m_options.topic))
+        .field("history", *history)
+        .field("before", m_history)
+        .field("offset", m_nextOffset);
+    m_history = *history;
+}
+
 void store_follower::readSnapshot(const std::string& afterKey)
 {
     if (afterKey.empty()) {
@@ -107,6 +122,11 @@
     if (*m_snapshotEnd >= m_nextOffset) {
         m_nextOffset = *m_snapshotEnd;
         m_handlers.onSnapshot(m_snapshotRecords);
+    } else {
+        m_log.event("store_snapshot_dropped")
+            .field("topic", topicNames.name(m_options.topic))
+            .field("end", *m_snapshotEnd)
+            .field("offset", m_nextOffset);
     }
     m_snapshotRecords.clear();
     schedule(m_options.interval, &store_follower::readLog);
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -48,6 +48,8 @@
     void skipTo(std::uint64_t offset) { m_nextOffset = std::max(m_nextOffset, offset); }
 
 private:
+    /// Logs a history of the store that differs from the one of the answer before.
+    void logHistory(const http_response& response);
     void sendRequest(http_request request, std::function<void(const http_response&)> onResponse);
     void readSnapshot(const std::string& afterKey);
     void onSnapshotPage(const http_response& response);
@@ -67,6 +69,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<store_record> m_snapshotRecords;
     std::optional<std::uint64_t> m_snapshotEnd;
+    std::uint64_t m_history = 0;
     std::uint64_t m_nextOffset = 0;
     std::uint64_t m_readFrom = 0;
     duration m_retryDelay;
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -66,6 +66,11 @@
     snapshot_page decodeSnapshot(const http_response&) const override { return {}; }
     log_page decodeLog(const http_response&) const override { return {}; }
     bool isOffsetExpired(const http_response&) const override { return false; }
+    std::optional<std::uint64_t> storeHistory(const http_response& response) const override
+    {
+        const auto history = response.header("history");
+        return history ? std::optional<std::uint64_t>(std::stoull(std::string(*history))) : std::nullopt;
+    }
     std::optional<routing::fleet_configuration> decodeConfiguration(const store_record&) const override { return std::nullopt; }
     discovery::registry_change decodeEndpoint(const store_record&) const override { return {}; }
 };
