Let the table of endpoints take over an older copy without believing it where it knows better

A registry that comes back from an older copy lists endpoints that have left since (DRAIN, refused connections) and drains some no more, and lacks those that have come (LOST): taken as it is, removals look like additions and additions like removals. merge() keeps what the copy lacks for a hold time, in which endpoints register again, and does not let an endpoint that was seen to leave return before the registry can have removed its entry, unless it registers or starts again; an earlier process does not replace a later one. Draining ends only with the next start of the process, in any entry. Class: a state taken for newer because it arrived later.

--- a/libs/discovery/tests/endpoint_table_tests.cpp
+++ b/libs/discovery/tests/endpoint_table_tests.cpp
@@ -98,5 +98,75 @@
     EXPECT_FALSE(m_table.records().contains(replica_id { "a" }));
 }
 
+TEST_F(endpoint_table_test, drainingEndpoint_isNotReadyAgainByAnOlderEntry)
+{
+    // A store that comes back from an older copy lists a process that drains as ready.
+    m_table.apply(registered("a", true), m_now);
+    EXPECT_FALSE(m_table.apply(registered("a"), m_now));
+    EXPECT_TRUE(m_table.records().at(replica_id { "a" }).draining);
+    auto restarted = registered("a");
+    restarted.record->startedAtMs = 2;
+    EXPECT_TRUE(m_table.apply(restarted, m_now));
+    EXPECT_FALSE(m_table.records().at(replica_id { "a" }).draining);
+}
+
+TEST_F(endpoint_table_test, olderTable_endpointThatHasLeft_doesNotReturnAtOnce)
+{
+    // Its removal is not in the copy yet, so that its entry looked like an addition; requests went to an endpoint that had left.
+    m_table.replaceAll({ registered("a"), registered("b") }, m_now);
+    m_table.apply(removed("b"), m_now);
+    EXPECT_FALSE(m_table.merge({ registered("a"), registered("b") }, m_now + 2s, m_now + 6s, m_now));
+    EXPECT_EQ(m_table.records().size(), 1U);
+    EXPECT_TRUE(m_table.isKnown(replica_id { "b" }));
+    EXPECT_FALSE(m_table.expire(m_now + 5s));
+    m_table.apply(removed("b"), m_now + 5s);
+    EXPECT_FALSE(m_table.expire(m_now + 7s));
+    EXPECT_EQ(m_table.records().size(), 1U);
+}
+
+TEST_F(endpoint_table_test, olderTable_endpointThatHadExpired_returnsIfItsEntryStays)
+{
+    // The store drops entries of live endpoints in an outage, too.
+    m_table.replaceAll({ registered("a") }, m_now);
+    m_table.apply(removed("a"), m_now);
+    m_table.merge({ registered("a") }, m_now + 2s, m_now + 6s, m_now);
+    EXPECT_TRUE(m_table.expire(m_now + 6s));
+    EXPECT_EQ(m_table.records().size(), 1U);
+}
+
+TEST_F(endpoint_table_test, olderTable_endpointThatHadLeft_returnsAtOnceIfItRegistersOrStartsAgain)
+{
+    m_table.replaceAll({ registered("a"), registered("b") }, m_now);
+    m_table.apply(removed("a"), m_now);
+    m_table.apply(removed("b"), m_now);
+    auto restarted = registered("b");
+    restarted.record->startedAtMs = 2;
+    EXPECT_TRUE(m_table.merge({ registered("a"), restarted }, m_now + 2s, m_now + 6s, m_now));
+    EXPECT_EQ(m_table.records().size(), 1U);
+    EXPECT_TRUE(m_table.apply(registered("a"), m_now));
+    EXPECT_EQ(m_table.records().size(), 2U);
+}
+
+TEST_F(endpoint_table_test, olderTable_endpointThatItLacks_isKeptUntilItCanHaveRegistered)
+{
+    // What the endpoints wrote since the copy is written again; until then their entries look like removals.
+    m_table.replaceAll({ registered("a"), registered("b"), registered("c") }, m_now);
+    m_table.merge({ registered("a") }, m_now + 2s, m_now + 6s, m_now);
+    EXPECT_EQ(m_table.records().size(), 3U);
+    m_table.apply(registered("b"), m_now + 1s);
+    EXPECT_TRUE(m_table.expire(m_now + 2s));
+    EXPECT_EQ(m_table.records().size(), 2U);
+    EXPECT_TRUE(m_table.isListed(replica_id { "b" }));
+}
+
+TEST_F(endpoint_table_test, olderTable_earlierProcessOfAnEndpoint_doesNotReplaceTheLaterOne)
+{
+    auto restarted = registered("a");
+    restarted.record->startedAtMs = 2;
+    m_table.replaceAll({ restarted }, m_now);
+    EXPECT_FALSE(m_table.merge({ registered("a") }, m_now + 2s, m_now + 6s, m_now));
+    EXPECT_EQ(m_table.records().at(replica_id { "a" }).startedAtMs, 2);
+}
+
 } // namespace
 } // namespace carawaylink::discovery
