Tell one history of the store from another wherever positions are kept or compared

Callers got 404 for routes that had been confirmed, or old versions, after the store had come back from an older copy (CONFIG, DENIED); nodes called it in a loop. Cause: an offset was taken for a position in the log, which it is only within one history. Change: positions are (history, offset) in the follower, in updates, copy requests and copies. An answer of a later history starts a follower over, one of an earlier history is not used. A follower that sees a later history tells the others of its node, and an update tells the other nodes, so that reads that wait for half a minute notice as well. What changed when is forgotten with its history, and the copy of the endpoints is merged. Nodes of an older version name no history; their updates are not used in any but the first.

--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace carawaylink::gateway {
 
@@ -12,6 +13,8 @@
 // After an outage longer than this, the store may have expired entries of endpoints that are still alive.
 constexpr auto minOutage = std::chrono::milliseconds(600);
 constexpr auto reregistrationTime = std::chrono::milliseconds(2200);
+// The store removes the entry of an endpoint that has ended within this time, three heartbeats of the endpoint.
+constexpr auto staleEntryTime = std::chrono::seconds(6);
 
 } // namespace
 
@@ -28,10 +31,13 @@
         if (!listed.contains(id))
             m_changedAt[id.value] = offset;
     }
-    if (!m_isLoaded)
+    const bool isFirst = !std::exchange(m_isLoaded, true);
+    const bool mergesOlder = std::exchange(m_mergesNext, false) && !isFirst;
+    if (isFirst || mergesOlder)
         m_completeSince = offset;
-    const bool changed = m_table.replaceAll(changes, now) || !m_isLoaded;
-    m_isLoaded = true;
+    const bool isTableChanged
+        = mergesOlder ? m_table.merge(changes, now + reregistrationTime, now + staleEntryTime, now) : m_table.replaceAll(changes, now);
+    const bool changed = isTableChanged || isFirst;
     if (changed) {
         m_changedOffset = offset;
         dropUnknownRecords();
@@ -98,6 +104,14 @@
     return replaceAll(records, copy.endpoints_offset, now);
 }
 
+void endpoint_registry::onHistoryChanged()
+{
+    m_mergesNext = m_isLoaded;
+    m_changedAt.clear();
+    m_completeSince = 0;
+    m_changedOffset = 0;
+}
+
 void endpoint_registry::onStoreReconnected(duration outage, monotonic_time now)
 {
     if (outage > minOutage)
@@ -170,7 +184,7 @@
 
 void endpoint_registry::dropUnknownRecords()
 {
-    std::erase_if(m_records, [this](const auto& entry) { return !m_table.records().contains(discovery::replica_id { entry.first }); });
+    std::erase_if(m_records, [this](const auto& entry) { return !m_table.isKnown(discovery::replica_id { entry.first }); });
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -12,7 +12,7 @@
 namespace carawaylink::gateway {
 
 /// Endpoints known to this node, from its own reads of the store and from copies sent by peers. Does no I/O. Offsets are positions in
-/// the endpoint log up to which the records were read.
+/// the endpoint log up to which the records were read, all in the same history of the store.
 class endpoint_registry {
 public:
     endpoint_registry(const protocol_codec& codec, decision_log& log)
@@ -29,6 +29,9 @@
     bool applyUpdate(const peer::store_updateT& update, bool reachesStore, monotonic_time now);
     /// Applies a copy that a peer read from the store. reachesStore: this node reads the store too and detects outages itself.
     bool applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now);
+    /// The store has come back from an older copy: the next snapshot or copy, which may list endpoints that have left and lack some that
+    /// have come, is merged with what is known.
+    void onHistoryChanged();
     /// Call when the store responds again; defers removals so that entries expired during the outage can be registered again.
     void onStoreReconnected(duration outage, monotonic_time now);
     /// Applies deferred removals that are due; returns whether the usable endpoints changed.
@@ -61,9 +64,10 @@
     // Offset up to which the log was read when the endpoint last changed.
     std::map<std::string, std::uint64_t> m_changedAt;
     std::uint64_t m_changedOffset = 0;
-    // Offset of the first snapshot or copy. What was removed before is unknown here.
+    // Offset of the first snapshot or copy of this history. What was removed before is unknown here.
     std::uint64_t m_completeSince = 0;
     bool m_isLoaded = false;
+    bool m_mergesNext = false;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -65,13 +65,14 @@
     options.maxBodyBytes = maxStoreResponseBytes;
     // The connection of a failed request may never respond again.
     options.reuseConnection = m_isReachable;
-    m_client.send(
-        m_address, std::move(request), options, [self = shared_from_this(), onResponse = std::move(onResponse)](const http_result& result) {
+    m_client.send(m_address, std::move(request), options,
+        [self = shared_from_this(), number = ++m_requestNumber, onResponse = std::move(onResponse)](const http_result& result) {
+            if (number != self->m_requestNumber)
+                return;
             if (!result.ok()) {
                 self->onFailure(result.detail);
                 return;
             }
-            self->logHistory(result.response);
             try {
                 onResponse(result.response);
             } catch (const error& failure) {
@@ -80,17 +81,59 @@
         });
 }
 
-void store_follower::logHistory(const http_response& response)
+bool store_follower::changeHistory(std::uint64_t history)
 {
-    const auto history = m_codec.storeHistory(response);
-    if (!history || *history == m_history)
-        return;
+    if (history <= m_position.history)
+        return false;
     m_log.event("store_history_changed")
         .field("topic", topicNames.name(m_options.topic))
-        .field("history", *history)
-        .field("before", m_history)
-        .field("offset", m_nextOffset);
-    m_history = *history;
+        .field("history", history)
+        .field("before", m_position.history)
+        .field("offset", m_position.offset);
+    m_position = { history, 0 };
+    m_isLoaded = false;
+    m_goneDelay = {};
+    m_handlers.onHistoryChanged(history);
+    return true;
+}
+
+bool store_follower::isOutdated(const http_response& response) const
+{
+    const auto history = m_codec.storeHistory(response);
+    return history && *history < m_position.history;
+}
+
+bool store_follower::seesLaterHistory(const http_response& response)
+{
+    const auto history = m_codec.storeHistory(response);
+    return history && changeHistory(*history);
+}
+
+void store_follower::abandonRead()
+{
+    ++m_requestNumber;
+    m_timer.cancel();
+    m_isScheduled = false;
+}
+
+void store_follower::enterHistory(std::uint64_t history)
+{
+    const bool isFirstKnown = m_position.history == 0 && !m_isLoaded;
+    if (!changeHistory(history) || isFirstKnown)
+        return;
+    abandonRead();
+    restart();
+}
+
+void store_follower::skipTo(const log_position& position)
+{
+    const bool isLater = changeHistory(position.history);
+    m_position = std::max(m_position, position);
+    m_isLoaded = true;
+    if (!isLater)
+        return;
+    abandonRead();
+    schedule({}, &store_follower::readLog);
 }
 
 void store_follower::readSnapshot(const std::string& afterKey)
@@ -109,6 +152,11 @@
         onFailure("status " + std::to_string(response.status));
         return;
     }
+    const bool isFirstPage = !m_snapshotEnd;
+    if (isOutdated(response) || (seesLaterHistory(response) && !isFirstPage)) {
+        schedule(minRetryDelay, &store_follower::restart);
+        return;
+    }
     auto page = m_codec.decodeSnapshot(response);
     m_snapshotEnd = std::min(m_snapshotEnd.value_or(page.endOffset), page.endOffset);
     std::ranges::move(page.records, std::back_inserter(m_snapshotRecords));
@@ -119,14 +167,14 @@
     onSuccess();
     m_isLoaded = true;
     // A copy from a peer may be newer than the snapshot.
-    if (*m_snapshotEnd >= m_nextOffset) {
-        m_nextOffset = *m_snapshotEnd;
+    if (*m_snapshotEnd >= m_position.offset) {
+        m_position.offset = *m_snapshotEnd;
         m_handlers.onSnapshot(m_snapshotRecords);
     } else {
         m_log.event("store_snapshot_dropped")
             .field("topic", topicNames.name(m_options.topic))
             .field("end", *m_snapshotEnd)
-            .field("offset", m_nextOffset);
+            .field("offset", m_position.offset);
     }
     m_snapshotRecords.clear();
     schedule(m_options.interval, &store_follower::readLog);
@@ -134,19 +182,26 @@
 
 void store_follower::readLog()
 {
-    m_readFrom = m_nextOffset;
+    m_readFrom = m_position.offset;
     m_readStartedAt = std::chrono::steady_clock::now();
-    sendRequest(
-        m_codec.readLog(m_options.topic, m_nextOffset, m_options.wait), [this](const http_response& response) { onLogPage(response); });
+    sendRequest(m_codec.readLog(m_options.topic, m_position.offset, m_options.wait),
+        [this](const http_response& response) { onLogPage(response); });
 }
 
 void store_follower::onLogPage(const http_response& response)
 {
-    if (m_codec.isOffsetExpired(response)) {
-        m_log.event("store_history_gone").field("topic", topicNames.name(m_options.topic)).field("offset", m_nextOffset);
+    if (isOutdated(response)) {
+        schedule(minRetryDelay, &store_follower::readLog);
+        return;
+    }
+    if (seesLaterHistory(response)) {
         restart();
         return;
     }
+    if (m_codec.isOffsetExpired(response)) {
+        restartAfterGone();
+        return;
+    }
     if (response.status != statusOk) {
         onFailure("status " + std::to_string(response.status));
         return;
@@ -154,21 +209,34 @@
     auto page = m_codec.decodeLog(response);
     onSuccess();
     // A copy from a peer may have advanced the offset during the read; older records would revert it.
-    const auto known = std::min<std::uint64_t>(m_nextOffset - m_readFrom, page.records.size());
+    const auto known = std::min<std::uint64_t>(m_position.offset - m_readFrom, page.records.size());
     page.records.erase(page.records.begin(), page.records.begin() + static_cast<std::ptrdiff_t>(known));
-    m_nextOffset += page.records.size();
+    m_position.offset += page.records.size();
+    m_goneDelay = {};
     if (!page.records.empty())
         m_handlers.onRecords(page.records);
-    const bool isBehind = m_nextOffset < page.endOffset;
+    const bool isBehind = m_position.offset < page.endOffset;
     schedule(isBehind ? duration {} : m_options.interval, &store_follower::readLog);
 }
 
+// What the store says it does not have is not its log; a snapshot that ends before it is then the newest there is.
+void store_follower::restartAfterGone()
+{
+    m_log.event("store_history_gone")
+        .field("topic", topicNames.name(m_options.topic))
+        .field("offset", m_position.offset)
+        .field("delay_ms", wholeMilliseconds(m_goneDelay));
+    m_position.offset = 0;
+    const auto next = std::clamp<duration>(2 * m_goneDelay, minRetryDelay, maxRetryDelay);
+    schedule(std::exchange(m_goneDelay, next), &store_follower::restart);
+}
+
 void store_follower::schedule(duration delay, void (store_follower::*step)())
 {
     m_isScheduled = true;
     m_timer.expires_after(delay);
-    m_timer.async_wait([self = shared_from_this(), step](boost::system::error_code status) {
-        if (status)
+    m_timer.async_wait([self = shared_from_this(), number = ++m_requestNumber, step](boost::system::error_code status) {
+        if (status || number != self->m_requestNumber)
             return;
         self->m_isScheduled = false;
         (self.get()->*step)();
@@ -179,9 +247,10 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (!m_isReachable) {
-        const auto outage = m_lastSuccess == monotonic_time {} ? duration {} : now - m_lastSuccess;
+        const bool wasReachedBefore = m_lastSuccess != monotonic_time {};
+        const auto outage = wasReachedBefore ? now - m_lastSuccess : duration {};
         m_log.event("store_reached").field("topic", topicNames.name(m_options.topic)).field("away_ms", wholeMilliseconds(outage));
-        if (m_isLoaded)
+        if (m_isLoaded && wasReachedBefore)
             m_handlers.onReconnected(outage);
     }
     m_isReachable = true;
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -3,6 +3,7 @@
 #include "decision_log.h"
 #include "gateway/protocol_codec.h"
 #include "http/client.h"
+#include "log_position.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -20,7 +21,8 @@
     duration interval {};
 };
 
-/// Follows one topic of the store: reads a snapshot, then the log. Starts over if the store no longer retains the offset.
+/// Follows one topic of the store: reads a snapshot, then the log. Starts over if the store does not have the offset, or has come back from
+/// an older copy.
 class store_follower : public std::enable_shared_from_this<store_follower> {
 public:
     struct handlers {
@@ -29,34 +31,48 @@
         std::function<void(const std::vector<store_record>&)> onRecords;
         /// Called before the first records after an outage of the store.
         std::function<void(duration outage)> onReconnected;
+        /// Called when a later history of the store is seen, before any of its records.
+        std::function<void(std::uint64_t history)> onHistoryChanged = [](std::uint64_t) {};
     };
 
     store_follower(boost::asio::io_context& context, http_client& client, std::string address, const protocol_codec& codec,
         decision_log& log, follow_options options, handlers callbacks);
 
-    void start() { readSnapshot({}); }
+    void start() { restart(); }
     bool isReachable() const { return m_isReachable; }
     /// Sets the long-poll time and the interval between reads, effective from the next read.
     void setReadTiming(duration wait, duration interval);
-    /// Log offset up to which records are known.
-    std::uint64_t offset() const { return m_nextOffset; }
+    /// Position in the log up to which records are known.
+    const log_position& position() const { return m_position; }
+    /// Whether the records up to the position are known; not the case until the first snapshot of a history.
+    bool isLoaded() const { return m_isLoaded; }
     /// Start time of the last successful read.
     monotonic_time asOf() const { return m_asOf; }
     /// Starts the next read now if one is scheduled.
     void readNow();
-    /// Skips records before this offset, which are known from another source.
-    void skipTo(std::uint64_t offset) { m_nextOffset = std::max(m_nextOffset, offset); }
+    /// Skips records before this position, which are known from another source.
+    void skipTo(const log_position& position);
+    /// The store has this history, which another source tells; starts over if it is later than the one followed.
+    void enterHistory(std::uint64_t history);
 
 private:
-    /// Logs a history of the store that differs from the one of the answer before.
-    void logHistory(const http_response& response);
     void sendRequest(http_request request, std::function<void(const http_response&)> onResponse);
+    /// Follows the history from its start; returns false if it is not later than the one followed.
+    bool changeHistory(std::uint64_t history);
+    /// Whether the response belongs to an earlier history and arrived late.
+    bool isOutdated(const http_response& response) const;
+    /// Changes to the history of the response; returns whether it is later than the one followed.
+    bool seesLaterHistory(const http_response& response);
     void readSnapshot(const std::string& afterKey);
     void onSnapshotPage(const http_response& response);
     void readLog();
     void onLogPage(const http_response& response);
     void schedule(duration delay, void (store_follower::*step)());
     void restart() { readSnapshot({}); }
+    /// Reads a snapshot because the store does not have the offset; at once the first time, later each time with a longer delay.
+    void restartAfterGone();
+    /// Ignores the response to the request in progress.
+    void abandonRead();
     void onFailure(const std::string& reason);
     void onSuccess();
 
@@ -69,9 +85,12 @@
     boost::asio::steady_timer m_timer;
     std::vector<store_record> m_snapshotRecords;
     std::optional<std::uint64_t> m_snapshotEnd;
-    std::uint64_t m_history = 0;
-    std::uint64_t m_nextOffset = 0;
+    log_position m_position;
     std::uint64_t m_readFrom = 0;
+    /// Number of the request or pause in progress; what earlier ones lead to is ignored.
+    std::uint64_t m_requestNumber = 0;
+    /// Delay before the next snapshot if the store does not have the offset again.
+    duration m_goneDelay {};
     duration m_retryDelay;
     bool m_isLoaded = false;
     bool m_isReachable = false;
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -70,6 +70,7 @@
 void store_sync::follow()
 {
     const auto follower = [this](follow_options options, store_follower::handlers callbacks) {
+        callbacks.onHistoryChanged = [this](std::uint64_t history) { onHistoryChanged(history); };
         auto created
             = std::make_shared<store_follower>(m_context, m_client, m_settings.storeAddress, m_codec, m_log, options, std::move(callbacks));
         created->start();
@@ -86,8 +87,22 @@
     m_nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
         { [this](const auto& records) { onNodeRecords(records); }, [this](const auto& records) { onNodeRecords(records); },
             [](duration) {} });
-    m_quarantineFollower = follower(
-        { store_topic::quarantine, {}, quarantineInterval }, { m_handlers.onQuarantine, m_handlers.onQuarantine, [](duration) {} });
+    m_quarantineFollower = follower({ store_topic::quarantine, {}, quarantineInterval },
+        { m_handlers.onQuarantine, m_handlers.onQuarantine, [](duration) {} });
+}
+
+// Each follower reads its topic anew, since what the store has lost may be in any of them.
+void store_sync::onHistoryChanged(std::uint64_t history)
+{
+    if (history <= m_history)
+        return;
+    m_history = history;
+    m_updateOffsets.clear();
+    m_endpoints.onHistoryChanged();
+    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower }) {
+        if (follower)
+            follower->enterHistory(history);
+    }
 }
 
 void store_sync::publish(store_topic topic, const std::string& key, const std::string& value)
@@ -132,13 +147,13 @@
 
 void store_sync::onEndpointSnapshot(const std::vector<store_record>& records)
 {
-    if (m_endpoints.replaceAll(records, m_endpointFollower->offset(), std::chrono::steady_clock::now()))
+    if (m_endpoints.replaceAll(records, endpointPosition().offset, std::chrono::steady_clock::now()))
         onEndpointsChanged();
 }
 
 void store_sync::onEndpointRecords(const std::vector<store_record>& records)
 {
-    if (m_endpoints.apply(records, m_endpointFollower->offset(), std::chrono::steady_clock::now()))
+    if (m_endpoints.apply(records, endpointPosition().offset, std::chrono::steady_clock::now()))
         onEndpointsChanged();
 }
 
@@ -170,7 +185,7 @@
 
 void store_sync::tick(monotonic_time now)
 {
-    if (m_endpoints.expire(m_endpointFollower->offset(), now))
+    if (m_endpoints.expire(endpointPosition().offset, now))
         onEndpointsChanged();
     const bool wasReader = m_isReader;
     const auto rank = m_members.reachableBefore();
@@ -199,6 +214,8 @@
 
 void store_sync::sendUpdate(monotonic_time now)
 {
+    if (!m_endpointFollower->isLoaded())
+        return;
     m_lastUpdateAt = now;
     peer::store_updateT update;
     update.origin = m_self.value;
@@ -206,7 +223,8 @@
     update.sent_us = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
     update.sequence = ++m_updateSequence;
     update.configuration_version = m_handlers.version().value;
-    update.offset = m_endpointFollower->offset();
+    update.history = endpointPosition().history;
+    update.offset = endpointPosition().offset;
     update.age_ms = ageInMilliseconds(m_endpointFollower->asOf(), now);
     while (m_updateOffsets.size() > 1 && now - m_updateOffsets[1].first >= repeatedChangesTime)
         m_updateOffsets.pop_front();
@@ -245,11 +263,13 @@
         m_mentionedVersion = mentioned;
         m_mentionedAt = now;
     }
-    // Without the changes before the base, this node reads the store itself.
-    if (!m_endpoints.isLoaded() || m_endpointFollower->offset() < update.base_offset)
+    onHistoryChanged(update.history);
+    // Without the changes before the base, or all of the history, this node reads the store itself.
+    const auto known = endpointPosition();
+    if (!m_endpoints.isLoaded() || !m_endpointFollower->isLoaded() || known.history != update.history || known.offset < update.base_offset)
         return;
-    if (update.offset > m_endpointFollower->offset()) {
-        m_endpointFollower->skipTo(update.offset);
+    if (update.offset > known.offset) {
+        m_endpointFollower->skipTo({ update.history, update.offset });
         if (m_endpoints.applyUpdate(update, reachesStore(), now))
             applyEndpoints();
     }
@@ -264,7 +284,8 @@
     std::ranges::shuffle(nodes, m_random);
     nodes.resize(std::min(nodes.size(), copySources));
     peer::copy_requestT request;
-    request.endpoints_offset = m_endpointFollower->offset();
+    request.history = endpointPosition().history;
+    request.endpoints_offset = endpointPosition().offset;
     request.configuration_version = m_handlers.version().value;
     peer::envelopeT message;
     message.body.Set(std::move(request));
@@ -274,7 +295,8 @@
 void store_sync::receive(const node_id& sender, const peer::copy_requestT& request)
 {
     const bool hasConfiguration = m_handlers.version().value > request.configuration_version && m_configurationRecord.value;
-    const bool hasEndpoints = reachesStore() && m_endpoints.isLoaded() && m_endpointFollower->offset() > request.endpoints_offset;
+    const bool hasEndpoints = reachesStore() && m_endpoints.isLoaded() && m_endpointFollower->isLoaded()
+        && endpointPosition() > log_position { request.history, request.endpoints_offset };
     if (!hasConfiguration && !hasEndpoints)
         return;
     peer::store_copyT copy;
@@ -282,8 +304,9 @@
         copy.configuration_key = m_configurationRecord.key;
         copy.configuration.assign(m_configurationRecord.value->begin(), m_configurationRecord.value->end());
     }
+    copy.history = endpointPosition().history;
     if (hasEndpoints)
-        m_endpoints.fillCopy(copy, m_endpointFollower->offset(), std::chrono::steady_clock::now());
+        m_endpoints.fillCopy(copy, endpointPosition().offset, std::chrono::steady_clock::now());
     peer::envelopeT message;
     message.body.Set(std::move(copy));
     m_handlers.send({ &sender, 1 }, std::move(message));
@@ -293,9 +316,10 @@
 {
     if (!copy.configuration_key.empty())
         applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) });
-    if (copy.endpoints.empty() || copy.endpoints_offset <= m_endpointFollower->offset())
+    const log_position position { copy.history, copy.endpoints_offset };
+    if (copy.endpoints.empty() || position <= endpointPosition())
         return;
-    m_endpointFollower->skipTo(copy.endpoints_offset);
+    m_endpointFollower->skipTo(position);
     if (m_endpoints.applyCopy(copy, m_endpointFollower->isReachable(), std::chrono::steady_clock::now()))
         applyEndpoints();
 }
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -55,6 +55,9 @@
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
     void onNodeRecords(const std::vector<store_record>& records);
+    /// The store has come back from an older copy, as a read or a peer tells.
+    void onHistoryChanged(std::uint64_t history);
+    log_position endpointPosition() const { return m_endpointFollower->position(); }
     void onEndpointsChanged();
     void applyEndpoints();
     void adjustReadTiming(monotonic_time now);
@@ -82,6 +85,8 @@
     store_record m_configurationRecord;
     std::set<node_id> m_listed;
     bool m_isReader = false;
+    /// Latest history of the store that any follower or peer has seen.
+    std::uint64_t m_history = 0;
     std::uint64_t m_updateSequence = 0;
     /// Offsets that this node had reached at its last updates.
     std::deque<std::pair<monotonic_time, std::uint64_t>> m_updateOffsets;
--- a/libs/gateway/tests/endpoint_registry_tests.cpp
+++ b/libs/gateway/tests/endpoint_registry_tests.cpp
@@ -177,5 +177,27 @@
     EXPECT_EQ(m_receiver.records().size(), 1U);
 }
 
+TEST_F(endpoint_registry_test, olderCopyOfStore_isMergedAndPassedOnFromItsEndOnly)
+{
+    // Offsets of the log before would tell receivers that they know changes which they have never seen.
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" }, { "c", "ready" } }, 20, m_now);
+    m_reader.apply({ { "b", std::nullopt } }, 21, m_now);
+    m_reader.onHistoryChanged();
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 8, m_now);
+    EXPECT_EQ(m_reader.records().size(), 2U);
+    EXPECT_TRUE(m_reader.records().contains(discovery::replica_id { "c" }));
+    EXPECT_FALSE(m_reader.records().contains(discovery::replica_id { "b" }));
+
+    m_reader.apply({ { "d", "ready" } }, 9, m_now);
+    peer::store_updateT update;
+    update.offset = 9;
+    m_reader.fillUpdate(update, m_now);
+    EXPECT_EQ(update.base_offset, 8U);
+    ASSERT_EQ(update.changes.size(), 1U);
+    EXPECT_EQ(update.changes.front()->key, "d");
+    EXPECT_TRUE(m_reader.expire(9, m_now + 3s));
+    EXPECT_FALSE(m_reader.records().contains(discovery::replica_id { "c" }));
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -69,7 +69,8 @@
         };
         m_follower = std::make_shared<store_follower>(m_threads.context(0), m_client, m_address, m_codec, m_log,
             follow_options { store_topic::endpoints, {}, 5ms },
-            store_follower::handlers { recordAll("newest"), recordAll("log"), [this](duration) { recordEvent("returned"); } });
+            store_follower::handlers { recordAll("newest"), recordAll("log"), [this](duration) { recordEvent("returned"); },
+                [this](std::uint64_t history) { recordEvent("history:" + std::to_string(history)); } });
         m_threads.post(0, [this] { m_follower->start(); });
     }
 
@@ -83,17 +84,22 @@
         if (m_isDown) {
             responder.abort();
         } else if (request.path() == "/newest") {
-            responder.send({ 200, {}, m_snapshot });
+            responder.send({ 200, headers(), m_snapshot });
         } else {
             const auto from = std::stoull(request.query("from").value_or("0"));
             m_lastFrom = from;
             if (from < m_firstOffset)
-                responder.send({ 410, {}, "" });
+                responder.send({ 410, headers(), "" });
             else
-                responder.send({ 200, {}, m_logByOffset.contains(from) ? m_logByOffset[from] : std::to_string(from) });
+                responder.send({ 200, headers(), m_logByOffset.contains(from) ? m_logByOffset[from] : std::to_string(from) });
         }
     }
 
+    std::vector<http_header> headers() const
+    {
+        return m_history == 0 ? std::vector<http_header> {} : std::vector<http_header> { { "history", std::to_string(m_history) } };
+    }
+
     void recordEvent(const std::string& text)
     {
         const std::lock_guard guard(m_mutex);
@@ -120,6 +126,8 @@
     std::map<std::uint64_t, std::string> m_logByOffset;
     std::uint64_t m_firstOffset = 0;
     std::uint64_t m_lastFrom = 0;
+    // History of the store's answers; 0 for answers that do not tell.
+    std::uint64_t m_history = 0;
     bool m_isDown = false;
     std::size_t m_requests = 0;
     // Called while a read of the follower is in progress.
@@ -160,7 +168,7 @@
     m_logByOffset[4] = "5 a=leaving";
     m_beforeResponse = [this](const http_request& request) {
         if (request.query("from").value_or("") == "2")
-            m_follower->skipTo(4);
+            m_follower->skipTo({ 0, 4 });
     };
     start();
     EXPECT_TRUE(waitFor("log:a=leaving"));
@@ -173,7 +181,7 @@
     m_logByOffset[7] = "8 c=3";
     m_beforeResponse = [this](const http_request& request) {
         if (request.path() == "/newest")
-            m_follower->skipTo(7);
+            m_follower->skipTo({ 0, 7 });
     };
     start();
     EXPECT_TRUE(waitFor("log:c=3"));
@@ -193,6 +201,102 @@
     EXPECT_TRUE(waitFor("newest:c=3"));
 }
 
+TEST_F(store_follower_test, snapshotOfLaterHistoryThatEndsBelowTheOffset_isDelivered)
+{
+    // The store came back from an older copy; the snapshot was dropped for ever, as if a copy of a peer were newer.
+    m_snapshot = "12 a=1";
+    m_history = 1;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    set([this] {
+        m_history = 2;
+        m_snapshot = "4 c=3";
+    });
+    EXPECT_TRUE(waitFor("newest:c=3"));
+    set([this] { m_logByOffset[4] = "5 d=4"; });
+    EXPECT_TRUE(waitFor("log:d=4"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_LT(std::ranges::find(m_received, "history:2"), std::ranges::find(m_received, "newest:c=3"));
+}
+
+TEST_F(store_follower_test, recordsOfLaterHistoryAtTheOldOffset_areNotTakenForTheNextOnes)
+{
+    // The new log has grown past the old offset, so that no 410 tells that records were missed.
+    m_history = 1;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    set([this] {
+        m_history = 2;
+        m_snapshot = "6 c=3";
+        m_logByOffset[2] = "6 x=1";
+    });
+    EXPECT_TRUE(waitFor("newest:c=3"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(std::ranges::find(m_received, "log:x=1"), m_received.end());
+}
+
+TEST_F(store_follower_test, lateAnswerOfEarlierHistory_isNotDelivered)
+{
+    // An answer from before the store came back would revert what was read since, or move the offset.
+    m_history = 2;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    set([this] {
+        m_history = 1;
+        m_logByOffset[2] = "9 x=1";
+    });
+    std::this_thread::sleep_for(100ms);
+    set([this] {
+        m_history = 2;
+        m_logByOffset[2] = "3 d=4";
+    });
+    EXPECT_TRUE(waitFor("log:d=4"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(std::ranges::find(m_received, "log:x=1"), m_received.end());
+}
+
+TEST_F(store_follower_test, laterHistoryThatAPeerTells_isReadAtOnce)
+{
+    // A read that waits at the store for half a minute does not notice that the store came back.
+    m_history = 1;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    set([this] {
+        m_history = 2;
+        m_snapshot = "1 c=3";
+    });
+    m_threads.post(0, [this] { m_follower->enterHistory(2); });
+    EXPECT_TRUE(waitFor("newest:c=3"));
+}
+
+TEST_F(store_follower_test, copyOfLaterHistory_replacesThePositionOfTheEarlierOne)
+{
+    // The position in the copy is lower, and newer.
+    m_snapshot = "12 a=1";
+    m_history = 1;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    set([this] {
+        m_history = 2;
+        m_snapshot = "3 c=3";
+        m_logByOffset[4] = "5 d=4";
+    });
+    m_threads.post(0, [this] { m_follower->skipTo({ 2, 4 }); });
+    EXPECT_TRUE(waitFor("log:d=4"));
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(std::ranges::find(m_received, "newest:c=3"), m_received.end());
+}
+
+TEST_F(store_follower_test, offsetThatTheStoreNeverHas_isAskedLessAndLessOften)
+{
+    // 410 and a snapshot followed each other without a pause, whatever the reason, 19,368 calls on one day.
+    m_firstOffset = 1000;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    std::this_thread::sleep_for(2s);
+    set([this] { EXPECT_LE(m_requests, 14U); });
+}
+
 TEST_F(store_follower_test, storeOutage_isReportedBeforeNextRecords)
 {
     // Removals after an outage must be distinguishable from ordinary ones.
@@ -224,7 +328,7 @@
     start();
     ASSERT_TRUE(waitFor("newest:a=1"));
     set([this] { m_logByOffset[7] = "8 e=5"; });
-    m_threads.post(0, [this] { m_follower->skipTo(7); });
+    m_threads.post(0, [this] { m_follower->skipTo({ 0, 7 }); });
     EXPECT_TRUE(waitFor("log:e=5"));
 }
 
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -410,11 +410,28 @@
     m_appended.notify_all();
 }
 
+store::contents store::copy()
+{
+    const std::lock_guard guard(m_mutex);
+    return m_topics;
+}
+
+void store::restore(const contents& older)
+{
+    const std::lock_guard guard(m_mutex);
+    m_topics = older;
+    ++m_history;
+    m_appended.notify_all();
+}
+
 void store::serve(connection& caller)
 {
     while (const auto request = caller.read(milliseconds(60000))) {
         pauseFor(storeLatency);
-        if (!caller.send(answer(*request)))
+        ++m_calls;
+        auto text = answer(*request);
+        text.insert(text.find("\r\n") + 2, "Store-Era: " + std::to_string(m_history) + "\r\n");
+        if (!caller.send(text))
             return;
     }
 }
@@ -455,8 +472,10 @@
 std::string store::read(const std::string& topic, std::size_t from, milliseconds wait)
 {
     std::unique_lock guard(m_mutex);
-    m_appended.wait_for(guard, wait, [&] { return m_isStopping || m_topics[topic].size() > from; });
+    m_appended.wait_for(guard, wait, [&] { return m_isStopping || m_topics[topic].size() != from; });
     const auto& entries = m_topics[topic];
+    if (from > entries.size())
+        return response(410, R"({"first":0})", "Content-Type: application/json\r\n");
     auto body = bigEndian(entries.size(), 8) + bigEndian(0, 8);
     for (std::size_t offset = from; offset < entries.size(); ++offset) {
         const auto& found = entries[offset];
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -121,11 +121,18 @@
     /// Without a value, the key is dropped.
     void put(const std::string& topic, const std::string& key, const std::optional<std::string>& value);
 
-private:
     struct entry {
         std::string key;
         std::optional<std::string> value;
     };
+    using contents = std::map<std::string, std::vector<entry>>;
+    contents copy();
+    /// Comes back from an older copy: what was written since is lost, and the next history begins.
+    void restore(const contents& older);
+    /// Number of calls that it has answered.
+    std::size_t calls() const { return m_calls; }
+
+private:
     void serve(connection& caller);
     std::string answer(const message& request);
     std::string newest(const std::string& topic);
@@ -135,7 +142,9 @@
     std::mutex m_mutex;
     bool m_isStopping = false;
     std::condition_variable m_appended;
-    std::map<std::string, std::vector<entry>> m_topics;
+    contents m_topics;
+    std::atomic<unsigned> m_history = 1;
+    std::atomic<std::size_t> m_calls = 0;
     std::unique_ptr<listener> m_listener;
 };
 
