Write again what a store from an older copy has lost of this system's own records

A store that came back from a copy has neither the addresses of nodes nor the quarantined prompt parts that were written since: nodes that start later find fewer peers, and a fleet that restarts as a whole lets the parts crash endpoints again. Cause: both were written once and taken for lasting.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -119,6 +119,7 @@
             membership.addSeeds({ nodes.begin(), nodes.end() });
         };
         result.onQuarantine = [this](const std::vector<store_record>& records) { dispatcher.restoreQuarantine(records); };
+        result.onQuarantineLost = [this](const std::vector<store_record>& records) { dispatcher.rewriteQuarantine(records); };
         result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
         result.version = [this] { return dispatcher.version(); };
         return result;
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -206,6 +206,20 @@
         m_onQuarantined();
 }
 
+void prompt_quarantine::rewrite(const std::vector<store_record>& records, const fleet_members& members, monotonic_time now)
+{
+    for (const auto& entry : m_list.inForce(now)) {
+        const auto key = logName(entry.part);
+        const auto value = std::to_string(entry.times);
+        const bool isHeld
+            = std::ranges::any_of(records, [&](const store_record& record) { return record.key == key && record.value == value; });
+        if (isHeld || members.nodeFor(entry.part.value) != m_self)
+            continue;
+        m_log.event("quarantine_rewritten").field("part", key).field("times", entry.times);
+        m_store(key, value);
+    }
+}
+
 // One node deletes the record of a part whose time is over, so that it is not restored by a later start.
 void prompt_quarantine::deleteEnded(const fleet_members& members, monotonic_time now)
 {
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -40,6 +40,8 @@
     void setStore(store_writer writer) { m_store = std::move(writer); }
     /// Quarantines the parts that the store holds, each for its whole time, since their age is unknown.
     void restore(const std::vector<store_record>& records, monotonic_time now);
+    /// Writes the records that a store from an older copy lacks, of the parts that this node is in charge of. records: what it holds.
+    void rewrite(const std::vector<store_record>& records, const fleet_members& members, monotonic_time now);
     /// Time for which requests with any of the parts are refused; nullopt if they are not.
     std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
     /// Number of parts in force.
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -246,6 +246,11 @@
     m_quarantine.restore(records, std::chrono::steady_clock::now());
 }
 
+void request_dispatcher::rewriteQuarantine(const std::vector<store_record>& records)
+{
+    m_quarantine.rewrite(records, *m_members, std::chrono::steady_clock::now());
+}
+
 void request_dispatcher::removeNode(const node_id& node)
 {
     m_slots.removeNode(node);
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -46,6 +46,8 @@
     void loseConnection(const node_id& node) { m_slots.loseConnection(node); }
     /// Takes over the quarantine that the store holds.
     void restoreQuarantine(const std::vector<store_record>& records);
+    /// Writes what the store has lost of the quarantine. records: what it holds.
+    void rewriteQuarantine(const std::vector<store_record>& records);
     void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -64,6 +64,11 @@
 void store_sync::start()
 {
     follow();
+    publishSelf();
+}
+
+void store_sync::publishSelf()
+{
     publish(store_topic::nodes, m_settings.nodeName, m_settings.peerAddress);
 }
 
@@ -85,10 +90,10 @@
         { [this](const auto& records) { onEndpointSnapshot(records); }, [this](const auto& records) { onEndpointRecords(records); },
             [this](duration outage) { m_endpoints.onStoreReconnected(outage, std::chrono::steady_clock::now()); } });
     m_nodeFollower = follower({ store_topic::nodes, {}, nodesInterval },
-        { [this](const auto& records) { onNodeRecords(records); }, [this](const auto& records) { onNodeRecords(records); },
+        { [this](const auto& records) { onNodeSnapshot(records); }, [this](const auto& records) { onNodeRecords(records); },
             [](duration) {} });
     m_quarantineFollower = follower({ store_topic::quarantine, {}, quarantineInterval },
-        { m_handlers.onQuarantine, m_handlers.onQuarantine, [](duration) {} });
+        { [this](const auto& records) { onQuarantineSnapshot(records); }, m_handlers.onQuarantine, [](duration) {} });
 }
 
 // Each follower reads its topic anew, since what the store has lost may be in any of them.
@@ -157,6 +162,23 @@
         onEndpointsChanged();
 }
 
+// The record that this node wrote at its start is gone if the store came back from a copy from before.
+void store_sync::onNodeSnapshot(const std::vector<store_record>& records)
+{
+    const bool isOwnListed = std::ranges::any_of(records,
+        [this](const store_record& record) { return record.key == m_settings.nodeName && record.value == m_settings.peerAddress; });
+    if (std::exchange(m_hasNodeSnapshot, true) && !isOwnListed)
+        publishSelf();
+    onNodeRecords(records);
+}
+
+void store_sync::onQuarantineSnapshot(const std::vector<store_record>& records)
+{
+    if (std::exchange(m_hasQuarantineSnapshot, true))
+        m_handlers.onQuarantineLost(records);
+    m_handlers.onQuarantine(records);
+}
+
 void store_sync::onNodeRecords(const std::vector<store_record>& records)
 {
     for (const auto& record : records) {
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -30,6 +30,8 @@
         std::function<void(const std::map<discovery::replica_id, discovery::endpoint_record>&)> onEndpoints;
         std::function<void(const std::set<node_id>&)> onNodes;
         std::function<void(const std::vector<store_record>&)> onQuarantine;
+        /// The store came back from an older copy, which holds these records of the quarantine.
+        std::function<void(const std::vector<store_record>&)> onQuarantineLost;
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
     };
@@ -55,8 +57,11 @@
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
     void onNodeRecords(const std::vector<store_record>& records);
+    void onNodeSnapshot(const std::vector<store_record>& records);
+    void onQuarantineSnapshot(const std::vector<store_record>& records);
     /// The store has come back from an older copy, as a read or a peer tells.
     void onHistoryChanged(std::uint64_t history);
+    void publishSelf();
     log_position endpointPosition() const { return m_endpointFollower->position(); }
     void onEndpointsChanged();
     void applyEndpoints();
@@ -85,6 +90,8 @@
     store_record m_configurationRecord;
     std::set<node_id> m_listed;
     bool m_isReader = false;
+    bool m_hasNodeSnapshot = false;
+    bool m_hasQuarantineSnapshot = false;
     /// Latest history of the store that any follower or peer has seen.
     std::uint64_t m_history = 0;
     std::uint64_t m_updateSequence = 0;
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -31,15 +31,21 @@
     void useStore(node& started)
     {
         started.quarantine.setStore([this](const std::string& key, const std::string& value) {
+            ++m_writes;
             if (value.empty())
                 m_store.erase(key);
             else
                 m_store[key] = value;
         });
+        started.quarantine.restore(storedRecords(), m_now);
+    }
+
+    std::vector<store_record> storedRecords() const
+    {
         std::vector<store_record> records;
         for (const auto& [key, value] : m_store)
             records.push_back({ key, value });
-        started.quarantine.restore(records, m_now);
+        return records;
     }
 
     void startFleet(std::size_t count)
@@ -135,6 +141,7 @@
     decision_log m_log { "test" };
     std::map<node_id, std::unique_ptr<node>> m_nodes;
     std::map<std::string, std::string> m_store;
+    std::size_t m_writes = 0;
     monotonic_time m_now { 100s };
     std::uint64_t m_replicas = 0;
     std::size_t m_messages = 0;
@@ -251,6 +258,23 @@
     EXPECT_FALSE(isRefused(0, deadlyPrompt));
 }
 
+TEST_F(prompt_quarantine_test, storeFromAnOlderCopy_getsTheQuarantineAgain)
+{
+    // A fleet that restarts as a whole afterwards would let the part crash endpoints again.
+    startFleet(4);
+    quarantineDeadlyPart();
+    const auto written = std::exchange(m_store, {});
+    ASSERT_FALSE(written.empty());
+    m_writes = 0;
+    for (const auto& [id, entry] : m_nodes)
+        entry->quarantine.rewrite({}, entry->members, m_now);
+    EXPECT_EQ(m_store, written);
+    EXPECT_EQ(m_writes, written.size());
+    for (const auto& [id, entry] : m_nodes)
+        entry->quarantine.rewrite(storedRecords(), entry->members, m_now);
+    EXPECT_EQ(m_writes, written.size());
+}
+
 TEST_F(prompt_quarantine_test, malformedRecordsOfTheStore_areIgnored)
 {
     m_store = { { "not hexadecimal", "1" }, { "12", "many" }, { "13", "0" } };
