Expect no events after the first of a response that is no stream and names no tokens

Cause: for a request without token counts 256 events were expected, also where the route does not stream; the time for an event is never measured there and scales with the first answers, so that only the endpoint which answered fast first seemed able to finish before the deadline, and placement uses no other while there is one.

--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -28,9 +28,10 @@
 // Other requests must be able to complete this long before the process ends.
 constexpr auto drainMargin = std::chrono::milliseconds(300);
 
-tokens expectedOutput(const request_metadata& metadata)
+// A response that is not a stream and names no tokens has no events that take time after the first one.
+tokens expectedOutput(const request_metadata& metadata, bool isStream)
 {
-    const auto limit = metadata.outputLimit.value_or(tokens { defaultOutputTokens });
+    const auto limit = metadata.outputLimit.value_or(tokens { isStream ? defaultOutputTokens : 0 });
     if (!metadata.outputHint)
         return limit;
     const auto expected = static_cast<std::int64_t>(outputEstimateFactor * static_cast<double>(metadata.outputHint->value));
@@ -125,7 +126,7 @@
         timeLeft = std::min(timeLeft, route->timeout);
     admitted.responseDeadline = now + timeLeft;
     admitted.prompt = metadata.prompt.value_or(tokens { 0 });
-    admitted.expectedOutput = expectedOutput(metadata);
+    admitted.expectedOutput = expectedOutput(metadata, route->streaming);
     admitted.service = routing::chooseService(*route, m_random());
     if (m_drainDeadline
         && (route->streaming ? now > m_drainStartedAt + streamAdmissionTime : admitted.responseDeadline + drainMargin > *m_drainDeadline)) {
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -490,5 +490,36 @@
     EXPECT_GE(std::chrono::steady_clock::now() - begin, 200ms);
 }
 
+TEST_F(request_dispatcher_test, requestsWithoutTokens_useAllEndpointsOfTheirService)
+{
+    // A response of 256 events was expected, which only the endpoint that had answered fast seemed to finish in time; the others stayed
+    // idle for good while requests waited.
+    std::atomic<bool> holds = false;
+    const auto answer = [&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        if (holds)
+            m_pendingResponders.push_back(responder);
+        else
+            responder->send({ 200, {}, "whole" });
+    };
+    endpoint("one", answer);
+    endpoint("other", answer);
+    start(true, false, 1, 1500ms);
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(send("GET").status, 200U);
+    const auto before = requestsAtAll();
+    holds = true;
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < 8; ++i)
+        callers.emplace_back([this, i] { send("GET", "/p/x", "held" + std::to_string(i)); });
+    const auto end = std::chrono::steady_clock::now() + 1s;
+    while (requestsAtAll() < before + 8 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_EQ(requestsAtAll(), before + 8);
+    run([this] {
+        for (const auto& responder : std::exchange(m_pendingResponders, {}))
+            responder->send({ 200, {}, "whole" });
+    });
+}
+
 } // namespace
 } // namespace carawaylink::gateway
