--- a/libs/cli/src/request_story.cpp
+++ b/libs/cli/src/request_story.cpp
@@ -86,7 +86,13 @@
 
 std::string concludeRefusal(const logged_decision& line)
 {
-    return "refused after " + line.field("waited_ms") + " ms: " + line.field("cause") + ", with " + line.field("ahead") + " requests ahead";
+    std::string text
+        = "refused after " + line.field("waited_ms") + " ms: " + line.field("cause") + ", with " + line.field("ahead") + " requests ahead";
+    const auto leaving = number(line.field("leaving"));
+    const auto resting = number(line.field("resting"));
+    if (leaving + resting > 0)
+        text += "; of the endpoints " + std::to_string(leaving) + " said that they leave and " + std::to_string(resting) + " rested";
+    return text;
 }
 
 std::string concludeEnd(const logged_decision& line)
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -274,6 +274,9 @@
       "expected_first_ms=60 first_ms=-1 longest_pause_ms=0 total_ms=520\n"
       "event=prompt_quarantined time_ms=970 node=edge-a request=refused2 shared_part=12ca part=a7576c512f390022 remaining_ms=41000\n"
       "event=request_rejected time_ms=970 node=edge-a request=refused2 status=503 reason=quarantined_prompt configuration=5\n"
+      "event=grant_declined time_ms=980 node=edge-b request=rest1 replica=i-4 reason=resting\n"
+      "event=request_refused time_ms=990 node=edge-b request=rest1 route=r cause=no_endpoint ahead=0 waited_ms=300 retry_after_ms=900 "
+      "leaving=1 resting=2 replaces=0\n"
       "event=lines_left_out time_ms=1000 node=edge-a of=request_sent count=12\n"
       "event=request_sent time_ms=800 node=edge-a request=late10 replica=i-9 attempt=1\n";
 
@@ -304,6 +307,8 @@
         AllOf(HasSubstr("6893 units of its quota available, 26185 were needed: 16185 and"), HasSubstr("3 of 4 nodes")));
     EXPECT_THAT(storyOf("refused2").conclusion(),
         AllOf(HasSubstr("part 12ca of its prompt crashed endpoints"), HasSubstr("41000 ms"), HasSubstr("part=a7576c512f390022")));
+    EXPECT_THAT(storyOf("rest1").conclusion(), AllOf(HasSubstr("no_endpoint"), HasSubstr("1 said that they leave and 2 rested")));
+    EXPECT_THAT(reportStory(storyOf("rest1"), output_format::text), HasSubstr("grant_declined replica=i-4 reason=resting"));
     const auto lost = storyOf("lost1");
     EXPECT_THAT(lost.conclusion(), HasSubstr("failed at i-3 after 518 ms: broken"));
     EXPECT_EQ(lost.linesLeftOut, 12U);
