Release deferred removals also by updates of a reader that has read no further

Class: evidence dropped because it came without news. Change: an update that has read as far as this node, and defers nothing, ends the node's deferrals. The comparison stands in the registry now, where it is tested; it stood in store_sync without a test.

Evidence: endpoint_registry_test, two new tests, 32 tests of store and registry pass.

--- a/libs/gateway/src/endpoint_registry.cpp
+++ b/libs/gateway/src/endpoint_registry.cpp
@@ -82,9 +82,14 @@
         m_changedAt[change.id.value] = offset;
 }
 
-bool endpoint_registry::applyUpdate(const peer::store_updateT& update, bool reachesStore, monotonic_time now)
+bool endpoint_registry::applyUpdate(const peer::store_updateT& update, std::uint64_t knownOffset, bool reachesStore, monotonic_time now)
 {
+    if (update.offset < knownOffset)
+        return false;
+    // Also without news: a peer that had no outage and has read as far knows that the removals which this node defers are genuine.
     applyHold(update.removals_held_ms, reachesStore, now);
+    if (update.offset == knownOffset)
+        return false;
     std::vector<store_record> records;
     for (const auto& entry : update.changes) {
         store_record record { entry->key, std::nullopt };
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -290,11 +290,9 @@
     const auto known = endpointPosition();
     if (!m_endpoints.isLoaded() || !m_endpointFollower->isLoaded() || known.history != update.history || known.offset < update.base_offset)
         return;
-    if (update.offset > known.offset) {
-        m_endpointFollower->skipTo({ update.history, update.offset });
-        if (m_endpoints.applyUpdate(update, reachesStore(), now))
-            applyEndpoints();
-    }
+    m_endpointFollower->skipTo({ update.history, update.offset });
+    if (m_endpoints.applyUpdate(update, known.offset, reachesStore(), now))
+        applyEndpoints();
     m_updatedAsOf = std::max(m_updatedAsOf, now - *age);
 }
 
--- a/libs/gateway/tests/endpoint_registry_tests.cpp
+++ b/libs/gateway/tests/endpoint_registry_tests.cpp
@@ -126,7 +126,7 @@
     update.offset = 20;
     m_reader.fillUpdate(update, m_now);
     EXPECT_EQ(update.changes.size(), 2U);
-    EXPECT_TRUE(m_receiver.applyUpdate(update, true, m_now));
+    EXPECT_TRUE(m_receiver.applyUpdate(update, 10, true, m_now));
     EXPECT_EQ(m_receiver.records(), m_reader.records());
     EXPECT_EQ(m_receiver.changedOffset(), 20U);
 }
@@ -156,10 +156,45 @@
     update.base_offset = 10;
     update.offset = 11;
     m_reader.fillUpdate(update, m_now);
-    m_receiver.applyUpdate(update, false, m_now);
+    m_receiver.applyUpdate(update, 10, false, m_now);
     EXPECT_EQ(m_receiver.records().size(), 1U);
 }
 
+TEST_F(endpoint_registry_test, removalDeferredHere_takesEffectWithUpdateOfReaderWithoutOutageAtTheSameOffset)
+{
+    // A node that had been cut off from the store read the removal itself and deferred it; the reader's updates had no news for it, and it
+    // sent a request 2,301 ms after the endpoint had left (platecommons, hunt-bf4e-27).
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.onStoreReconnected(5s, m_now);
+    for (auto* node : { &m_reader, &m_receiver })
+        node->apply({ { "b", std::nullopt } }, 11, m_now);
+    ASSERT_EQ(m_receiver.records().size(), 2U);
+    peer::store_updateT update;
+    update.base_offset = 10;
+    update.offset = 11;
+    m_reader.fillUpdate(update, m_now);
+    m_receiver.applyUpdate(update, 11, true, m_now);
+    EXPECT_TRUE(m_receiver.expire(11, m_now));
+    EXPECT_EQ(m_receiver.records().size(), 1U);
+}
+
+TEST_F(endpoint_registry_test, removalDeferredHere_staysDeferredByUpdateOfReaderThatHasNotReadIt)
+{
+    // What a reader knew before does not tell whether the removal is genuine.
+    m_reader.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.replaceAll({ { "a", "ready" }, { "b", "ready" } }, 10, m_now);
+    m_receiver.onStoreReconnected(5s, m_now);
+    m_receiver.apply({ { "b", std::nullopt } }, 11, m_now);
+    peer::store_updateT update;
+    update.base_offset = 9;
+    update.offset = 10;
+    m_reader.fillUpdate(update, m_now);
+    EXPECT_FALSE(m_receiver.applyUpdate(update, 11, true, m_now));
+    EXPECT_FALSE(m_receiver.expire(11, m_now));
+    EXPECT_EQ(m_receiver.records().size(), 2U);
+}
+
 TEST_F(endpoint_registry_test, removalDeferredByReader_isDeferredByNodesWithoutStore)
 {
     // Entries that expire during an outage of the store are registered again within two seconds.
@@ -171,7 +206,7 @@
     update.base_offset = 10;
     update.offset = 11;
     m_reader.fillUpdate(update, m_now);
-    m_receiver.applyUpdate(update, false, m_now);
+    m_receiver.applyUpdate(update, 10, false, m_now);
     EXPECT_EQ(m_receiver.records().size(), 2U);
     EXPECT_TRUE(m_receiver.expire(11, m_now + 3s));
     EXPECT_EQ(m_receiver.records().size(), 1U);
