--- a/libs/gateway/src/endpoint_registry.h
+++ b/libs/gateway/src/endpoint_registry.h
@@ -25,8 +25,8 @@
     bool replaceAll(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
     /// Applies log records read from the store; returns whether peers need the change.
     bool apply(const std::vector<store_record>& records, std::uint64_t offset, monotonic_time now);
-    /// Applies the changes that a peer read from the store after update.base_offset. knownOffset: up to which this node knows everything, at
-    /// least the base.
+    /// Applies the changes that a peer read from the store after update.base_offset. knownOffset: up to which this node knows everything,
+    /// at least the base.
     bool applyUpdate(const peer::store_updateT& update, std::uint64_t knownOffset, bool reachesStore, monotonic_time now);
     /// Applies a copy that a peer read from the store. reachesStore: this node reads the store too and detects outages itself.
     bool applyCopy(const peer::store_copyT& copy, bool reachesStore, monotonic_time now);
