--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -254,6 +254,9 @@
     pool_load totalLoad() const;
 
 private:
+    /// Window for measuring the rate at which queued requests start.
+    static constexpr auto queueRateWindow = std::chrono::seconds(1);
+
     struct endpoint_state {
         discovery::endpoint_record record;
         latency_model model;
