--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -3,6 +3,8 @@
 #include "base/error.h"
 #include "base/time.h"
 
+#include <utility>
+
 namespace carawaylink::gateway {
 
 namespace {
@@ -254,6 +256,7 @@
             m_handlers.onReconnected(outage);
     }
     m_isReachable = true;
+    m_isLossLogged = false;
     m_retryDelay = minRetryDelay;
     m_lastSuccess = now;
     m_asOf = m_readStartedAt;
@@ -261,7 +264,8 @@
 
 void store_follower::onFailure(const std::string& reason)
 {
-    if (m_isReachable)
+    // A store that has not answered since the start is lost from the first read on.
+    if (!std::exchange(m_isLossLogged, true))
         m_log.event("store_lost").field("topic", topicNames.name(m_options.topic)).field("reason", '"' + reason + '"');
     m_isReachable = false;
     schedule(std::exchange(m_retryDelay, std::min<duration>(2 * m_retryDelay, maxRetryDelay)),
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -94,6 +94,8 @@
     duration m_retryDelay;
     bool m_isLoaded = false;
     bool m_isReachable = false;
+    /// The log has a line for the current outage.
+    bool m_isLossLogged = false;
     bool m_isScheduled = false;
     monotonic_time m_lastSuccess {};
     monotonic_time m_readStartedAt {};
