--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -14,9 +14,9 @@
 // Time allowed for a whole response on top of the requested wait; ends one that arrives byte by byte.
 constexpr auto totalResponseTimeout = std::chrono::seconds(4);
 constexpr auto storeConnectTimeout = std::chrono::milliseconds(500);
-// Delay before the next try after a failure; doubles with each further one.
-constexpr auto minRetryDelay = std::chrono::milliseconds(250);
-constexpr auto maxRetryDelay = std::chrono::milliseconds(1000);
+// Delay before a read is repeated whose answer cannot be used; doubles with each further one that the store does not have.
+constexpr auto minRepeatDelay = std::chrono::milliseconds(250);
+constexpr auto maxRepeatDelay = std::chrono::milliseconds(1000);
 constexpr std::size_t maxStoreResponseBytes = 16U << 20;
 constexpr unsigned statusOk = 200;
 
@@ -38,7 +38,6 @@
     , m_options(options)
     , m_handlers(std::move(callbacks))
     , m_timer(context)
-    , m_retryDelay(minRetryDelay)
 {
 }
 
@@ -58,6 +57,12 @@
         schedule({}, &store_follower::readLog);
 }
 
+void store_follower::retryNow()
+{
+    if (!m_isReachable && m_isScheduled)
+        schedule({}, nextStep());
+}
+
 void store_follower::sendRequest(http_request request, std::function<void(const http_response&)> onResponse)
 {
     http_call_options options;
@@ -156,7 +161,7 @@
     }
     const bool isFirstPage = !m_snapshotEnd;
     if (isOutdated(response) || (seesLaterHistory(response) && !isFirstPage)) {
-        schedule(minRetryDelay, &store_follower::restart);
+        schedule(minRepeatDelay, &store_follower::restart);
         return;
     }
     auto page = m_codec.decodeSnapshot(response);
@@ -193,7 +198,7 @@
 void store_follower::onLogPage(const http_response& response)
 {
     if (isOutdated(response)) {
-        schedule(minRetryDelay, &store_follower::readLog);
+        schedule(minRepeatDelay, &store_follower::readLog);
         return;
     }
     if (seesLaterHistory(response)) {
@@ -229,7 +234,7 @@
         .field("offset", m_position.offset)
         .field("delay_ms", wholeMilliseconds(m_goneDelay));
     m_position.offset = 0;
-    const auto next = std::clamp<duration>(2 * m_goneDelay, minRetryDelay, maxRetryDelay);
+    const auto next = std::clamp<duration>(2 * m_goneDelay, minRepeatDelay, maxRepeatDelay);
     schedule(std::exchange(m_goneDelay, next), &store_follower::restart);
 }
 
@@ -248,18 +253,21 @@
 void store_follower::onSuccess()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (!m_isReachable) {
+    const bool isReachedAgain = !std::exchange(m_isReachable, true);
+    if (isReachedAgain) {
         const bool wasReachedBefore = m_lastSuccess != monotonic_time {};
         const auto outage = wasReachedBefore ? now - m_lastSuccess : duration {};
         m_log.event("store_reached").field("topic", topicNames.name(m_options.topic)).field("away_ms", wholeMilliseconds(outage));
         if (m_isLoaded && wasReachedBefore)
             m_handlers.onReconnected(outage);
     }
-    m_isReachable = true;
     m_isLossLogged = false;
-    m_retryDelay = minRetryDelay;
     m_lastSuccess = now;
     m_asOf = m_readStartedAt;
+    if (!isReachedAgain)
+        return;
+    m_retryPace->reset();
+    m_handlers.onReached();
 }
 
 void store_follower::onFailure(const std::string& reason)
@@ -268,8 +276,7 @@
     if (!std::exchange(m_isLossLogged, true))
         m_log.event("store_lost").field("topic", topicNames.name(m_options.topic)).field("reason", '"' + reason + '"');
     m_isReachable = false;
-    schedule(std::exchange(m_retryDelay, std::min<duration>(2 * m_retryDelay, maxRetryDelay)),
-        m_isLoaded ? &store_follower::readLog : &store_follower::restart);
+    schedule(m_retryPace->delayAfterFailure(std::chrono::steady_clock::now()), nextStep());
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -4,6 +4,7 @@
 #include "gateway/protocol_codec.h"
 #include "http/client.h"
 #include "log_position.h"
+#include "store_retry_pace.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -33,12 +34,16 @@
         std::function<void(duration outage)> onReconnected;
         /// Called when a later history of the store is seen, before any of its records.
         std::function<void(std::uint64_t history)> onHistoryChanged = [](std::uint64_t) {};
+        /// The store answers for the first time, or again after an outage.
+        std::function<void()> onReached = [] {};
     };
 
     store_follower(boost::asio::io_context& context, http_client& client, std::string address, const protocol_codec& codec,
         decision_log& log, follow_options options, handlers callbacks);
 
     void start() { restart(); }
+    /// Spaces the retries together with those of other followers.
+    void shareRetryPace(std::shared_ptr<store_retry_pace> pace) { m_retryPace = std::move(pace); }
     bool isReachable() const { return m_isReachable; }
     /// Sets the long-poll time and the interval between reads, effective from the next read.
     void setReadTiming(duration wait, duration interval);
@@ -50,6 +55,8 @@
     monotonic_time asOf() const { return m_asOf; }
     /// Starts the next read now if one is scheduled.
     void readNow();
+    /// Repeats a read that failed now, because the store answers others.
+    void retryNow();
     /// Skips records before this position, which are known from another source.
     void skipTo(const log_position& position);
     /// The store has this history, which another source tells; starts over if it is later than the one followed.
@@ -69,6 +76,7 @@
     void onLogPage(const http_response& response);
     void schedule(duration delay, void (store_follower::*step)());
     void restart() { readSnapshot({}); }
+    auto nextStep() const { return m_isLoaded ? &store_follower::readLog : &store_follower::restart; }
     /// Reads a snapshot because the store does not have the offset; at once the first time, later each time with a longer delay.
     void restartAfterGone();
     /// Ignores the response to the request in progress.
@@ -91,7 +99,7 @@
     std::uint64_t m_requestNumber = 0;
     /// Delay before the next snapshot if the store does not have the offset again.
     duration m_goneDelay {};
-    duration m_retryDelay;
+    std::shared_ptr<store_retry_pace> m_retryPace = std::make_shared<store_retry_pace>();
     bool m_isLoaded = false;
     bool m_isReachable = false;
     /// The log has a line for the current outage.
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -74,10 +74,13 @@
 
 void store_sync::follow()
 {
-    const auto follower = [this](follow_options options, store_follower::handlers callbacks) {
+    const auto pace = std::make_shared<store_retry_pace>();
+    const auto follower = [this, pace](follow_options options, store_follower::handlers callbacks) {
         callbacks.onHistoryChanged = [this](std::uint64_t history) { onHistoryChanged(history); };
+        callbacks.onReached = [this] { retryFailedReads(); };
         auto created
             = std::make_shared<store_follower>(m_context, m_client, m_settings.storeAddress, m_codec, m_log, options, std::move(callbacks));
+        created->shareRetryPace(pace);
         created->start();
         return created;
     };
@@ -104,9 +107,20 @@
     m_history = history;
     m_updateOffsets.clear();
     m_endpoints.onHistoryChanged();
+    forEachFollower([history](store_follower& follower) { follower.enterHistory(history); });
+}
+
+// The followers take turns while the store fails; what one topic was answered, the others are likely to be answered as well.
+void store_sync::retryFailedReads()
+{
+    forEachFollower([](store_follower& follower) { follower.retryNow(); });
+}
+
+template <std::invocable<store_follower&> Action> void store_sync::forEachFollower(Action action)
+{
     for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower }) {
         if (follower)
-            follower->enterHistory(history);
+            action(*follower);
     }
 }
 
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -11,6 +11,7 @@
 #include "wire/generated/peer_state_generated.h"
 
 #include <boost/asio/io_context.hpp>
+#include <concepts>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -61,6 +62,9 @@
     void onQuarantineSnapshot(const std::vector<store_record>& records);
     /// The store has come back from an older copy, as a read or a peer tells.
     void onHistoryChanged(std::uint64_t history);
+    /// The store answers one follower again; the others need not wait for their turn.
+    void retryFailedReads();
+    template <std::invocable<store_follower&> Action> void forEachFollower(Action action);
     void publishSelf();
     log_position endpointPosition() const { return m_endpointFollower->position(); }
     void onEndpointsChanged();
