Count usage under a higher limit in full again once the limit is raised

A limit that was lowered and raised within a window granted nearly a whole quota again: shared_quota::configure() scaled the recorded usage down with the limit for good. Each interval now keeps its units and the limit in force at the time of use; usage under a higher limit counts in proportion only while the lower limit is in force. Units that a peer reports under the lower limit are converted to the higher one.

--- a/libs/limits/include/limits/shared_quota.h
+++ b/libs/limits/include/limits/shared_quota.h
@@ -48,7 +48,8 @@
     /// startsUnused: pass true only at the first start of the whole fleet; after a restart the units used before are unknown.
     shared_quota(const quota_limit& limit, monotonic_time now, bool startsUnused);
 
-    /// Changes the limit. If the new limit is lower, the usage in the current window is scaled down in proportion.
+    /// Changes the limit. Usage under a higher limit counts in proportion to the current one, so that a team that was below the higher
+    /// limit is not refused until that usage has left the window.
     void configure(const quota_limit& limit, monotonic_time now);
     /// Reserves units for a request if the window has room for them and for the reserve of more urgent requests.
     bool reserve(double units, tier level, const quota_nodes& nodes, monotonic_time now);
@@ -80,6 +81,8 @@
     struct interval {
         monotonic_time start;
         double units = 0;
+        /// Units per window of the limit in force at the time of use.
+        double limit = 0;
     };
     struct timed_usage {
         monotonic_time time;
@@ -88,7 +91,9 @@
 
     void addUsage(double units, monotonic_time now);
     void expireOldUsage(monotonic_time now);
-    void distributeOverWindow(double units, monotonic_time now);
+    void distributeOverWindow(double units, double limit, monotonic_time now);
+    /// Units of the interval that count against the current limit.
+    double countedUnits(const interval& part) const;
     double used() const;
     double estimatedUnreportedUsage(const quota_nodes& nodes, monotonic_time now) const;
     double requiredUnits(double units, tier level, double capacity) const;
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -20,11 +20,6 @@
 // Own usage is averaged over this time, since a single large request says little about the usage of peers.
 constexpr auto usageAveragingTime = std::chrono::milliseconds(1200);
 
-double sumOf(const auto& entries)
-{
-    return std::accumulate(entries.begin(), entries.end(), 0.0, [](double total, const auto& entry) { return total + entry.units; });
-}
-
 } // namespace
 
 double quota_limit::unitsPerWindow() const
@@ -44,16 +39,13 @@
         return;
     // Assumes that the rate's part of the window was used evenly, so that it expires gradually; most of the burst counts as used now and
     // expires with the whole window.
-    distributeOverWindow(m_limit.unitsPerWindow() - m_limit.burst, now);
+    distributeOverWindow(m_limit.unitsPerWindow() - m_limit.burst, m_limit.unitsPerWindow(), now);
     addUsage((1 - initialBurstFraction) * m_limit.burst, now);
 }
 
 void shared_quota::configure(const quota_limit& limit, monotonic_time now)
 {
     expireOldUsage(now);
-    const double factor = limit.unitsPerWindow() / m_limit.unitsPerWindow();
-    for (auto& part : m_intervals)
-        part.units *= std::min(factor, 1.0);
     m_limit = limit;
 }
 
@@ -103,7 +95,7 @@
     for (const auto& part : m_intervals) {
         if (shortfall <= 0)
             break;
-        shortfall -= part.units;
+        shortfall -= countedUnits(part);
         if (shortfall <= 0)
             return std::max<duration>(part.start + intervalLength() + m_limit.window - now, duration {});
     }
@@ -112,22 +104,29 @@
 
 void shared_quota::setRemaining(double units, monotonic_time now)
 {
+    // If the limit was lowered within the window, the peer's figure is in units of the lower limit; the same share of the higher one was
+    // used.
+    const double limit = std::accumulate(m_intervals.begin(), m_intervals.end(), m_limit.unitsPerWindow(),
+        [](double highest, const interval& part) { return std::max(highest, part.limit); });
+    const double usedShare = std::clamp(1 - units / m_limit.unitsPerWindow(), 0.0, 1.0);
     m_intervals.clear();
-    distributeOverWindow(std::clamp(m_limit.unitsPerWindow() - units, 0.0, m_limit.unitsPerWindow()), now);
+    distributeOverWindow(usedShare * limit, limit, now);
 }
 
 double shared_quota::remaining(monotonic_time now) const
 {
     const auto length = intervalLength();
-    const double current = std::accumulate(m_intervals.begin(), m_intervals.end(), 0.0,
-        [&](double total, const interval& part) { return part.start + length + m_limit.window > now ? total + part.units : total; });
+    const double current = std::accumulate(m_intervals.begin(), m_intervals.end(), 0.0, [&](double total, const interval& part) {
+        return part.start + length + m_limit.window > now ? total + countedUnits(part) : total;
+    });
     return m_limit.unitsPerWindow() - current - m_reserved - m_peerReserved;
 }
 
 void shared_quota::addUsage(double units, monotonic_time now)
 {
-    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength())
-        m_intervals.push_back({ now, 0 });
+    const double limit = m_limit.unitsPerWindow();
+    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength() || m_intervals.back().limit != limit)
+        m_intervals.push_back({ now, 0, limit });
     m_intervals.back().units += units;
 }
 
@@ -142,15 +141,22 @@
 }
 
 // Distributes usage evenly over the past window.
-void shared_quota::distributeOverWindow(double units, monotonic_time now)
+void shared_quota::distributeOverWindow(double units, double limit, monotonic_time now)
 {
     for (int i = intervalsPerWindow; i > 0; --i)
-        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow });
+        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow, limit });
+}
+
+// The usage itself stays as it was: scaled down for good, it granted nearly a whole quota again once the limit was raised.
+double shared_quota::countedUnits(const interval& part) const
+{
+    return part.units * std::min(m_limit.unitsPerWindow() / part.limit, 1.0);
 }
 
 double shared_quota::used() const
 {
-    return sumOf(m_intervals);
+    return std::accumulate(
+        m_intervals.begin(), m_intervals.end(), 0.0, [this](double total, const interval& part) { return total + countedUnits(part); });
 }
 
 // Peers are assumed to use as much as this node, or as they last reported.
--- a/libs/limits/tests/limits_tests.cpp
+++ b/libs/limits/tests/limits_tests.cpp
@@ -214,6 +214,39 @@
     EXPECT_TRUE(use(quota, 100, start));
 }
 
+TEST(shared_quota_test, limitLoweredAndRaisedWithinAWindow_grantsNoMoreThanTheHigherLimit)
+{
+    // The usage was scaled down with the limit and stayed so when the limit was raised again, which granted nearly a whole quota twice.
+    shared_quota quota(smallLimit, start, true);
+    ASSERT_TRUE(use(quota, 1000, start));
+    quota.configure({ 10, 20, 8s }, start + 1s);
+    quota.configure(smallLimit, start + 2s);
+    EXPECT_FALSE(use(quota, 10, start + 2s));
+    EXPECT_FALSE(use(quota, 10, start + 7900ms));
+    EXPECT_TRUE(use(quota, 10, start + 9200ms));
+}
+
+TEST(shared_quota_test, limitRaisedWithinAWindow_countsWhatTheLowerOneGranted)
+{
+    // Guards against usage under a lower limit that counts for more or less than it was.
+    shared_quota quota({ 10, 20, 8s }, start, true);
+    ASSERT_TRUE(use(quota, 100, start));
+    quota.configure(smallLimit, start + 1s);
+    EXPECT_NEAR(quota.remaining(start + 1s), 900, 1);
+}
+
+TEST(shared_quota_test, remainingAdoptedUnderALoweredLimit_countsAgainstTheHigherOne)
+{
+    // A change of the collector while the limit was low replaced the usage under the higher limit by units of the lower one.
+    shared_quota quota(smallLimit, start, true);
+    ASSERT_TRUE(use(quota, 900, start));
+    quota.configure({ 10, 20, 8s }, start + 1s);
+    quota.setRemaining(10, start + 1s);
+    EXPECT_NEAR(quota.remaining(start + 1s), 10, 1);
+    quota.configure(smallLimit, start + 1s);
+    EXPECT_NEAR(quota.remaining(start + 1s), 100, 1);
+}
+
 TEST(retry_budget_test, budget_withoutRequests_allowsShareOfSlack)
 {
     // Guards against nodes that each use the slack of the whole fleet.
