Get the first endpoints sooner after a start of all nodes

After a loss of power the store reset all reads of the endpoints for more than two seconds; each node waited alone for its own next try, up to a second after the store answered again, and nothing was served. The first two nodes by rank now retry a topic that was never loaded each 250 ms; all others and loaded topics keep the growing delay. A node without endpoints that receives an update asks its sender, its parent in the tree, for a copy at once, and answers its own children as soon as it has the endpoints. A node whose endpoints are less than a second old answers requests for copies also while it cannot read the store itself.

--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -52,6 +52,15 @@
         schedule(interval, &store_follower::readLog);
 }
 
+void store_follower::setRetriesFirstReadOften(bool value)
+{
+    m_retriesFirstReadOften = value;
+    // A delay that has grown must not postpone the next try.
+    const bool isWaiting = m_isScheduled && !m_isReachable;
+    if (isWaiting && retriesOften() && m_timer.expiry() > std::chrono::steady_clock::now() + minRetryDelay)
+        schedule(minRetryDelay, &store_follower::restart);
+}
+
 void store_follower::readNow()
 {
     if (m_isReachable && m_isScheduled)
@@ -268,8 +277,8 @@
     if (!std::exchange(m_isLossLogged, true))
         m_log.event("store_lost").field("topic", topicNames.name(m_options.topic)).field("reason", '"' + reason + '"');
     m_isReachable = false;
-    schedule(std::exchange(m_retryDelay, std::min<duration>(2 * m_retryDelay, maxRetryDelay)),
-        m_isLoaded ? &store_follower::readLog : &store_follower::restart);
+    const auto delay = std::exchange(m_retryDelay, std::min<duration>(2 * m_retryDelay, maxRetryDelay));
+    schedule(retriesOften() ? duration(minRetryDelay) : delay, m_isLoaded ? &store_follower::readLog : &store_follower::restart);
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -42,6 +42,8 @@
     bool isReachable() const { return m_isReachable; }
     /// Sets the long-poll time and the interval between reads, effective from the next read.
     void setReadTiming(duration wait, duration interval);
+    /// Sets whether a topic that was never loaded is read again after the shortest delay instead of a growing one.
+    void setRetriesFirstReadOften(bool value);
     /// Position in the log up to which records are known.
     const log_position& position() const { return m_position; }
     /// Whether the records up to the position are known; not the case until the first snapshot of a history.
@@ -73,6 +75,7 @@
     void restartAfterGone();
     /// Ignores the response to the request in progress.
     void abandonRead();
+    bool retriesOften() const { return m_retriesFirstReadOften && !m_isLoaded && m_lastSuccess == monotonic_time {}; }
     void onFailure(const std::string& reason);
     void onSuccess();
 
@@ -97,6 +100,7 @@
     /// The log has a line for the current outage.
     bool m_isLossLogged = false;
     bool m_isScheduled = false;
+    bool m_retriesFirstReadOften = false;
     monotonic_time m_lastSuccess {};
     monotonic_time m_readStartedAt {};
     monotonic_time m_asOf {};
--- a/libs/gateway/src/store_readers.cpp
+++ b/libs/gateway/src/store_readers.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Number of nodes that read the store for all.
-constexpr std::ptrdiff_t readerCount = 2;
 // A reader sends several updates within this time.
 constexpr auto readerTimeout = std::chrono::milliseconds(900);
 // Nodes with higher addresses wait longer before they take over, so that few do at the same time.
@@ -50,14 +48,14 @@
 {
     const auto before = std::ranges::count_if(
         m_readers, [&](const auto& entry) { return entry.first < self && now - entry.second.lastHeardAt <= readerTimeout; });
-    if (before >= readerCount) {
+    if (before >= static_cast<std::ptrdiff_t>(readerCount)) {
         m_missingSince.reset();
         return false;
     }
     if (!m_missingSince)
         m_missingSince = now;
     const auto delayedRanks = std::min(rank, maxDelayedRanks);
-    return static_cast<std::ptrdiff_t>(rank) < readerCount || now - *m_missingSince >= delayedRanks * takeoverDelayPerRank;
+    return rank < readerCount || now - *m_missingSince >= delayedRanks * takeoverDelayPerRank;
 }
 
 namespace {
--- a/libs/gateway/src/store_readers.h
+++ b/libs/gateway/src/store_readers.h
@@ -26,6 +26,9 @@
 /// itself, the one with the lowest address first, so that no election is needed. Does no I/O and reads no clock.
 class store_readers {
 public:
+    /// Number of nodes that read the store for all.
+    static constexpr std::size_t readerCount = 2;
+
     /// Returns the age of the data now, or nullopt for an update that was received before.
     std::optional<duration> receive(const update_stamp& stamp, duration dataAge, monotonic_time now);
     /// Whether this node has to read for the others. rank: number of reachable nodes with lower addresses.
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -203,6 +203,7 @@
         .field("draining", draining)
         .field("offset", m_endpoints.changedOffset());
     m_handlers.onEndpoints(m_endpoints.records());
+    answerWaiting();
 }
 
 void store_sync::tick(monotonic_time now)
@@ -215,11 +216,14 @@
     if (m_isReader != wasReader)
         m_log.event(m_isReader ? "reads_store_for_all" : "reads_store_no_longer").field("rank", rank);
     adjustReadTiming(now);
+    // The others get the endpoints from the first nodes, so that a store in trouble is asked seldom by most.
+    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower })
+        follower->setRetriesFirstReadOften(rank < store_readers::readerCount);
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
     const bool missesConfiguration = m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationGrace;
     if ((!reachesStore() || missesConfiguration) && now - m_lastCopyRequestAt >= copyRequestInterval)
-        requestCopy(now);
+        requestCopyFromAny(now);
 }
 
 void store_sync::adjustReadTiming(monotonic_time now)
@@ -261,16 +265,19 @@
 void store_sync::relay(peer::store_updateT update)
 {
     const node_range range { node_id { update.range_after }, node_id { update.range_before } };
+    m_relayedUnloaded.clear();
     for (const auto& target : relayTargets(range, m_self, node_id { update.origin }, m_members.reachable(), m_random)) {
         update.range_after = target.range.after.value;
         update.range_before = target.range.before.value;
         peer::envelopeT message;
         message.body.Set(peer::store_updateT(update));
         m_handlers.send({ &target.node, 1 }, std::move(message));
+        if (!isLoaded())
+            m_relayedUnloaded.push_back(target.node);
     }
 }
 
-void store_sync::receive(const node_id&, const peer::store_updateT& update)
+void store_sync::receive(const node_id& sender, const peer::store_updateT& update)
 {
     const auto now = std::chrono::steady_clock::now();
     const update_stamp stamp { node_id { update.origin }, update.run, update.sequence, std::chrono::microseconds(update.sent_us) };
@@ -288,7 +295,9 @@
     onHistoryChanged(update.history);
     // Without the changes before the base, or all of the history, this node reads the store itself.
     const auto known = endpointPosition();
-    if (!m_endpoints.isLoaded() || !m_endpointFollower->isLoaded() || known.history != update.history || known.offset < update.base_offset)
+    if (!isLoaded())
+        requestFirstCopy(sender, { update.history, update.offset }, now - *age, now);
+    if (!hasEndpoints() || known.history != update.history || known.offset < update.base_offset)
         return;
     m_endpointFollower->skipTo({ update.history, update.offset });
     if (m_endpoints.applyUpdate(update, known.offset, reachesStore(), now))
@@ -296,37 +305,75 @@
     m_updatedAsOf = std::max(m_updatedAsOf, now - *age);
 }
 
-void store_sync::requestCopy(monotonic_time now)
+// The sender is this node's parent in the tree of the update, so that no node is asked by more than its children, however large the fleet.
+void store_sync::requestFirstCopy(const node_id& sender, const log_position& position, monotonic_time asOf, monotonic_time now)
+{
+    m_awaitedPosition = position;
+    m_awaitedAsOf = asOf;
+    if (now - m_lastFirstCopyRequestAt < copyRequestInterval)
+        return;
+    m_lastFirstCopyRequestAt = now;
+    requestCopy({ &sender, 1 }, now);
+}
+
+void store_sync::requestCopyFromAny(monotonic_time now)
 {
-    m_lastCopyRequestAt = now;
     auto nodes = m_members.reachable();
     std::erase(nodes, m_self);
     std::ranges::shuffle(nodes, m_random);
     nodes.resize(std::min(nodes.size(), copySources));
+    requestCopy(nodes, now);
+}
+
+void store_sync::requestCopy(std::span<const node_id> sources, monotonic_time now)
+{
+    m_lastCopyRequestAt = now;
     peer::copy_requestT request;
     request.history = endpointPosition().history;
     request.endpoints_offset = endpointPosition().offset;
     request.configuration_version = m_handlers.version().value;
     peer::envelopeT message;
     message.body.Set(std::move(request));
-    m_handlers.send(nodes, std::move(message));
+    m_handlers.send(sources, std::move(message));
+}
+
+// Endpoints that came in a copy are as current as the update that named their position.
+bool store_sync::hasCurrentEndpoints(monotonic_time now) const
+{
+    return hasEndpoints() && (reachesStore() || now - m_updatedAsOf < maxEndpointAge);
 }
 
 void store_sync::receive(const node_id& sender, const peer::copy_requestT& request)
 {
-    const bool hasConfiguration = m_handlers.version().value > request.configuration_version && m_configurationRecord.value;
-    const bool hasEndpoints = reachesStore() && m_endpoints.isLoaded() && m_endpointFollower->isLoaded()
-        && endpointPosition() > log_position { request.history, request.endpoints_offset };
-    if (!hasConfiguration && !hasEndpoints)
+    if (!isLoaded() && std::ranges::find(m_relayedUnloaded, sender) != m_relayedUnloaded.end())
+        m_waiting[sender] = { std::chrono::steady_clock::now(), request };
+    answer(sender, request, std::chrono::steady_clock::now());
+}
+
+void store_sync::answerWaiting()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [node, waiting] : std::exchange(m_waiting, {})) {
+        // A node that still lacks the endpoints has repeated its request by then.
+        if (now - waiting.first < copyRequestInterval)
+            answer(node, waiting.second, now);
+    }
+}
+
+void store_sync::answer(const node_id& sender, const peer::copy_requestT& request, monotonic_time now)
+{
+    const bool sendsConfiguration = m_handlers.version().value > request.configuration_version && m_configurationRecord.value;
+    const bool sendsEndpoints = hasCurrentEndpoints(now) && endpointPosition() > log_position { request.history, request.endpoints_offset };
+    if (!sendsConfiguration && !sendsEndpoints)
         return;
     peer::store_copyT copy;
-    if (hasConfiguration) {
+    if (sendsConfiguration) {
         copy.configuration_key = m_configurationRecord.key;
         copy.configuration.assign(m_configurationRecord.value->begin(), m_configurationRecord.value->end());
     }
     copy.history = endpointPosition().history;
-    if (hasEndpoints)
-        m_endpoints.fillCopy(copy, endpointPosition().offset, std::chrono::steady_clock::now());
+    if (sendsEndpoints)
+        m_endpoints.fillCopy(copy, endpointPosition().offset, now);
     peer::envelopeT message;
     message.body.Set(std::move(copy));
     m_handlers.send({ &sender, 1 }, std::move(message));
@@ -339,7 +386,10 @@
     const log_position position { copy.history, copy.endpoints_offset };
     if (copy.endpoints.empty() || position <= endpointPosition())
         return;
+    const bool isFirst = !isLoaded();
     m_endpointFollower->skipTo(position);
+    if (isFirst && position >= m_awaitedPosition)
+        m_updatedAsOf = std::max(m_updatedAsOf, m_awaitedAsOf);
     if (m_endpoints.applyCopy(copy, m_endpointFollower->isReachable(), std::chrono::steady_clock::now()))
         applyEndpoints();
 }
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -13,9 +13,11 @@
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
+#include <vector>
 
 namespace carawaylink::gateway {
 
@@ -68,7 +70,17 @@
     void adjustReadTiming(monotonic_time now);
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
-    void requestCopy(monotonic_time now);
+    void requestCopy(std::span<const node_id> sources, monotonic_time now);
+    /// Asks random peers for what this node cannot read from the store.
+    void requestCopyFromAny(monotonic_time now);
+    /// Called for an update before this node has the endpoints: asks its sender for them.
+    void requestFirstCopy(const node_id& sender, const log_position& position, monotonic_time asOf, monotonic_time now);
+    bool hasEndpoints() const { return m_endpoints.isLoaded() && m_endpointFollower->isLoaded(); }
+    /// Whether peers may take the endpoints from this node.
+    bool hasCurrentEndpoints(monotonic_time now) const;
+    void answer(const node_id& sender, const peer::copy_requestT& request, monotonic_time now);
+    /// Answers the requests that arrived before this node had the endpoints.
+    void answerWaiting();
 
     boost::asio::io_context& m_context;
     const gateway_settings& m_settings;
@@ -99,8 +111,15 @@
     std::deque<std::pair<monotonic_time, std::uint64_t>> m_updateOffsets;
     monotonic_time m_lastUpdateAt {};
     monotonic_time m_lastCopyRequestAt {};
+    monotonic_time m_lastFirstCopyRequestAt {};
     /// Time as of which the endpoints are known through updates.
     monotonic_time m_updatedAsOf {};
+    /// Position of the last update that arrived before this node had the endpoints, and the time as of which it was read.
+    log_position m_awaitedPosition;
+    monotonic_time m_awaitedAsOf {};
+    /// Nodes to which this node relayed the last update before it had the endpoints, and those of them that asked for a copy since.
+    std::vector<node_id> m_relayedUnloaded;
+    std::map<node_id, std::pair<monotonic_time, peer::copy_requestT>> m_waiting;
     /// Newest configuration that a peer mentioned, and when it was first mentioned.
     config_version m_mentionedVersion;
     monotonic_time m_mentionedAt {};
--- a/libs/gateway/tests/endpoint_registry_tests.cpp
+++ b/libs/gateway/tests/endpoint_registry_tests.cpp
@@ -8,19 +8,6 @@
 
 using namespace std::chrono_literals;
 
-// Record values are the state of an endpoint: "ready" or "draining".
-class state_codec : public test_codec {
-public:
-    discovery::registry_change decodeEndpoint(const store_record& record) const override
-    {
-        discovery::registry_change change { discovery::replica_id { record.key }, std::nullopt };
-        if (record.value)
-            change.record = { change.id, service_id { "s" }, endpoint_id { record.key + ":80" }, failure_domain { "a" }, 4,
-                *record.value == "draining", 1 };
-        return change;
-    }
-};
-
 class endpoint_registry_test : public testing::Test {
 protected:
     peer::store_copyT copyOf(const endpoint_registry& from, std::uint64_t offset)
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -75,4 +75,17 @@
     discovery::registry_change decodeEndpoint(const store_record&) const override { return {}; }
 };
 
+// Record values are the state of an endpoint: "ready" or "draining".
+class state_codec : public test_codec {
+public:
+    discovery::registry_change decodeEndpoint(const store_record& record) const override
+    {
+        discovery::registry_change change { discovery::replica_id { record.key }, std::nullopt };
+        if (record.value)
+            change.record = { change.id, service_id { "s" }, endpoint_id { record.key + ":80" }, failure_domain { "a" }, 4,
+                *record.value == "draining", 1 };
+        return change;
+    }
+};
+
 } // namespace carawaylink::gateway
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -52,7 +52,7 @@
         , m_log("test")
         , m_client(m_threads.context(0))
         , m_server(m_threads, {},
-              [this](const http_request& request, const std::shared_ptr<http_responder>& responder) { respond(request, *responder); })
+              [this](const http_request& request, const std::shared_ptr<http_responder>& responder) { respond(request, responder); })
         , m_address(m_server.listen("127.0.0.1:0"))
     {
     }
@@ -68,16 +68,24 @@
             };
         };
         m_follower = std::make_shared<store_follower>(m_threads.context(0), m_client, m_address, m_codec, m_log,
-            follow_options { store_topic::endpoints, {}, 5ms },
+            follow_options { store_topic::endpoints, {}, m_interval },
             store_follower::handlers { recordAll("newest"), recordAll("log"), [this](duration) { recordEvent("returned"); },
                 [this](std::uint64_t history) { recordEvent("history:" + std::to_string(history)); } });
         m_threads.post(0, [this] { m_follower->start(); });
     }
 
     // Runs on the event loop thread.
-    void respond(const http_request& request, http_responder& responder)
+    void respond(const http_request& request, const std::shared_ptr<http_responder>& responder)
     {
         const std::lock_guard guard(m_mutex);
+        if (m_isHolding)
+            m_held.emplace_back([this, request, responder] { respond(request, responder); });
+        else
+            answer(request, *responder);
+    }
+
+    void answer(const http_request& request, http_responder& responder)
+    {
         if (m_beforeResponse)
             m_beforeResponse(request);
         ++m_requests;
@@ -129,6 +137,10 @@
     // History of the store's answers; 0 for answers that do not tell.
     std::uint64_t m_history = 0;
     bool m_isDown = false;
+    duration m_interval = 5ms;
+    // Answers of the store that are kept back.
+    bool m_isHolding = false;
+    std::vector<std::function<void()>> m_held;
     std::size_t m_requests = 0;
     // Called while a read of the follower is in progress.
     std::function<void(const http_request&)> m_beforeResponse;
@@ -161,6 +173,35 @@
     EXPECT_TRUE(waitFor("newest:a=1"));
 }
 
+TEST_F(store_follower_test, topicNeverLoaded_isReadOftenByTheFirstNodes)
+{
+    // Delays that had grown to a second postponed the first endpoints of the whole fleet after the store answered again.
+    set([this] { m_isDown = true; });
+    start();
+    std::this_thread::sleep_for(1s);
+    m_threads.post(0, [this] { m_follower->setRetriesFirstReadOften(true); });
+    set([this] { m_requests = 0; });
+    std::this_thread::sleep_for(2s);
+    set([this] {
+        EXPECT_GE(m_requests, 6U);
+        EXPECT_LE(m_requests, 9U);
+    });
+}
+
+TEST_F(store_follower_test, topicLoadedBefore_isReadLessAndLessOftenByTheFirstNodesToo)
+{
+    // Guards against needless calls of nodes that have what they need, as long as the store is away.
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    m_threads.post(0, [this] { m_follower->setRetriesFirstReadOften(true); });
+    set([this] {
+        m_isDown = true;
+        m_requests = 0;
+    });
+    std::this_thread::sleep_for(3s);
+    set([this] { EXPECT_LE(m_requests, 6U); });
+}
+
 TEST_F(store_follower_test, logRecordsOlderThanCopyReceivedDuringRead_areNotDelivered)
 {
     // A copy from a peer says that an endpoint leaves; the older record of a read in progress would make it usable again.
