Test that a follower starts one read when its pause has ended and readNow() is called

The review traced a page of the log that was counted twice to two reads from one offset after a pause. The current code ignores a pause and a response that were superseded, by m_requestNumber. The test forces the sequence: the expired timer is queued behind the task that calls readNow(), the answers are kept back, and a further read is demanded before them.

--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -202,6 +202,45 @@
     set([this] { EXPECT_LE(m_requests, 6U); });
 }
 
+TEST_F(store_follower_test, readNowAfterThePauseHasEnded_startsOneRead)
+{
+    // A process resumes with its timer expired and reads at once: two reads from one offset, and a third before the second answer, counted
+    // a page of the log twice and skipped as many records (DRAIN, days with nodes turned away).
+    m_interval = 40ms;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    for (int round = 0; round < 5; ++round) {
+        const auto offset = std::to_string(2 + 2 * round);
+        m_threads.post(0, [this] {
+            std::this_thread::sleep_for(2 * m_interval);
+            // The event loop queues the expired timer behind this task, where it can no longer be cancelled.
+            m_threads.post(0, [this] {
+                set([this] { m_isHolding = true; });
+                m_follower->readNow();
+            });
+        });
+        std::this_thread::sleep_for(5 * m_interval);
+        // The reads that are in progress are not answered yet; another one is demanded.
+        m_threads.post(0, [this] { m_follower->readNow(); });
+        std::this_thread::sleep_for(2 * m_interval);
+        set([&] {
+            EXPECT_EQ(m_held.size(), 1U) << round;
+            m_logByOffset[2 + 2 * static_cast<std::uint64_t>(round)]
+                = std::to_string(4 + 2 * round) + " b" + offset + "=2 c" + offset + "=3";
+            m_isHolding = false;
+        });
+        m_threads.post(0, [this] {
+            for (const auto& answer : std::exchange(m_held, {}))
+                answer();
+        });
+        ASSERT_TRUE(waitFor("log:c" + offset + "=3"));
+    }
+    std::this_thread::sleep_for(2 * m_interval);
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(m_lastFrom, 12U);
+    EXPECT_EQ(m_received.size(), 11U);
+}
+
 TEST_F(store_follower_test, logRecordsOlderThanCopyReceivedDuringRead_areNotDelivered)
 {
     // A copy from a peer says that an endpoint leaves; the older record of a read in progress would make it usable again.
