--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -17,6 +17,8 @@
 // Delay before a read is repeated whose answer cannot be used; doubles with each further one that the store does not have.
 constexpr auto minRepeatDelay = std::chrono::milliseconds(250);
 constexpr auto maxRepeatDelay = std::chrono::milliseconds(1000);
+// Delay before a node that reads for all repeats a first read that failed.
+constexpr auto firstReadRetryDelay = std::chrono::milliseconds(250);
 constexpr std::size_t maxStoreResponseBytes = 16U << 20;
 constexpr unsigned statusOk = 200;
 
@@ -51,6 +53,15 @@
         schedule(interval, &store_follower::readLog);
 }
 
+void store_follower::setRetriesFirstReadOften(bool value)
+{
+    m_retriesFirstReadOften = value;
+    // A delay that has grown must not postpone the next try.
+    const bool isWaiting = m_isScheduled && !m_isReachable;
+    if (isWaiting && retriesOften() && m_timer.expiry() > std::chrono::steady_clock::now() + minRetryDelay)
+        schedule(minRetryDelay, &store_follower::restart);
+}
+
 void store_follower::readNow()
 {
     if (m_isReachable && m_isScheduled)
@@ -276,7 +287,8 @@
     if (!std::exchange(m_isLossLogged, true))
         m_log.event("store_lost").field("topic", topicNames.name(m_options.topic)).field("reason", '"' + reason + '"');
     m_isReachable = false;
-    schedule(m_retryPace->delayAfterFailure(std::chrono::steady_clock::now()), nextStep());
+    const auto delay = m_retryPace->delayAfterFailure(std::chrono::steady_clock::now());
+    schedule(retriesOften() ? duration(firstReadRetryDelay) : delay, nextStep());
 }
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -52,7 +52,7 @@
         , m_log("test")
         , m_client(m_threads.context(0))
         , m_server(m_threads, {},
-              [this](const http_request& request, const std::shared_ptr<http_responder>& responder) { respond(request, *responder); })
+              [this](const http_request& request, const std::shared_ptr<http_responder>& responder) { respond(request, responder); })
         , m_address(m_server.listen("127.0.0.1:0"))
     {
     }
@@ -68,16 +68,24 @@
             };
         };
         m_follower = std::make_shared<store_follower>(m_threads.context(0), m_client, m_address, m_codec, m_log,
-            follow_options { store_topic::endpoints, {}, 5ms },
+            follow_options { store_topic::endpoints, {}, m_interval },
             store_follower::handlers { recordAll("newest"), recordAll("log"), [this](duration) { recordEvent("returned"); },
                 [this](std::uint64_t history) { recordEvent("history:" + std::to_string(history)); } });
         m_threads.post(0, [this] { m_follower->start(); });
     }
 
     // Runs on the event loop thread.
-    void respond(const http_request& request, http_responder& responder)
+    void respond(const http_request& request, const std::shared_ptr<http_responder>& responder)
     {
         const std::lock_guard guard(m_mutex);
+        if (m_isHolding)
+            m_held.emplace_back([this, request, responder] { respond(request, responder); });
+        else
+            answer(request, *responder);
+    }
+
+    void answer(const http_request& request, http_responder& responder)
+    {
         if (m_beforeResponse)
             m_beforeResponse(request);
         ++m_requests;
@@ -129,6 +137,10 @@
     // History of the store's answers; 0 for answers that do not tell.
     std::uint64_t m_history = 0;
     bool m_isDown = false;
+    duration m_interval = 5ms;
+    // Answers of the store that are kept back.
+    bool m_isHolding = false;
+    std::vector<std::function<void()>> m_held;
     std::size_t m_requests = 0;
     // Called while a read of the follower is in progress.
     std::function<void(const http_request&)> m_beforeResponse;
@@ -161,6 +173,74 @@
     EXPECT_TRUE(waitFor("newest:a=1"));
 }
 
+TEST_F(store_follower_test, topicNeverLoaded_isReadOftenByTheFirstNodes)
+{
+    // Delays that had grown to a second postponed the first endpoints of the whole fleet after the store answered again.
+    set([this] { m_isDown = true; });
+    start();
+    std::this_thread::sleep_for(1s);
+    m_threads.post(0, [this] { m_follower->setRetriesFirstReadOften(true); });
+    set([this] { m_requests = 0; });
+    std::this_thread::sleep_for(2s);
+    set([this] {
+        EXPECT_GE(m_requests, 6U);
+        EXPECT_LE(m_requests, 9U);
+    });
+}
+
+TEST_F(store_follower_test, topicLoadedBefore_isReadLessAndLessOftenByTheFirstNodesToo)
+{
+    // Guards against needless calls of nodes that have what they need, as long as the store is away.
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    m_threads.post(0, [this] { m_follower->setRetriesFirstReadOften(true); });
+    set([this] {
+        m_isDown = true;
+        m_requests = 0;
+    });
+    std::this_thread::sleep_for(3s);
+    set([this] { EXPECT_LE(m_requests, 6U); });
+}
+
+TEST_F(store_follower_test, readNowAfterThePauseHasEnded_startsOneRead)
+{
+    // A process resumes with its timer expired and reads at once: two reads from one offset, and a third before the second answer, counted
+    // a page of the log twice and skipped as many records (DRAIN, days with nodes turned away).
+    m_interval = 40ms;
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    for (int round = 0; round < 5; ++round) {
+        const auto offset = std::to_string(2 + 2 * round);
+        m_threads.post(0, [this] {
+            std::this_thread::sleep_for(2 * m_interval);
+            // The event loop queues the expired timer behind this task, where it can no longer be cancelled.
+            m_threads.post(0, [this] {
+                set([this] { m_isHolding = true; });
+                m_follower->readNow();
+            });
+        });
+        std::this_thread::sleep_for(5 * m_interval);
+        // The reads that are in progress are not answered yet; another one is demanded.
+        m_threads.post(0, [this] { m_follower->readNow(); });
+        std::this_thread::sleep_for(2 * m_interval);
+        set([&] {
+            EXPECT_EQ(m_held.size(), 1U) << round;
+            m_logByOffset[2 + 2 * static_cast<std::uint64_t>(round)]
+                = std::to_string(4 + 2 * round) + " b" + offset + "=2 c" + offset + "=3";
+            m_isHolding = false;
+        });
+        m_threads.post(0, [this] {
+            for (const auto& answer : std::exchange(m_held, {}))
+                answer();
+        });
+        ASSERT_TRUE(waitFor("log:c" + offset + "=3"));
+    }
+    std::this_thread::sleep_for(2 * m_interval);
+    const std::lock_guard guard(m_mutex);
+    EXPECT_EQ(m_lastFrom, 12U);
+    EXPECT_EQ(m_received.size(), 11U);
+}
+
 TEST_F(store_follower_test, logRecordsOlderThanCopyReceivedDuringRead_areNotDelivered)
 {
     // A copy from a peer says that an endpoint leaves; the older record of a read in progress would make it usable again.
