Keep a stopping node until its answers are written

Cause: a draining node ended as soon as no exchange was active and 3.5 s had passed since SIGTERM. An exchange ends when its answer is handed to the connection, which may still hold megabytes of it for a caller that reads slowly.

The least drain time stays. event=stop names the responses that are cut.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -277,7 +277,7 @@
             metrics.setLiveNodes(members.serving().size());
             log.flush();
         }
-        if (isDraining && (now >= drainDeadline || (dispatcher.active() == 0 && now - drainStartedAt > minDrainTime))) {
+        if (isDraining && (now >= drainDeadline || (now - drainStartedAt > minDrainTime && hasAnsweredAll()))) {
             stop();
             return;
         }
@@ -308,9 +308,12 @@
         membership.setDraining();
     }
 
+    // An exchange ends when its response is handed to the connection, which may still hold bytes for a caller that reads slowly.
+    bool hasAnsweredAll() const { return dispatcher.active() == 0 && frontend.unwrittenResponses() == 0; }
+
     void stop()
     {
-        log.event("stop").field("active", dispatcher.active());
+        log.event("stop").field("active", dispatcher.active()).field("unwritten", frontend.unwrittenResponses());
         log.flush();
         membership.leave();
         const std::lock_guard guard(stopMutex);
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -68,6 +68,8 @@
     /// Stops accepting connections. Responses in progress continue, and their connections close afterwards.
     void stopAccepting();
     std::size_t connections() const;
+    /// Number of responses, complete or not, with bytes that are not written to their sockets yet. Thread-safe.
+    std::size_t unwrittenResponses() const;
 
     struct shared_state;
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -38,6 +38,8 @@
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetryTimer;
     std::atomic<std::size_t> connections = 0;
+    /// Connections that hold bytes of a response.
+    std::atomic<std::size_t> unwrittenResponses = 0;
     std::atomic<bool> stopping = false;
     std::atomic<bool> closing = false;
 
@@ -179,7 +181,7 @@
         boost::system::error_code ignored;
         m_timer.cancel();
         m_socket.close(ignored);
-        m_memory.set(0);
+        countHeld(0);
         const auto handler = std::move(m_onClosed);
         m_onClosed = nullptr;
         m_onDrained = nullptr;
@@ -422,11 +424,23 @@
         });
     }
 
+    // Of the response.
+    void countHeld(std::size_t bytes)
+    {
+        m_memory.set(bytes);
+        if (std::exchange(m_holdsResponse, bytes > 0) == (bytes > 0))
+            return;
+        if (bytes > 0)
+            ++m_state->unwrittenResponses;
+        else
+            --m_state->unwrittenResponses;
+    }
+
     void flush()
     {
         if (m_closed)
             return;
-        m_memory.set(pendingBytes());
+        countHeld(pendingBytes());
         if (m_writeActive)
             return;
         if (m_pending.empty()) {
@@ -520,6 +534,8 @@
     bool m_writeTimerArmed = false;
     bool m_watchingForClose = false;
     bool m_closed = false;
+    /// Is counted in unwrittenResponses.
+    bool m_holdsResponse = false;
     std::optional<monotonic_time> m_writeStart;
     std::string m_pending;
     std::string m_writing;
@@ -653,6 +669,11 @@
     m_state->closing = true;
 }
 
+std::size_t http_server::unwrittenResponses() const
+{
+    return m_state->unwrittenResponses;
+}
+
 std::size_t http_server::connections() const
 {
     return m_state->connections;
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -50,12 +50,22 @@
                 responder->finish();
             else
                 responder->abort();
+        } else if (request.path() == "/large") {
+            responder->send({ 200, {}, std::string(largeBytes, 'x') });
         } else if (request.path() == "/hold") {
             responder->onClosed([this] { clientDisconnected.set_value(); });
             heldResponder = responder;
         }
     }
 
+    bool eventuallyHasUnwritten(std::size_t responses) const
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (server.unwrittenResponses() != responses && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return server.unwrittenResponses() == responses;
+    }
+
     http_result call(http_request request)
     {
         std::promise<http_result> promise;
@@ -117,6 +127,9 @@
         return readAll(socket);
     }
 
+    /// Of a response that exceeds the kernel's buffers.
+    static constexpr std::size_t largeBytes = 16U << 20;
+
     io_threads threads { 2 };
     http_server server;
     std::string address;
@@ -344,6 +357,20 @@
     EXPECT_TRUE(eventuallyUses(0));
 }
 
+// A process that did not count such a response ended before its last byte was written.
+TEST_F(http_loopback, response_that_is_not_read_counts_as_unwritten_until_its_last_byte_is_written)
+{
+    auto reader = connect();
+    auto leaver = connect();
+    for (auto* socket : { &reader, &leaver })
+        boost::asio::write(*socket, boost::asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    EXPECT_TRUE(eventuallyHasUnwritten(2));
+    leaver.close();
+    EXPECT_TRUE(eventuallyHasUnwritten(1));
+    EXPECT_GT(readAll(reader).size(), largeBytes);
+    EXPECT_TRUE(eventuallyHasUnwritten(0));
+}
+
 // Guards against an address with a host name or no port being accepted.
 TEST_F(http_loopback, malformed_address_throws_invalid_argument)
 {
