Give the least urgent ranks of a queue a minimum share

tier_floor counts arrivals, starts and expected slot time by rank over 10 s. After two seconds of overload a rank that is served less than 0.6 of the share of all gets the next start, within a tenth of the slot time and a quarter of the starts of the window, and never more than the next more urgent rank. The expected wait of such a request counts the floor, so that it is not refused at arrival. tier_floor::minShareFraction = 0 switches it off. The owner logs event=admission and counts floor_starts.

--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -34,6 +34,10 @@
                            .Name("carawaylink_gateway_memory_exceeded_total")
                            .Help("Messages that were ended because all messages together held too much memory, by kind")
                            .Register(m_registry))
+    , m_admissions(prometheus::BuildCounter()
+                       .Name("carawaylink_gateway_admissions_total")
+                       .Help("Acts of admission control in the pools that this node owns, by kind")
+                       .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
@@ -127,6 +131,11 @@
     m_unreadableRests.Increment();
 }
 
+void gateway_metrics::admissions(const placement::admission_counts& counts)
+{
+    m_admissions.Add({ { "kind", "floor_starts" } }).Increment(static_cast<double>(counts.floorStarts));
+}
+
 void gateway_metrics::setConfiguration(config_version version)
 {
     m_configuration.Set(static_cast<double>(version.value));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "placement/endpoint_health.h"
+#include "placement/service_pool.h"
 
 #include <memory>
 #include <prometheus/counter.h>
@@ -36,6 +37,8 @@
     void setRestingEndpoints(std::size_t endpoints);
     /// An endpoint asked for rest in a form that cannot be read.
     void unreadableRest();
+    /// Admission control acted in a pool that this node owns.
+    void admissions(const placement::admission_counts& counts);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -47,6 +50,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_unexpectedDecisions;
     prometheus::Family<prometheus::Counter>& m_memoryExceeded;
+    prometheus::Family<prometheus::Counter>& m_admissions;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -232,7 +232,7 @@
     m_send = std::move(send);
     m_slots.setHandlers(
         { m_send, [this](const service_id& service, const placement::pool_decisions& decisions) { apply(service, decisions); },
-            std::move(onOwnerSilent) });
+            std::move(onOwnerSilent), [this](const placement::admission_counts& counts) { m_metrics.admissions(counts); } });
 }
 
 void request_dispatcher::setMembers(const fleet_members& members)
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -8,6 +8,13 @@
 
 namespace carawaylink::gateway {
 
+namespace {
+
+// Starts by the floor are frequent under overload, so that their number is logged and not each of them.
+constexpr auto admissionReportInterval = std::chrono::seconds(1);
+
+} // namespace
+
 slot_coordinator::slot_coordinator(
     boost::asio::io_context& context, node_id self, failure_domain domain, decision_log& log, std::uint64_t seed)
     : m_context(context)
@@ -165,6 +172,18 @@
 void slot_coordinator::tick()
 {
     decide(true);
+    reportAdmissions(std::chrono::steady_clock::now());
+}
+
+void slot_coordinator::reportAdmissions(monotonic_time now)
+{
+    if (now - m_admissionsReportedAt < admissionReportInterval)
+        return;
+    m_admissionsReportedAt = now;
+    for (const auto& [pool, counts] : m_owned.takeAdmissionCounts()) {
+        m_log.event("admission").field("service", pool.service).field("pool", pool.number).field("floor_starts", counts.floorStarts);
+        m_handlers.onAdmissions(counts);
+    }
 }
 
 // Posts the decision instead of running it inline, so that an exchange is not re-entered from its own call.
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -22,6 +22,8 @@
         std::function<void(const service_id& service, const placement::pool_decisions& decisions)> onDecisions;
         /// The owner does not reply over the present connection.
         std::function<void(const node_id& owner)> onOwnerSilent;
+        /// Admission control has acted in a pool that this node owns; called at most once a second for each pool.
+        std::function<void(const placement::admission_counts& counts)> onAdmissions = [](const placement::admission_counts&) {};
     };
 
     slot_coordinator(boost::asio::io_context& context, node_id self, failure_domain domain, decision_log& log, std::uint64_t seed);
@@ -81,6 +83,7 @@
     void decide(bool isTick);
     void deliverReplies(monotonic_time now);
     void sendCalls(service_state& state, monotonic_time now);
+    void reportAdmissions(monotonic_time now);
     void logSilentOwners(const service_id& name, service_state& state);
     std::optional<discovery::endpoint_record> lookUp(std::uint64_t hash) const;
 
@@ -97,6 +100,7 @@
     std::unordered_map<std::uint64_t, discovery::endpoint_record> m_endpointByHash;
     std::vector<placement::owner_candidate> m_nodes;
     std::size_t m_rank = 0;
+    monotonic_time m_admissionsReportedAt {};
     bool m_isScheduled = false;
     /// Expires with this object, before the work that the event loop still holds.
     std::shared_ptr<slot_coordinator*> m_alive;
--- a/libs/placement/include/placement/owned_pools.h
+++ b/libs/placement/include/placement/owned_pools.h
@@ -29,6 +29,8 @@
     std::vector<addressed_reply> takeReplies(monotonic_time now);
     /// Returns the slots that were taken back since the last call.
     std::vector<reclaimed_slots> takeReclaimed();
+    /// Returns the pools in which admission control has acted since the last call.
+    std::map<pool_id, admission_counts> takeAdmissionCounts();
 
     const std::map<pool_id, std::unique_ptr<slot_owner>>& pools() const { return m_pools; }
 
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -10,6 +10,7 @@
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
 #include "placement/request_limit.h"
+#include "placement/tier_floor.h"
 
 #include <algorithm>
 #include <deque>
@@ -18,6 +19,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace carawaylink::placement {
@@ -57,6 +59,10 @@
     bool isLate = false;
     /// True if a wait report was issued; set by the pool.
     bool isReported = false;
+    /// When the pool counted the request as arrived; set by the pool.
+    std::optional<monotonic_time> countedAt;
+    /// True if the floor of its rank gives it the next start; set by the pool.
+    bool startsByFloor = false;
 };
 
 /// Why a request waits: number of endpoints that cannot take it, counted by the first reason that applies.
@@ -136,6 +142,14 @@
     bool hasFirstEvent = false;
 };
 
+/// What admission control has done since the counts were taken last.
+struct admission_counts {
+    /// Starts out of order that the floor gave.
+    std::uint64_t floorStarts = 0;
+
+    bool operator==(const admission_counts&) const = default;
+};
+
 /// Number of endpoints by what they said of themselves.
 struct notice_counts {
     std::size_t leaving = 0;
@@ -252,6 +266,7 @@
     bool isWaiting(std::uint64_t id) const { return std::ranges::find(m_waiting, id, &waiting_request::id) != m_waiting.end(); }
     std::map<replica_id, endpoint_load> loads() const;
     pool_load totalLoad() const;
+    admission_counts takeAdmissionCounts() { return std::exchange(m_admissions, {}); }
 
 private:
     /// Window for measuring the rate at which queued requests start.
@@ -287,6 +302,12 @@
     };
     /// Position in the queue, without the order among equals.
     using queue_rank = std::tuple<carawaylink::tier, bool, carawaylink::tier>;
+    /// Requests that are ordered before one.
+    struct queue_position {
+        std::size_t ahead = 0;
+        /// Of these, the ones of the same urgency.
+        std::size_t sameUrgency = 0;
+    };
     struct recent_grant {
         monotonic_time time;
         queue_rank rank;
@@ -300,9 +321,14 @@
     static std::optional<unusable_reason> whyUnusable(const endpoint_state& endpoint);
     /// Whether nothing of the endpoint needs to be kept.
     static bool isForgotten(const endpoint_state& endpoint, monotonic_time now);
+    static urgency urgencyOf(const waiting_request& request) { return { request.teamTier, request.tier }; }
     static queue_rank rankOf(const waiting_request& request) { return { request.teamTier, request.isLate, request.tier }; }
     /// Collects the endpoints that can be used now and the starts of the last second, on which all decisions of one pass are based.
     void beginPass(monotonic_time now);
+    /// Updates what the order of the queue depends on, and sorts it.
+    void sortQueue(monotonic_time now);
+    /// Moves the first request of each rank that its floor gives the next start to the front of the queue.
+    void promoteByFloor(monotonic_time now);
     bool hasFreeSlot(monotonic_time now) const;
     std::optional<candidate> chooseEndpoint(const waiting_request& request, bool mustMeetTarget, monotonic_time now);
     bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
@@ -332,11 +358,11 @@
     double scoreOf(const endpoint_state& endpoint, const waiting_request& request, duration first, monotonic_time now) const;
     grant startRequest(const waiting_request& request, const candidate& chosen, monotonic_time now);
     void countRunning(endpoint_state& endpoint, std::uint64_t id, running_request running, monotonic_time now);
-    std::optional<refusal> checkRefusal(const waiting_request& request, std::size_t ahead, monotonic_time now);
+    std::optional<refusal> checkRefusal(const waiting_request& request, const queue_position& position, monotonic_time now);
     duration timeToFinish(const latency_model& model, const waiting_request& request) const;
     bool canFinish(const waiting_request& request, monotonic_time now) const;
     static bool canMeetTarget(const waiting_request& request, monotonic_time now);
-    duration expectedWait(const waiting_request& request, std::size_t ahead) const;
+    duration expectedWait(const waiting_request& request, const queue_position& position, monotonic_time now) const;
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
     void updateModels(latency_model& model, const running_request& running, duration elapsed);
     endpoint_speed meanEndpointSpeed() const;
@@ -351,6 +377,8 @@
     std::unordered_map<std::uint64_t, running_request> m_running;
     std::vector<waiting_request> m_waiting;
     std::deque<recent_grant> m_recentGrants;
+    tier_floor m_floor;
+    admission_counts m_admissions;
     std::size_t m_rank = 0;
     std::size_t m_nodeCount = 1;
     double m_medianFailureRate = 1;
--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -31,6 +31,8 @@
     /// Returns the slots that were taken back since the last call.
     std::vector<reclaimed_slots> takeReclaimed() { return std::exchange(m_reclaimed, {}); }
 
+    admission_counts takeAdmissionCounts() { return m_pool.takeAdmissionCounts(); }
+
     pool_load load() const { return m_pool.totalLoad(); }
 
 private:
--- a/libs/placement/src/owned_pools.cpp
+++ b/libs/placement/src/owned_pools.cpp
@@ -86,4 +86,14 @@
     return reclaimed;
 }
 
+std::map<pool_id, admission_counts> owned_pools::takeAdmissionCounts()
+{
+    std::map<pool_id, admission_counts> active;
+    for (auto& [id, pool] : m_pools) {
+        if (const auto counts = pool->takeAdmissionCounts(); counts != admission_counts {})
+            active.emplace(id, counts);
+    }
+    return active;
+}
+
 } // namespace carawaylink::placement
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -51,29 +51,34 @@
 
 bool service_pool::withdraw(std::uint64_t id)
 {
-    return std::erase_if(m_waiting, [id](const waiting_request& request) { return request.id == id; }) > 0;
+    const auto found = std::ranges::find(m_waiting, id, &waiting_request::id);
+    if (found == m_waiting.end())
+        return false;
+    if (found->countedAt)
+        m_floor.recordWithdrawal(urgencyOf(*found), *found->countedAt);
+    m_waiting.erase(found);
+    return true;
 }
 
 pool_decisions service_pool::decide(monotonic_time now)
 {
     pool_decisions decisions;
-    if (m_waiting.empty())
+    if (m_waiting.empty()) {
+        m_floor.recordQueue(false, now);
         return decisions;
+    }
     beginPass(now);
     // Under overload the queue is long and rarely moves, so passes over it are spaced.
     if (!hasFreeSlot(now) && !m_hasChanged && now - m_lastPassAt < idlePassInterval)
         return decisions;
     m_hasChanged = false;
     m_lastPassAt = now;
-    for (auto& request : m_waiting) {
-        request.minTimeToFirstEvent = minTimeToFirstEvent(request, now);
-        request.isLate = !canMeetTarget(request, now);
-    }
-    std::ranges::sort(m_waiting, std::ranges::less {}, [](const waiting_request& request) {
-        return std::tuple(request.teamTier, request.isLate, request.tier, !request.wasAdmitted, request.target, request.id);
-    });
+    sortQueue(now);
     std::vector<waiting_request> remaining;
     bool mayStart = hasFreeSlot(now);
+    if (mayStart)
+        promoteByFloor(now);
+    std::map<urgency, std::size_t> waitingByUrgency;
     for (auto& request : m_waiting) {
         // A request that cannot meet its target takes the best endpoint that is left.
         const auto chosen = mayStart ? chooseEndpoint(request, !request.isLate, now) : std::nullopt;
@@ -82,7 +87,7 @@
             mayStart = hasFreeSlot(now);
             continue;
         }
-        if (const auto refused = checkRefusal(request, remaining.size(), now)) {
+        if (const auto refused = checkRefusal(request, { remaining.size(), waitingByUrgency[urgencyOf(request)] }, now)) {
             decisions.refusals.push_back(*refused);
             continue;
         }
@@ -90,12 +95,46 @@
             request.isReported = true;
             decisions.waitReports.push_back(explainWait(request, remaining.size(), now));
         }
+        ++waitingByUrgency[urgencyOf(request)];
         remaining.push_back(std::move(request));
     }
     m_waiting = std::move(remaining);
+    m_floor.recordQueue(!m_waiting.empty(), now);
     return decisions;
 }
 
+void service_pool::sortQueue(monotonic_time now)
+{
+    for (auto& request : m_waiting) {
+        request.minTimeToFirstEvent = minTimeToFirstEvent(request, now);
+        request.isLate = !canMeetTarget(request, now);
+        request.startsByFloor = false;
+        // A request that was admitted before is counted already.
+        if (!request.countedAt && !request.wasAdmitted) {
+            request.countedAt = now;
+            m_floor.recordArrival(urgencyOf(request), now);
+        }
+    }
+    std::ranges::sort(m_waiting, std::ranges::less {}, [](const waiting_request& request) {
+        return std::tuple(request.teamTier, request.isLate, request.tier, !request.wasAdmitted, request.target, request.id);
+    });
+}
+
+// A rank whose first request is the first of the queue needs no floor now.
+void service_pool::promoteByFloor(monotonic_time now)
+{
+    std::map<urgency, std::size_t> firstOfRank;
+    for (std::size_t i = 0; i < m_waiting.size(); ++i)
+        firstOfRank.try_emplace(urgencyOf(m_waiting[i]), i);
+    const auto first = urgencyOf(m_waiting.front());
+    std::erase_if(firstOfRank, [&](const auto& entry) { return entry.first == first || !m_floor.mayStart(entry.first, now); });
+    if (firstOfRank.empty())
+        return;
+    for (const auto& [rank, index] : firstOfRank)
+        m_waiting[index].startsByFloor = true;
+    std::ranges::stable_partition(m_waiting, &waiting_request::startsByFloor);
+}
+
 void service_pool::beginPass(monotonic_time now)
 {
     m_medianFailureRate = medianFailureRate();
@@ -127,7 +166,12 @@
             chosen.expectedFirstEvent },
         now);
     m_connections.use(request.sender, endpoint.record.id);
-    m_recentGrants.push_back({ now, rankOf(request) });
+    // A start by the floor is not available to others.
+    if (!request.startsByFloor)
+        m_recentGrants.push_back({ now, rankOf(request) });
+    m_admissions.floorStarts += request.startsByFloor;
+    m_floor.recordStart(urgencyOf(request), chosen.expectedFirstEvent + endpoint.model.timeToStream(expectedEvents(request)),
+        request.startsByFloor, request.countedAt.has_value(), now);
     return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
 }
 
--- a/libs/placement/src/service_pool_refusal.cpp
+++ b/libs/placement/src/service_pool_refusal.cpp
@@ -55,11 +55,11 @@
     return first;
 }
 
-std::optional<refusal> service_pool::checkRefusal(const waiting_request& request, std::size_t ahead, monotonic_time now)
+std::optional<refusal> service_pool::checkRefusal(const waiting_request& request, const queue_position& position, monotonic_time now)
 {
     if (request.responseStarted)
         return std::nullopt;
-    const auto wait = expectedWait(request, ahead);
+    const auto wait = expectedWait(request, position, now);
     const auto retryAfter = std::clamp<duration>(wait, minRetryAfter, maxRetryAfter);
     const auto& fastest = request.minTimeToFirstEvent;
     if (!fastest) {
@@ -67,27 +67,31 @@
             return std::nullopt;
         const auto restEnd = firstRestEnd(request, now).value_or(now);
         const auto untilUsable = std::clamp<duration>(restEnd - now, retryAfter, maxRetryAfter);
-        return refusal { request.id, refusal_cause::no_endpoint, untilUsable, ahead };
+        return refusal { request.id, refusal_cause::no_endpoint, untilUsable, position.ahead };
     }
     if (now + *fastest > request.deadline)
-        return refusal { request.id, refusal_cause::deadline, retryAfter, ahead };
+        return refusal { request.id, refusal_cause::deadline, retryAfter, position.ahead };
     // Half of the time is reserved for the response. A caller is better served by an early refusal than by a long wait without a result.
     const auto maxQueueTime
         = std::min<duration>((request.deadline - request.arrived) / 2, 3 * (request.target - request.arrived) + queueTimeAllowance);
     const auto latestStart = request.arrived + maxQueueTime;
     if (now + wait > latestStart)
-        return refusal { request.id, refusal_cause::queue, retryAfter, ahead };
+        return refusal { request.id, refusal_cause::queue, retryAfter, position.ahead };
     return std::nullopt;
 }
 
-// The queue is served in order, so only recent starts at or behind this request's position in that order count.
-duration service_pool::expectedWait(const waiting_request& request, std::size_t ahead) const
+// The queue is served in order, so only recent starts at or behind this request's position in that order count. The floor serves the
+// requests of a rank in their order, whatever is ahead of them.
+duration service_pool::expectedWait(const waiting_request& request, const queue_position& position, monotonic_time now) const
 {
     std::size_t starts = 0;
     for (auto entry = m_startsByRank.lower_bound(rankOf(request)); entry != m_startsByRank.end(); ++entry)
         starts += entry->second;
     const double rate = std::max<double>(static_cast<double>(starts), minStartsPerWindow) / inSeconds(queueRateWindow);
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
+    double wait = static_cast<double>(position.ahead) / rate;
+    if (const double floorRate = m_floor.startRate(urgencyOf(request), now); floorRate > 0)
+        wait = std::min(wait, static_cast<double>(position.sameUrgency + 1) / floorRate);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
 } // namespace carawaylink::placement
