--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -58,8 +58,8 @@
     m_retriesFirstReadOften = value;
     // A delay that has grown must not postpone the next try.
     const bool isWaiting = m_isScheduled && !m_isReachable;
-    if (isWaiting && retriesOften() && m_timer.expiry() > std::chrono::steady_clock::now() + minRetryDelay)
-        schedule(minRetryDelay, &store_follower::restart);
+    if (isWaiting && retriesOften() && m_timer.expiry() > std::chrono::steady_clock::now() + firstReadRetryDelay)
+        schedule(firstReadRetryDelay, &store_follower::restart);
 }
 
 void store_follower::readNow()
