Weigh the prompt parts that an endpoint holds when a request is placed

The pool predicted the time to the first event as if every prompt were prefilled in full, so the requests of a session went wherever the score was lowest and their beginning was prefilled again. The prediction, the pending prefill and the event-gap check now use the work that is not cached: work(prompt) - work(kept). Parts count from the first event of the request that brought them; they are forgotten with a restart, a removal and outcomes that show a crash, and give way to the memory of running requests.

The fastest possible time, by which requests are ordered and refused, counts reuse only at endpoints that can take the request now, so that none waits or is put before others because of a full holder. The latency model records the work that explains the measured time best. A node that decides without the owner keeps no account, as it would grow with the number of endpoints; a request without parts makes no entry and no look-up.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -9,11 +9,13 @@
 #include "placement/endpoint_notice.h"
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
+#include "placement/prefix_belief.h"
 #include "placement/request_limit.h"
 
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -51,6 +53,8 @@
     bool wasDeclined = false;
     /// True if part of the response has reached the caller; such a request is not refused before its deadline.
     bool responseStarted = false;
+    /// Parts of the prompt that endpoints may hold; empty if there is none of significant size.
+    prompt_parts promptParts;
     /// Time to the first event on the fastest usable endpoint; updated by the pool.
     std::optional<duration> minTimeToFirstEvent;
     /// True if no endpoint can meet the target; updated by the pool.
@@ -81,6 +85,10 @@
     endpoint_id address;
     duration expectedFirstEvent {};
     unsigned running = 0;
+    /// Beginning of the prompt that the endpoint is believed to hold, reduced by how often the belief was wrong.
+    tokens kept { 0 };
+    /// Time until the endpoint has prefilled earlier prompts; set for requests with prompt parts.
+    duration prefillWait {};
 };
 
 enum class refusal_cause {
@@ -134,6 +142,15 @@
     tokens output { 0 };
     duration expectedFirstEvent {};
     bool hasFirstEvent = false;
+    /// As in its grant.
+    tokens kept { 0 };
+    prompt_parts promptParts;
+};
+
+/// Reuse of prompt parts in tokens, of answers whose time to the first event tells whether there was any.
+struct reuse_totals {
+    std::int64_t predicted = 0;
+    std::int64_t found = 0;
 };
 
 /// Number of endpoints by what they said of themselves.
@@ -252,6 +269,9 @@
     bool isWaiting(std::uint64_t id) const { return std::ranges::find(m_waiting, id, &waiting_request::id) != m_waiting.end(); }
     std::map<replica_id, endpoint_load> loads() const;
     pool_load totalLoad() const;
+    reuse_totals reuse() const { return m_reuse; }
+    /// Heap memory of what the endpoints are believed to hold.
+    std::size_t prefixBytes() const;
 
 private:
     /// Window for measuring the rate at which queued requests start.
@@ -269,18 +289,29 @@
         monotonic_time stallTriedAt {};
         bool isListed = true;
         monotonic_time unlistedAt {};
+        /// Not set while nothing is known.
+        std::unique_ptr<prefix_belief> prefixes;
+        reuse_check reuseCheck;
+        /// Number of times that the endpoint lost its memory. A request that was sent before has left nothing there.
+        std::uint32_t memoryLosses = 0;
+        /// Time of the last connection that was lost with a response in progress.
+        std::optional<monotonic_time> brokenAt;
     };
     struct running_request {
         replica_id replica;
         node_id sender;
         tokens prompt;
-        /// Prefill work of the prompt, in tokens of short prompts.
+        /// Prefill work of the prompt without what the endpoint holds, in tokens of short prompts.
         tokens work;
         tokens memory;
         tokens queuedPrefill;
         monotonic_time sent;
         std::optional<monotonic_time> firstEventAt;
         duration expectedFirstEvent;
+        /// Beginning of the prompt that the endpoint held by all that is known.
+        tokens kept { 0 };
+        prompt_parts promptParts {};
+        std::uint32_t memoryLosses = 0;
         bool isEventRateRecorded = false;
         /// Adopted after its first event, which was measured elsewhere; the rest of the response yields no measurements.
         bool isAdopted = false;
@@ -295,6 +326,7 @@
         endpoint_state* endpoint = nullptr;
         duration expectedFirstEvent {};
         double score = 0;
+        tokens kept { 0 };
     };
 
     static std::optional<unusable_reason> whyUnusable(const endpoint_state& endpoint);
@@ -313,12 +345,14 @@
     /// Whether the endpoint is stalled and is not to be tried now.
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
+    bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request, tokens work) const;
     /// Whether the request was sent there before, or the endpoint asked its sender for rest.
     bool isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     /// Time at which the first endpoint accepts requests of the sender again; nullopt if none asked it for rest.
     std::optional<monotonic_time> firstRestEnd(const waiting_request& request, monotonic_time now) const;
     /// Longest expected gap in milliseconds between events of running responses while the prompt is prefilled.
-    double expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens pendingPrefill) const;
+    /// work: prefill work of the request on the endpoint.
+    double expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens work, tokens pendingPrefill) const;
     bool exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const;
     /// Fraction of an endpoint that this pool may use.
     double share() const { return 1.0 / static_cast<double>(m_nodeCount); }
@@ -338,7 +372,24 @@
     static bool canMeetTarget(const waiting_request& request, monotonic_time now);
     duration expectedWait(const waiting_request& request, std::size_t ahead) const;
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
-    void updateModels(latency_model& model, const running_request& running, duration elapsed);
+    void updateModels(endpoint_state& endpoint, const running_request& running, duration elapsed);
+    /// Beginning of the prompt that the endpoint holds by all that is known.
+    static tokens heldTokens(const endpoint_state& endpoint, const waiting_request& request);
+    /// The same, reduced by how often that was wrong there; decisions use this one.
+    static tokens believedTokens(const endpoint_state& endpoint, const waiting_request& request);
+    /// Prefill work of a prompt whose beginning is kept.
+    tokens uncachedWork(tokens prompt, tokens kept) const;
+    /// Prefill work of the request on the endpoint; without reuse if the endpoint cannot take the request now.
+    tokens fastestWork(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    /// Prefill work that explains the time to the first event best.
+    tokens plausibleWork(endpoint_state& endpoint, const running_request& running, duration elapsed);
+    /// Memory of the endpoint that can hold prompt parts.
+    tokens prefixCapacity(const endpoint_state& endpoint) const;
+    /// The endpoint has prefilled the prompt of the request.
+    void addPrefixes(endpoint_state& endpoint, const running_request& running) const;
+    static void forgetPrefixes(endpoint_state& endpoint);
+    /// Forgets what the endpoint held if the outcome shows that its process has ended.
+    static void forgetAfter(outcome result, endpoint_state& endpoint, const running_request& running, monotonic_time now);
     endpoint_speed meanEndpointSpeed() const;
     double medianFailureRate() const;
 
@@ -354,6 +405,7 @@
     std::size_t m_rank = 0;
     std::size_t m_nodeCount = 1;
     double m_medianFailureRate = 1;
+    reuse_totals m_reuse;
     // Valid during one pass of decide().
     std::vector<endpoint_state*> m_usable;
     std::map<queue_rank, std::size_t> m_startsByRank;
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -16,9 +16,6 @@
 constexpr auto waitReportThreshold = std::chrono::milliseconds(100);
 // Number of events after which a response in progress is used to learn the event rate.
 constexpr std::size_t minEventsForRate = 4;
-// The time to the first event is attributed to the request's own prompt if the prefill queued before it is at most this fraction of its
-// own.
-constexpr double maxQueuedFraction = 0.1;
 // A request without a first event times out after this multiple of the predicted time.
 constexpr int firstEventTimeoutFactor = 4;
 constexpr auto minFirstEventTimeout = std::chrono::milliseconds(500);
@@ -38,12 +35,17 @@
     if (found == m_endpoints.end())
         return false;
     auto& endpoint = found->second;
-    running_request running { request.replica, request.sender, request.prompt, m_prefillCost.work(request.prompt),
+    running_request running { request.replica, request.sender, request.prompt, uncachedWork(request.prompt, request.kept),
         tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
         request.expectedFirstEvent };
+    // An owner adopts with the parts, some time after the request was sent, so that its time to the first event tells nothing on reuse.
+    running.kept = request.promptParts.empty() ? request.kept : tokens { 0 };
+    running.promptParts = request.promptParts;
+    running.memoryLosses = endpoint.memoryLosses;
     if (request.hasFirstEvent) {
         running.firstEventAt = now;
         running.isAdopted = true;
+        addPrefixes(endpoint, running);
     }
     countRunning(endpoint, request.id, std::move(running), now);
     return !whyUnusable(endpoint);
@@ -121,14 +123,17 @@
     auto& endpoint = *chosen.endpoint;
     if (stalledSince(endpoint, now))
         endpoint.stallTriedAt = now;
+    const auto pending = endpoint.load.pendingPrefill;
+    const auto prefillWait = request.promptParts.empty() ? duration {} : endpoint.model.prefillTime(pending);
     countRunning(endpoint, request.id,
-        { endpoint.record.id, request.sender, request.prompt, m_prefillCost.work(request.prompt),
-            tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
-            chosen.expectedFirstEvent },
+        { endpoint.record.id, request.sender, request.prompt, uncachedWork(request.prompt, chosen.kept),
+            tokens { request.prompt.value + request.output.value }, pending, now, std::nullopt, chosen.expectedFirstEvent,
+            heldTokens(endpoint, request), request.promptParts, endpoint.memoryLosses },
         now);
     m_connections.use(request.sender, endpoint.record.id);
     m_recentGrants.push_back({ now, rankOf(request) });
-    return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
+    return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running, chosen.kept,
+        prefillWait };
 }
 
 void service_pool::countRunning(endpoint_state& endpoint, std::uint64_t id, running_request running, monotonic_time now)
@@ -137,6 +142,10 @@
         endpoint.lastProgress = now;
     ++endpoint.load.running;
     endpoint.load.memory.value += running.memory.value;
+    if (endpoint.prefixes) {
+        endpoint.prefixes->use(running.promptParts);
+        endpoint.prefixes->limitTo(prefixCapacity(endpoint));
+    }
     if (!running.firstEventAt) {
         endpoint.load.pendingPrefill.value += running.work.value;
         endpoint.limit.use(share(), now);
@@ -161,16 +170,8 @@
     }
     running.firstEventAt = now;
     endpoint->second.load.pendingPrefill.value -= running.work.value;
-    updateModels(endpoint->second.model, running, now - running.sent);
-}
-
-void service_pool::updateModels(latency_model& model, const running_request& running, duration elapsed)
-{
-    const bool isOwnPrefill
-        = maxQueuedFraction * static_cast<double>(running.work.value) > static_cast<double>(running.queuedPrefill.value);
-    if (isOwnPrefill && model.combined().samples > 0)
-        m_prefillCost.recordSample(running.prompt, model.prefilledTokens(elapsed));
-    model.recordFirstEvent(running.queuedPrefill, running.work, elapsed);
+    updateModels(endpoint->second, running, now - running.sent);
+    addPrefixes(endpoint->second, running);
 }
 
 void service_pool::recordOutcome(std::uint64_t id, outcome result, std::size_t events, monotonic_time now)
@@ -194,6 +195,10 @@
     if (result == outcome::completed && running.firstEventAt && events > 1 && !running.isAdopted)
         endpoint.model.recordEvents(events - 1, now - *running.firstEventAt);
     endpoint.health.record(result, now);
+    forgetAfter(result, endpoint, running, now);
+    // Its parts were in use until now, and no longer share the memory with its answer.
+    if (running.firstEventAt)
+        addPrefixes(endpoint, running);
     if (result == outcome::completed)
         m_connections.release(running.sender, running.replica, now);
     if (isForgotten(endpoint, now))
--- a/libs/placement/src/service_pool_endpoints.cpp
+++ b/libs/placement/src/service_pool_endpoints.cpp
@@ -29,6 +29,8 @@
         if (restarted) {
             endpoint.health = {};
             endpoint.limit = {};
+            forgetPrefixes(endpoint);
+            endpoint.reuseCheck = {};
         }
         endpoint.record = record;
         endpoint.notice.registered(record.startedAtMs);
@@ -38,6 +40,10 @@
             endpoint.model.setInitialEstimate(typical);
         }
     }
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (!endpoint.isListed)
+            forgetPrefixes(endpoint);
+    }
     std::erase_if(m_endpoints, [now](const auto& entry) { return isForgotten(entry.second, now); });
     m_hasChanged = true;
 }
--- a/libs/placement/src/service_pool_placement.cpp
+++ b/libs/placement/src/service_pool_placement.cpp
@@ -46,10 +46,11 @@
 
 bool service_pool::canFinish(const waiting_request& request, monotonic_time now) const
 {
-    const auto work = m_prefillCost.work(request.prompt);
     return std::ranges::any_of(m_usable, [&](const endpoint_state* endpoint) {
         return !isExcluded(*endpoint, request, now)
-            && now + endpoint->model.timeToFirstEvent(tokens { 0 }, work) + timeToFinish(endpoint->model, request) <= request.deadline;
+            && now + endpoint->model.timeToFirstEvent(tokens { 0 }, fastestWork(*endpoint, request, now))
+                + timeToFinish(endpoint->model, request)
+            <= request.deadline;
     });
 }
 
@@ -64,11 +65,10 @@
     std::vector<candidate> candidates;
     // If no endpoint is fast enough for the whole response, the length estimate may be wrong, so any endpoint may be tried.
     const bool mustFinish = canFinish(request, now);
-    const auto work = m_prefillCost.work(request.prompt);
     std::optional<bool> exceedsEverywhere;
     // A prompt that exceeds the event gap on every endpoint is placed where no other prompt is being prefilled.
-    const auto mayPrefill = [&](const endpoint_state& endpoint) {
-        if (keepsEventGap(endpoint, request))
+    const auto mayPrefill = [&](const endpoint_state& endpoint, tokens work) {
+        if (keepsEventGap(endpoint, request, work))
             return true;
         if (endpoint.load.pendingPrefill.value != 0)
             return false;
@@ -77,15 +77,18 @@
         return *exceedsEverywhere;
     };
     for (auto* endpoint : m_usable) {
-        if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request, now) || !isUsable(*endpoint, now)
-            || !mayPrefill(*endpoint))
+        if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request, now) || !isUsable(*endpoint, now))
+            continue;
+        const auto kept = believedTokens(*endpoint, request);
+        const auto work = uncachedWork(request.prompt, kept);
+        if (!mayPrefill(*endpoint, work))
             continue;
         const auto first = endpoint->model.timeToFirstEvent(endpoint->load.pendingPrefill, work);
         if (now + first > (mustMeetTarget ? request.target : request.deadline))
             continue;
         if (mustFinish && now + first + timeToFinish(endpoint->model, request) > request.deadline)
             continue;
-        candidates.push_back({ endpoint, first, scoreOf(*endpoint, request, first, now) });
+        candidates.push_back({ endpoint, first, scoreOf(*endpoint, request, first, now), kept });
     }
     if (candidates.empty())
         return std::nullopt;
@@ -169,39 +172,45 @@
 }
 
 bool service_pool::keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const
+{
+    return keepsEventGap(endpoint, request, uncachedWork(request.prompt, believedTokens(endpoint, request)));
+}
+
+bool service_pool::keepsEventGap(const endpoint_state& endpoint, const waiting_request& request, tokens work) const
 {
     if (request.maxEventGap == duration {} || endpoint.load.running == 0)
         return true;
-    return expectedEventGapMs(endpoint, request, endpoint.load.pendingPrefill)
+    return expectedEventGapMs(endpoint, request, work, endpoint.load.pendingPrefill)
         <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
 }
 
 // Prompts are prefilled in chunks, one per decoding step of the running responses; an event holds several tokens.
-double service_pool::expectedEventGapMs(const endpoint_state& endpoint, const waiting_request& request, tokens pendingPrefill) const
+double service_pool::expectedEventGapMs(
+    const endpoint_state& endpoint, const waiting_request& request, tokens work, tokens pendingPrefill) const
 {
-    const auto work = m_prefillCost.work(request.prompt);
-    const auto chunk = m_prefillCost.lastChunkWork(request.prompt);
+    const auto chunk = std::min(m_prefillCost.lastChunkWork(request.prompt), work);
     const double prefillMs = inMilliseconds(endpoint.model.prefillTime(tokens { pendingPrefill.value + work.value }));
     const double slowedEventMs = m_limits.tokensPerEvent * inMilliseconds(endpoint.model.prefillTime(chunk));
     return inMilliseconds(endpoint.model.timeToStream(1)) + std::min(prefillMs, slowedEventMs);
 }
 
+// Without reuse, so that no request waits for the one endpoint that holds its beginning while others could prefill it alone.
 bool service_pool::exceedsGapOnAllEndpoints(const waiting_request& request, monotonic_time now) const
 {
+    const auto work = m_prefillCost.work(request.prompt);
     return std::ranges::none_of(m_usable, [&](const endpoint_state* endpoint) {
         return !isExcluded(*endpoint, request, now)
-            && expectedEventGapMs(*endpoint, request, tokens { 0 }) <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
+            && expectedEventGapMs(*endpoint, request, work, tokens { 0 }) <= maxEventGapUtilization * inMilliseconds(request.maxEventGap);
     });
 }
 
 std::optional<duration> service_pool::minTimeToFirstEvent(const waiting_request& request, monotonic_time now) const
 {
-    const auto work = m_prefillCost.work(request.prompt);
     std::optional<duration> fastest;
     for (const auto* endpoint : m_usable) {
         if (isExcluded(*endpoint, request, now))
             continue;
-        const auto first = endpoint->model.timeToFirstEvent(tokens { 0 }, work);
+        const auto first = endpoint->model.timeToFirstEvent(tokens { 0 }, fastestWork(*endpoint, request, now));
         if (!fastest || first < *fastest)
             fastest = first;
     }
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -137,10 +137,13 @@
     m_hasUrgentCalls = true;
 }
 
+// This node uses too few requests of an endpoint to know what it holds, and the account would grow with the number of endpoints.
 void slot_client::enqueueLocally(waiting_request request)
 {
     const auto id = request.id;
-    m_local.submit(request);
+    auto local = request;
+    local.promptParts.clear();
+    m_local.submit(std::move(local));
     m_waiting[id] = { std::move(request), std::nullopt };
 }
 
@@ -373,7 +376,8 @@
     const auto previous = m_running.find(granted.id);
     if (previous != m_running.end() && previous->second.pool != pool)
         recordOutcome(granted.id, outcome::timed_out, 0, now);
-    m_local.adopt({ granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now);
+    m_local.adopt(
+        { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false, granted.kept, {} }, now);
     startRunning(request, granted, pool);
     decisions.grants.push_back(granted);
 }
@@ -412,8 +416,9 @@
 
 void slot_client::startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool)
 {
-    m_running[granted.id]
-        = { { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, pool, 0, 0 };
+    m_running[granted.id] = { { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false,
+                                  granted.kept, request.promptParts },
+        pool, 0, 0 };
 }
 
 void slot_client::loseOwner(const node_id& owner, monotonic_time now)
