Send prompt parts to the owners of pools and show what they saved

The gateway decoded the ids of the shared parts only, for the quarantine. It now decodes all parts with their token counts; those of significant size go with the request to the owner, and with running requests to a new owner. A list with a malformed count is ignored as a whole. Services without an engine memory send no parts. The counter carawaylink_gateway_reused_prompt_tokens_total compares predicted with found reuse; request_sent states kept_tokens and prefill_wait_ms for requests with parts.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -3,6 +3,7 @@
 #include "base/enum_table.h"
 #include "discovery/endpoint_table.h"
 #include "http/message.h"
+#include "placement/prompt_parts.h"
 #include "routing/fleet_configuration.h"
 
 #include <optional>
@@ -27,6 +28,8 @@
     std::string key;
     /// Ids of the prompt's parts that other requests may share, in order; the last part, which is the request's own, is left out.
     std::vector<std::string> sharedParts;
+    /// All parts of the prompt with their lengths, in order; empty if a length is missing.
+    std::vector<placement::named_part> promptParts;
 };
 
 /// Values that the gateway adds to a request when it dispatches it to an endpoint.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -124,6 +124,7 @@
     request.excluded = m_triedReplicas;
     request.wasAdmitted = wasAdmitted;
     request.responseStarted = m_headForwarded;
+    request.promptParts = m_admitted.promptParts;
     m_dispatcher.submit(shared_from_this(), std::move(request));
 }
 
@@ -182,9 +183,8 @@
 
 void exchange::logSend()
 {
-    m_dispatcher.log()
-        .event("request_sent")
-        .field("request", m_admitted.metadata.attempt)
+    auto line = m_dispatcher.log().event("request_sent");
+    line.field("request", m_admitted.metadata.attempt)
         .field("replica", m_grant.replica)
         .field("attempt", m_triedReplicas.size())
         .field("waited_ms", wholeMilliseconds(m_sentAt - m_admitted.arrived))
@@ -192,6 +192,9 @@
         .field("running", m_grant.running)
         .field("connection", m_connection.number)
         .field("earlier_requests", m_connection.earlierRequests);
+    if (m_admitted.promptParts.empty())
+        return;
+    line.field("kept_tokens", m_grant.kept).field("prefill_wait_ms", wholeMilliseconds(m_grant.prefillWait));
 }
 
 bool exchange::awaits(std::string_view decision)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/event_splitter.h"
+#include "placement/prompt_parts.h"
 #include "request_dispatcher.h"
 #include "send_record.h"
 
@@ -28,6 +29,7 @@
     tokens expectedOutput { 0 };
     tokens prompt { 0 };
     prompt_quarantine::parts sharedParts;
+    placement::prompt_parts promptParts;
 };
 
 /// One request from admission to its final response: sends it to the granted endpoints, relays the response, retries where that is
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -45,6 +45,12 @@
                             .Help("Refusals of endpoints that ask for rest in a form that cannot be read")
                             .Register(m_registry)
                             .Add({}))
+    , m_reuse(prometheus::BuildCounter()
+                  .Name("carawaylink_gateway_reused_prompt_tokens_total")
+                  .Help("Prompt tokens that were predicted to be cached, and that the time to the first event showed to be")
+                  .Register(m_registry))
+    , m_predictedReuse(m_reuse.Add({ { "kind", "predicted" } }))
+    , m_foundReuse(m_reuse.Add({ { "kind", "found" } }))
     , m_messageBytes(m_gauges.Add({ { "kind", "message_bytes" } }))
     , m_waiting(m_gauges.Add({ { "kind", "waiting_requests" } }))
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
@@ -127,6 +133,12 @@
     m_unreadableRests.Increment();
 }
 
+void gateway_metrics::setReuse(const placement::reuse_totals& totals)
+{
+    m_predictedReuse.Increment(static_cast<double>(totals.predicted) - m_predictedReuse.Value());
+    m_foundReuse.Increment(static_cast<double>(totals.found) - m_foundReuse.Value());
+}
+
 void gateway_metrics::setConfiguration(config_version version)
 {
     m_configuration.Set(static_cast<double>(version.value));
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "placement/endpoint_health.h"
+#include "placement/service_pool.h"
 
 #include <memory>
 #include <prometheus/counter.h>
@@ -36,6 +37,8 @@
     void setRestingEndpoints(std::size_t endpoints);
     /// An endpoint asked for rest in a form that cannot be read.
     void unreadableRest();
+    /// Prompt tokens of this node's requests since its start that were predicted to be cached, and that were.
+    void setReuse(const placement::reuse_totals& totals);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -50,6 +53,9 @@
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
+    prometheus::Family<prometheus::Counter>& m_reuse;
+    prometheus::Counter& m_predictedReuse;
+    prometheus::Counter& m_foundReuse;
     prometheus::Gauge& m_messageBytes;
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_active;
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ranges>
 #include <xxhash.h>
 
 namespace carawaylink::gateway {
@@ -59,6 +60,8 @@
     std::ranges::transform(request.excluded, std::back_inserter(result->excluded), replicaHash);
     result->was_admitted = request.wasAdmitted;
     result->response_started = request.responseStarted;
+    for (const auto& part : request.promptParts)
+        result->prompt_parts.emplace_back(part.prefix, saturated<std::uint32_t>(part.length.value));
     return result;
 }
 
@@ -80,9 +83,59 @@
     }
     request.wasAdmitted = message.was_admitted;
     request.responseStarted = message.response_started;
+    for (const auto& part : message.prompt_parts | std::views::take(placement::maxPromptParts))
+        request.promptParts.push_back({ part.prefix(), tokens { part.length() } });
     return request;
 }
 
+std::vector<peer::held_part> encodeHeldParts(const std::vector<placement::adopted_request>& adopted)
+{
+    std::vector<peer::held_part> result;
+    for (const auto& held : adopted) {
+        for (const auto& part : held.promptParts) {
+            result.emplace_back(
+                held.id, part.prefix, saturated<std::uint32_t>(part.length.value), saturated<std::uint32_t>(held.kept.value));
+        }
+    }
+    return result;
+}
+
+// The parts are in the order of the requests; those of an unknown one are skipped.
+void decodeHeldParts(const std::vector<peer::held_part>& parts, std::vector<placement::adopted_request>& adopted)
+{
+    auto held = adopted.begin();
+    for (const auto& part : parts) {
+        const auto found = std::find_if(held, adopted.end(), [&](const auto& request) { return request.id == part.id(); });
+        if (found == adopted.end())
+            continue;
+        held = found;
+        held->kept = tokens { part.kept() };
+        if (held->promptParts.size() < placement::maxPromptParts)
+            held->promptParts.push_back({ part.prefix(), tokens { part.length() } });
+    }
+}
+
+std::vector<peer::grant_reuse> encodeReuse(const std::vector<placement::slot_grant>& grants)
+{
+    std::vector<peer::grant_reuse> result;
+    for (const auto& [granted, speed] : grants) {
+        if (granted.kept.value > 0 || granted.prefillWait > duration {})
+            result.emplace_back(granted.id, saturated<std::uint32_t>(granted.kept.value), encodeSpan(granted.prefillWait));
+    }
+    return result;
+}
+
+void decodeReuse(const std::vector<peer::grant_reuse>& reuse, std::vector<placement::slot_grant>& grants)
+{
+    for (const auto& entry : reuse) {
+        const auto found = std::ranges::find(grants, entry.id(), [](const auto& grant) { return grant.granted.id; });
+        if (found == grants.end())
+            continue;
+        found->granted.kept = tokens { entry.kept() };
+        found->granted.prefillWait = decodeSpan(entry.prefill_wait_us());
+    }
+}
+
 placement::slot_grant decodeGrant(const peer::slot_grant& message, const replica_lookup& lookup)
 {
     placement::slot_grant result;
@@ -191,6 +244,7 @@
         message.adopted.emplace_back(held.id, replicaHash(held.replica), saturated<std::uint32_t>(held.prompt.value),
             saturated<std::uint32_t>(held.output.value), encodeSpan(held.expectedFirstEvent), held.hasFirstEvent);
     }
+    message.held_parts = encodeHeldParts(call.adopted);
     for (const auto& request : call.requests)
         message.requests.push_back(encodeRequest(request, now));
     message.limits = encodeLimits(call.limits);
@@ -219,6 +273,7 @@
         call.adopted.push_back({ held.id(), {}, replicaOf(held.replica(), lookup), tokens { held.prompt() }, tokens { held.output() },
             decodeSpan(held.expected_first_us()), held.has_first_event() });
     }
+    decodeHeldParts(message.held_parts, call.adopted);
     for (const auto& request : message.requests) {
         if (request)
             call.requests.push_back(decodeRequest(*request, lookup, now));
@@ -256,6 +311,7 @@
             wait.unusable, wait.full, wait.prefillBusy, wait.tooSlow);
     }
     message.limits = encodeLimits(reply.limits);
+    message.reuse = encodeReuse(reply.grants);
     return message;
 }
 
@@ -270,6 +326,7 @@
     reply.load = { message.slots, message.running, message.waiting };
     for (const auto& entry : message.grants)
         reply.grants.push_back(decodeGrant(entry, lookup));
+    decodeReuse(message.reuse, reply.grants);
     for (const auto& refused : message.refusals) {
         reply.refusals.push_back({ refused.id(), decodeEnum(refused.cause(), placement::refusal_cause::no_endpoint),
             decodeSpan(refused.retry_after_us()), refused.ahead() });
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -133,6 +133,7 @@
         reject(statusUnavailable, "stopping", minRetryAfter);
         return;
     }
+    admitted.promptParts = placement::significantParts(metadata.promptParts);
     admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
     if (const auto remaining = m_quarantine.remaining(admitted.sharedParts, now)) {
         logQuarantined(metadata, admitted.sharedParts, now);
@@ -316,6 +317,7 @@
     const auto notices = m_slots.noticeCounts();
     m_metrics.setLeavingEndpoints(notices.leaving);
     m_metrics.setRestingEndpoints(notices.resting);
+    m_metrics.setReuse(m_slots.reuse());
 }
 
 void request_dispatcher::releaseUnknownSlots()
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -311,6 +311,17 @@
     return state ? state->client.local().countNotices(std::chrono::steady_clock::now()) : placement::notice_counts {};
 }
 
+placement::reuse_totals slot_coordinator::reuse() const
+{
+    placement::reuse_totals total;
+    for (const auto& [name, state] : m_services) {
+        const auto reuse = state->client.local().reuse();
+        total.predicted += reuse.predicted;
+        total.found += reuse.found;
+    }
+    return total;
+}
+
 std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
 {
     const auto found = m_endpointByHash.find(hash);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -61,6 +61,8 @@
     /// Endpoints that said of themselves that they leave or rest, as known to this node.
     placement::notice_counts noticeCounts() const;
     placement::notice_counts noticeCounts(const service_id& service) const;
+    /// Reuse of prompt parts by the requests of this node.
+    placement::reuse_totals reuse() const;
     std::size_t ownedCount() const { return m_owned.pools().size(); }
 
 private:
--- a/libs/gateway/tests/slot_coordinator_tests.cpp
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -153,5 +153,40 @@
     EXPECT_EQ(node.slots.waitingCount(), 0U);
 }
 
+TEST_F(slot_coordinator_test, promptParts_ofAllNodes_reachOwnerAndItsSuccessor)
+{
+    // A prompt is prefilled again if its parts are lost on the way, or if a new owner does not learn what runs.
+    start(3, 4, 6);
+    std::vector<placement::owner_candidate> others;
+    std::vector<std::size_t> callers;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        m_nodes[i]->slots.setLimits(service, { tokens { 500'000 }, 1 });
+        if (m_nodes[i]->slots.ownedCount() > 0)
+            continue;
+        others.push_back({ m_nodes[i]->id, 500 });
+        callers.push_back(i);
+    }
+    const auto place = [&](std::size_t node, std::uint64_t id) {
+        auto submitted = request(id);
+        submitted.prompt = tokens { 3500 };
+        submitted.promptParts = { { 11, tokens { 3000 } }, { 12, tokens { 400 } } };
+        m_nodes[node]->slots.submit(service, submitted);
+        EXPECT_TRUE(runUntil([&] { return m_nodes[node]->grants.contains(id); }));
+        return m_nodes[node]->grants[id];
+    };
+    const auto first = place(callers[0], 1);
+    EXPECT_EQ(first.kept, tokens { 0 });
+    m_nodes[callers[0]]->slots.recordProgress(service, 1, 1);
+    m_nodes[callers[0]]->slots.tick();
+    const auto second = place(callers[1], 2);
+    EXPECT_EQ(second.kept, tokens { 3400 });
+    EXPECT_EQ(second.replica, first.replica);
+    for (const auto i : callers)
+        m_nodes[i]->slots.setMembers(others, i == callers[0] ? 0 : 1);
+    const auto third = place(callers[1], 3);
+    EXPECT_EQ(third.kept, tokens { 3400 });
+    EXPECT_EQ(third.replica, first.replica);
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -115,6 +115,8 @@
 void slot_client::submit(waiting_request request, monotonic_time now)
 {
     request.domain = m_domain;
+    if (!m_local.limits().memory)
+        request.promptParts.clear();
     enqueue(std::move(request), now);
 }
 
