Tell a new owner which prompts the endpoints answered last

A new owner knew the parts of running requests only, so each session between two prompts was prefilled once more. An owner ignores what another process of the endpoint answered.

--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -45,6 +45,22 @@
     return record ? record->id : discovery::replica_id {};
 }
 
+std::vector<peer::prompt_part> encodeParts(const placement::prompt_parts& parts)
+{
+    std::vector<peer::prompt_part> result;
+    for (const auto& part : parts)
+        result.emplace_back(part.prefix, saturated<std::uint32_t>(part.length.value));
+    return result;
+}
+
+placement::prompt_parts decodeParts(const std::vector<peer::prompt_part>& parts)
+{
+    placement::prompt_parts result;
+    for (const auto& part : parts | std::views::take(placement::maxPromptParts))
+        result.push_back({ part.prefix(), tokens { part.length() } });
+    return result;
+}
+
 std::unique_ptr<peer::slot_requestT> encodeRequest(const placement::waiting_request& request, monotonic_time now)
 {
     auto result = std::make_unique<peer::slot_requestT>();
@@ -60,8 +76,7 @@
     std::ranges::transform(request.excluded, std::back_inserter(result->excluded), replicaHash);
     result->was_admitted = request.wasAdmitted;
     result->response_started = request.responseStarted;
-    for (const auto& part : request.promptParts)
-        result->prompt_parts.emplace_back(part.prefix, saturated<std::uint32_t>(part.length.value));
+    result->prompt_parts = encodeParts(request.promptParts);
     return result;
 }
 
@@ -83,8 +98,7 @@
     }
     request.wasAdmitted = message.was_admitted;
     request.responseStarted = message.response_started;
-    for (const auto& part : message.prompt_parts | std::views::take(placement::maxPromptParts))
-        request.promptParts.push_back({ part.prefix(), tokens { part.length() } });
+    request.promptParts = decodeParts(message.prompt_parts);
     return request;
 }
 
@@ -115,6 +129,29 @@
     }
 }
 
+std::vector<std::unique_ptr<peer::answered_promptT>> encodeAnswered(const std::vector<placement::answered_prompt>& prompts)
+{
+    std::vector<std::unique_ptr<peer::answered_promptT>> result;
+    for (const auto& prompt : prompts) {
+        auto& entry = result.emplace_back(std::make_unique<peer::answered_promptT>());
+        entry->replica = replicaHash(prompt.replica);
+        entry->started_at_ms = prompt.startedAtMs;
+        entry->parts = encodeParts(prompt.parts);
+    }
+    return result;
+}
+
+std::vector<placement::answered_prompt> decodeAnswered(
+    const std::vector<std::unique_ptr<peer::answered_promptT>>& prompts, const replica_lookup& lookup)
+{
+    std::vector<placement::answered_prompt> result;
+    for (const auto& prompt : prompts) {
+        if (prompt)
+            result.push_back({ replicaOf(prompt->replica, lookup), prompt->started_at_ms, decodeParts(prompt->parts) });
+    }
+    return result;
+}
+
 std::vector<peer::grant_reuse> encodeReuse(const std::vector<placement::slot_grant>& grants)
 {
     std::vector<peer::grant_reuse> result;
@@ -245,6 +282,7 @@
             saturated<std::uint32_t>(held.output.value), encodeSpan(held.expectedFirstEvent), held.hasFirstEvent);
     }
     message.held_parts = encodeHeldParts(call.adopted);
+    message.answered = encodeAnswered(call.answered);
     for (const auto& request : call.requests)
         message.requests.push_back(encodeRequest(request, now));
     message.limits = encodeLimits(call.limits);
@@ -274,6 +312,7 @@
             decodeSpan(held.expected_first_us()), held.has_first_event() });
     }
     decodeHeldParts(message.held_parts, call.adopted);
+    call.answered = decodeAnswered(message.answered, lookup);
     for (const auto& request : message.requests) {
         if (request)
             call.requests.push_back(decodeRequest(*request, lookup, now));
--- a/libs/gateway/tests/slot_coordinator_tests.cpp
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -155,7 +155,7 @@
 
 TEST_F(slot_coordinator_test, promptParts_ofAllNodes_reachOwnerAndItsSuccessor)
 {
-    // A prompt is prefilled again if its parts are lost on the way, or if a new owner does not learn what runs.
+    // A prompt is prefilled again if its parts are lost on the way, or if a new owner does not learn which prompts were answered.
     start(3, 4, 6);
     std::vector<placement::owner_candidate> others;
     std::vector<std::size_t> callers;
@@ -166,26 +166,34 @@
         others.push_back({ m_nodes[i]->id, 500 });
         callers.push_back(i);
     }
-    const auto place = [&](std::size_t node, std::uint64_t id) {
+    const placement::prompt_parts running { { 11, tokens { 3000 } }, { 12, tokens { 400 } } };
+    const placement::prompt_parts ended { { 21, tokens { 2000 } } };
+    const auto place = [&](std::size_t node, std::uint64_t id, const placement::prompt_parts& parts) {
         auto submitted = request(id);
         submitted.prompt = tokens { 3500 };
-        submitted.promptParts = { { 11, tokens { 3000 } }, { 12, tokens { 400 } } };
+        submitted.promptParts = parts;
         m_nodes[node]->slots.submit(service, submitted);
         EXPECT_TRUE(runUntil([&] { return m_nodes[node]->grants.contains(id); }));
         return m_nodes[node]->grants[id];
     };
-    const auto first = place(callers[0], 1);
+    const auto first = place(callers[0], 1, running);
     EXPECT_EQ(first.kept, tokens { 0 });
     m_nodes[callers[0]]->slots.recordProgress(service, 1, 1);
     m_nodes[callers[0]]->slots.tick();
-    const auto second = place(callers[1], 2);
+    const auto second = place(callers[1], 2, running);
     EXPECT_EQ(second.kept, tokens { 3400 });
     EXPECT_EQ(second.replica, first.replica);
+    const auto past = place(callers[0], 4, ended);
+    m_nodes[callers[0]]->slots.recordProgress(service, 4, 1);
+    m_nodes[callers[0]]->slots.recordOutcome(service, 4, placement::outcome::completed, 1);
     for (const auto i : callers)
         m_nodes[i]->slots.setMembers(others, i == callers[0] ? 0 : 1);
-    const auto third = place(callers[1], 3);
+    const auto third = place(callers[1], 3, running);
     EXPECT_EQ(third.kept, tokens { 3400 });
     EXPECT_EQ(third.replica, first.replica);
+    const auto later = place(callers[1], 5, ended);
+    EXPECT_EQ(later.kept, tokens { 2000 });
+    EXPECT_EQ(later.replica, past.replica);
 }
 
 } // namespace
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -252,6 +252,8 @@
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
     /// timed_out. Returns false if the endpoint accepts no new requests.
     bool adopt(const adopted_request& request, monotonic_time now);
+    /// The process of the endpoint that started at this time, in Unix milliseconds, has prefilled the prompt.
+    void recordAnswered(const replica_id& replica, std::int64_t startedAtMs, const prompt_parts& parts);
     /// Removes a waiting request; returns false if it is not waiting.
     bool withdraw(std::uint64_t id);
     /// Grants and refuses what can be decided now. A grant for a request that is already running releases its load at the previous endpoint
@@ -387,6 +389,7 @@
     /// Memory of the endpoint that can hold prompt parts.
     tokens prefixCapacity(const endpoint_state& endpoint) const;
     /// The endpoint has prefilled the prompt of the request.
+    void addPrefixes(endpoint_state& endpoint, const prompt_parts& parts) const;
     void addPrefixes(endpoint_state& endpoint, const running_request& running) const;
     static void forgetPrefixes(endpoint_state& endpoint);
     /// Forgets what the endpoint held if the outcome shows that its process has ended.
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement/recent_prompts.h"
 #include "placement/slot_messages.h"
 
 #include <map>
@@ -148,6 +149,7 @@
     std::unordered_map<std::uint64_t, waiting_entry> m_waiting;
     std::unordered_map<std::uint64_t, running_entry> m_running;
     std::vector<received_decisions> m_received;
+    recent_prompts m_recentPrompts;
     std::size_t m_rank = 0;
     std::uint64_t m_lastSession;
     bool m_hasUrgentCalls = false;
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/ownership.h"
+#include "placement/recent_prompts.h"
 #include "placement/service_pool.h"
 
 #include <cstdint>
@@ -64,6 +65,8 @@
     std::vector<std::uint64_t> withdrawn;
     std::vector<progress_report> progress;
     std::vector<outcome_report> outcomes;
+    /// Prompts that endpoints of the pool answered lately; listed when a session is opened, for an owner that knows nothing.
+    std::vector<answered_prompt> answered;
     /// Requests that run on endpoints of the pool without a grant of this session.
     std::vector<adopted_request> adopted;
     std::vector<notice_report> notices;
--- a/libs/placement/src/service_pool_prefixes.cpp
+++ b/libs/placement/src/service_pool_prefixes.cpp
@@ -78,13 +78,26 @@
     return tokens { std::max<std::int64_t>(m_limits.memory.value_or(tokens { 0 }).value - endpoint.load.memory.value, 0) };
 }
 
-void service_pool::addPrefixes(endpoint_state& endpoint, const running_request& running) const
+void service_pool::addPrefixes(endpoint_state& endpoint, const prompt_parts& parts) const
 {
-    if (running.promptParts.empty() || !m_limits.memory || running.memoryLosses != endpoint.memoryLosses)
+    if (parts.empty() || !m_limits.memory)
         return;
     if (!endpoint.prefixes)
         endpoint.prefixes = std::make_unique<prefix_belief>();
-    endpoint.prefixes->add(running.promptParts, prefixCapacity(endpoint));
+    endpoint.prefixes->add(parts, prefixCapacity(endpoint));
+}
+
+void service_pool::addPrefixes(endpoint_state& endpoint, const running_request& running) const
+{
+    if (running.memoryLosses == endpoint.memoryLosses)
+        addPrefixes(endpoint, running.promptParts);
+}
+
+void service_pool::recordAnswered(const replica_id& replica, std::int64_t startedAtMs, const prompt_parts& parts)
+{
+    const auto found = m_endpoints.find(replica);
+    if (found != m_endpoints.end() && found->second.isListed && found->second.record.startedAtMs == startedAtMs)
+        addPrefixes(found->second, parts);
 }
 
 void service_pool::forgetPrefixes(endpoint_state& endpoint)
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -206,8 +206,11 @@
         return;
     auto& entry = found->second;
     entry.events = events;
+    if (std::exchange(entry.request.hasFirstEvent, true))
+        return;
+    m_recentPrompts.add({ entry.request.replica, m_local.startOf(entry.request.replica), entry.request.promptParts });
     // The end of a prefill changes what the owner may place on the endpoint.
-    if (!std::exchange(entry.request.hasFirstEvent, true) && m_links[entry.pool].isOpen) {
+    if (m_links[entry.pool].isOpen) {
         m_links[entry.pool].next.progress.push_back({ id, events });
         entry.reportedEvents = events;
         m_hasUrgentCalls = true;
@@ -221,6 +224,8 @@
     if (found == m_running.end())
         return;
     auto& link = m_links[found->second.pool];
+    if (result == outcome::broken || result == outcome::unreachable || result == outcome::replaced)
+        m_recentPrompts.remove(found->second.request.replica);
     m_running.erase(found);
     if (!link.isOpen)
         return;
@@ -584,43 +589,4 @@
     return static_cast<std::uint32_t>(std::ranges::count_if(m_running, [pool](const auto& entry) { return entry.second.pool == pool; }));
 }
 
-void slot_client::openSession(std::uint32_t pool, monotonic_time now)
-{
-    auto& link = m_links[pool];
-    link.session = ++m_lastSession;
-    link.lastCall = 0;
-    link.lastReply = 0;
-    link.isOpen = true;
-    link.next = {};
-    link.next.wantsReply = true;
-    for (auto& [id, entry] : m_running) {
-        if (entry.pool != pool)
-            continue;
-        link.next.adopted.push_back(entry.request);
-        entry.reportedEvents = entry.events;
-    }
-    for (const auto& [id, entry] : m_waiting) {
-        if (entry.pool == pool)
-            link.next.requests.push_back(entry.request);
-    }
-    for (const auto& [replica, perSecond] : m_local.requestLimits()) {
-        if (poolOfReplica(replica) == pool)
-            link.next.limits.push_back({ replica, perSecond });
-    }
-    for (const auto& replica : m_local.withNotice(now)) {
-        if (poolOfReplica(replica) == pool)
-            link.next.notices.push_back(*noticeOf(replica, now));
-    }
-}
-
-void slot_client::collectProgress(std::uint32_t pool)
-{
-    for (auto& [id, entry] : m_running) {
-        if (entry.pool != pool || entry.events <= entry.reportedEvents)
-            continue;
-        entry.reportedEvents = entry.events;
-        m_links[pool].next.progress.push_back({ id, entry.events });
-    }
-}
-
 } // namespace carawaylink::placement
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -122,6 +122,8 @@
         else
             m_pool.liftRequestLimit(limit.replica, now);
     }
+    for (const auto& prompt : call.answered)
+        m_pool.recordAnswered(prompt.replica, prompt.startedAtMs, prompt.parts);
     for (auto adopted : call.adopted) {
         adopted.sender = node;
         const auto id = std::exchange(adopted.id, poolRequest(node, session, adopted.id));
--- a/libs/placement/tests/prefix_belief_tests.cpp
+++ b/libs/placement/tests/prefix_belief_tests.cpp
@@ -1,4 +1,5 @@
 #include "placement/prefix_belief.h"
+#include "placement/recent_prompts.h"
 
 #include <gtest/gtest.h>
 
@@ -56,5 +57,25 @@
     EXPECT_EQ(significantParts(std::vector<named_part>(40, { "a", tokens { 400 } })).size(), maxPromptParts);
 }
 
+TEST(recent_prompts_test, prompts_areBoundedAndContinuedOnesReplaced)
+{
+    // Guards against a first call to a new owner that grows with the traffic of its node.
+    const discovery::replica_id engine { "a" };
+    recent_prompts recent;
+    prompt_parts parts { { 1, tokens { 1000 } } };
+    recent.add({ engine, 1, parts });
+    parts.push_back({ 2, tokens { 500 } });
+    recent.add({ engine, 1, parts });
+    ASSERT_EQ(recent.all().size(), 1U);
+    EXPECT_EQ(recent.all().front().parts, parts);
+    recent.add({ engine, 1, {} });
+    for (std::uint64_t i = 10; i < 200; ++i)
+        recent.add({ discovery::replica_id { "b" }, 1, { { i, tokens { 1000 } } } });
+    EXPECT_EQ(recent.all().size(), recent_prompts::maxPrompts);
+    EXPECT_EQ(recent.all().back().parts.front().prefix, 199U);
+    recent.remove(discovery::replica_id { "b" });
+    EXPECT_TRUE(recent.all().empty());
+}
+
 } // namespace
 } // namespace carawaylink::placement
--- a/libs/placement/tests/prefix_placement_tests.cpp
+++ b/libs/placement/tests/prefix_placement_tests.cpp
@@ -265,6 +265,17 @@
     EXPECT_NEAR(m_pool.speedOf(m_records.front().id)->msPerToken, 1 / tokensPerMs, 0.2 / tokensPerMs);
 }
 
+TEST_F(prefix_placement_test, answerOfEarlierProcess_isNotBelieved)
+{
+    // A node may list a prompt that a process answered before it crashed.
+    keepOnlyOneEngine();
+    const auto parts = request("s").promptParts;
+    m_pool.recordAnswered(m_records.front().id, 0, parts);
+    EXPECT_EQ(place(request("s"))->kept, tokens { 0 });
+    m_pool.recordAnswered(m_records.front().id, m_records.front().startedAtMs, parts);
+    EXPECT_EQ(place(request("s"))->kept, tokens { sharedTokens });
+}
+
 TEST_F(prefix_placement_test, eventGap_withMostOfPromptKept_isKept)
 {
     // A long prompt is kept away from endpoints with running responses although its holder prefills little of it.
