Allow a full prefill before a request with reuse times out

The timeout for the first event was four times the predicted time, which counts only what is not cached. An endpoint that had dropped a long prompt would have been given up, and the request sent a second time, while it still prefilled. The timeout now starts from the time without reuse.

prefix_placement_test.firstEventTimeout_withMostOfPromptKept_allowsFullPrefill is new; placement_tests: 106 of 106 pass.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -384,6 +384,8 @@
     tokens uncachedWork(tokens prompt, tokens kept) const;
     /// Prefill work of the request on the endpoint; without reuse if the endpoint cannot take the request now.
     tokens fastestWork(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    /// Expected time to the first event if the endpoint holds nothing of the prompt.
+    duration expectedWithoutReuse(const running_request& running) const;
     /// Prefill work that explains the time to the first event best.
     tokens plausibleWork(endpoint_state& endpoint, const running_request& running, duration elapsed);
     /// Memory of the endpoint that can hold prompt parts.
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -205,12 +205,13 @@
         m_endpoints.erase(position);
 }
 
+// An endpoint that holds less than assumed takes as long as without reuse, which is no reason to give it up.
 duration service_pool::firstEventTimeout(std::uint64_t id) const
 {
     const auto found = m_running.find(id);
     if (found == m_running.end())
         return minFirstEventTimeout;
-    return std::max<duration>(minFirstEventTimeout, firstEventTimeoutFactor * found->second.expectedFirstEvent);
+    return std::max<duration>(minFirstEventTimeout, firstEventTimeoutFactor * expectedWithoutReuse(found->second));
 }
 
 } // namespace carawaylink::placement
--- a/libs/placement/src/service_pool_prefixes.cpp
+++ b/libs/placement/src/service_pool_prefixes.cpp
@@ -56,6 +56,15 @@
     model.recordFirstEvent(running.queuedPrefill, work, elapsed);
 }
 
+duration service_pool::expectedWithoutReuse(const running_request& running) const
+{
+    const auto saved = m_prefillCost.work(running.prompt).value - running.work.value;
+    const auto found = m_endpoints.find(running.replica);
+    if (saved <= 0 || found == m_endpoints.end())
+        return running.expectedFirstEvent;
+    return running.expectedFirstEvent + found->second.model.prefillTime(tokens { saved });
+}
+
 // A wrong assumption on reuse would make the endpoint look several times faster or slower than it is.
 tokens service_pool::plausibleWork(endpoint_state& endpoint, const running_request& running, duration elapsed)
 {
@@ -63,7 +72,7 @@
         return running.work;
     const auto all = m_prefillCost.work(running.prompt);
     const auto rest = uncachedWork(running.prompt, running.kept);
-    const auto withoutReuse = running.expectedFirstEvent + endpoint.model.prefillTime(tokens { all.value - running.work.value });
+    const auto withoutReuse = expectedWithoutReuse(running);
     const auto withReuse = withoutReuse - endpoint.model.prefillTime(tokens { all.value - rest.value });
     const auto isFound = endpoint.reuseCheck.record(elapsed, withReuse, withoutReuse);
     if (!isFound)
--- a/libs/placement/tests/prefix_placement_tests.cpp
+++ b/libs/placement/tests/prefix_placement_tests.cpp
@@ -276,6 +276,16 @@
     EXPECT_EQ(place(request("s"))->kept, tokens { sharedTokens });
 }
 
+TEST_F(prefix_placement_test, firstEventTimeout_withMostOfPromptKept_allowsFullPrefill)
+{
+    // A long prompt that its endpoint no longer holds would be sent to a second one while the first still prefills it.
+    constexpr std::int64_t longPrompt = 40'000;
+    serve(request("s", longPrompt));
+    const auto next = request("s", longPrompt);
+    ASSERT_EQ(place(next)->kept, tokens { longPrompt });
+    EXPECT_GT(m_pool.firstEventTimeout(next.id), 2 * firstEventOf(next));
+}
+
 TEST_F(prefix_placement_test, eventGap_withMostOfPromptKept_isKept)
 {
     // A long prompt is kept away from endpoints with running responses although its holder prefills little of it.
