Explain where a request would be placed now

An operator could see where a request went, but not what the alternatives were. service_pool::explain() lists all endpoints of a pool in the order of preference with wait, kept tokens, load and memory, and names what rules each of the others out. It decides nothing.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -8,6 +8,7 @@
 #include "placement/endpoint_health.h"
 #include "placement/endpoint_notice.h"
 #include "placement/latency_model.h"
+#include "placement/placement_explanation.h"
 #include "placement/prefill_cost_model.h"
 #include "placement/prefix_belief.h"
 #include "placement/request_limit.h"
@@ -259,6 +260,8 @@
     /// Grants and refuses what can be decided now. A grant for a request that is already running releases its load at the previous endpoint
     /// with the outcome timed_out.
     pool_decisions decide(monotonic_time now);
+    /// Where the request would go now if it were first in the queue, and why; decides nothing.
+    placement_explanation explain(waiting_request request, monotonic_time now);
     bool hasWaiting() const { return !m_waiting.empty(); }
     std::size_t waitingCount() const { return m_waiting.size(); }
 
@@ -374,6 +377,8 @@
     bool canFinish(const waiting_request& request, monotonic_time now) const;
     static bool canMeetTarget(const waiting_request& request, monotonic_time now);
     duration expectedWait(const waiting_request& request, std::size_t ahead) const;
+    std::optional<placement_obstacle> obstacleAt(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
+    explained_candidate explainEndpoint(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     wait_report explainWait(const waiting_request& request, std::size_t ahead, monotonic_time now) const;
     void updateModels(endpoint_state& endpoint, const running_request& running, duration elapsed);
     /// Beginning of the prompt that the endpoint holds by all that is known.
--- a/libs/placement/tests/prefix_placement_tests.cpp
+++ b/libs/placement/tests/prefix_placement_tests.cpp
@@ -306,5 +306,36 @@
     EXPECT_FALSE(place(uncached));
 }
 
+TEST_F(prefix_placement_test, explanation_namesHolderAndWhatRulesOthersOut)
+{
+    // An operator who is told another endpoint than the one that requests go to would look for the cause in the wrong place.
+    const auto holder = holderOf("s");
+    auto next = request("s");
+    for (const auto& record : m_records) {
+        if (record.id.value != holder) {
+            next.excluded.push_back(record.id);
+            break;
+        }
+    }
+    const auto before = m_pool.explain(next, m_now);
+    ASSERT_EQ(before.candidates.size(), m_records.size());
+    EXPECT_EQ(before.candidates.front().replica.value, holder);
+    EXPECT_EQ(before.candidates.front().kept, tokens { sharedTokens });
+    EXPECT_FALSE(before.candidates.front().obstacle);
+    EXPECT_EQ(before.candidates.back().obstacle, placement_obstacle::excluded);
+    EXPECT_FALSE(before.isLate);
+    // Whatever the load, the first candidate is the one that is chosen.
+    for (unsigned i = 0; i < m_records.size() * slots; ++i) {
+        const auto submitted = request(i % 3 == 0 ? "s" : "other" + std::to_string(i % 5));
+        const auto expected = m_pool.explain(submitted, m_now).candidates.front();
+        ASSERT_FALSE(expected.obstacle);
+        EXPECT_NEAR(static_cast<double>(place(submitted)->expectedFirstEvent.count()),
+            static_cast<double>(expected.expectedFirstEvent.count()), 1e6);
+    }
+    const auto after = m_pool.explain(request("s"), m_now);
+    EXPECT_TRUE(std::ranges::all_of(
+        after.candidates, [](const explained_candidate& candidate) { return candidate.obstacle == placement_obstacle::no_slot; }));
+}
+
 } // namespace
 } // namespace carawaylink::placement
