--- a/tools/carawaylink-prefixbench/main.cpp
+++ b/tools/carawaylink-prefixbench/main.cpp
@@ -1,6 +1,7 @@
 // Measures placement by prompt parts on simulated engines: share of the prefill that could be saved, waits, decision time and memory.
 
 #include "base/time.h"
+#include "placement/recent_prompts.h"
 #include "placement/service_pool.h"
 
 #include <CLI/CLI.hpp>
@@ -36,6 +37,11 @@
     std::vector<double> speeds { 1, 0.55, 1, 2.8 };
     std::uint64_t seed = 1;
     bool knowsParts = true;
+    /// Nodes that take requests and tell a new owner which prompts were answered last.
+    std::size_t nodes = 16;
+    /// The owner of the pool changes after half of the time.
+    bool changesOwner = false;
+    bool listsAnswered = true;
 };
 
 constexpr std::int64_t maxPromptTokens = 7000;
@@ -76,12 +82,17 @@
 
 struct running_prompt {
     waiting_request request;
+    std::size_t node = 0;
+    bool hasFirstEvent = false;
+    std::optional<grant> granted;
     std::size_t session = 0;
     std::size_t engine = 0;
 };
 
 struct bench_result {
     std::int64_t promptTokens = 0;
+    /// Share of the possible reuse in each second.
+    std::map<std::int64_t, std::pair<std::int64_t, std::int64_t>> savedOfPossible;
     std::int64_t possible = 0;
     std::int64_t saved = 0;
     std::vector<double> waitsMs;
@@ -109,16 +120,16 @@
         , m_random(shape.seed)
         , m_pool(shape.seed)
         , m_sessions(shape.sessions)
+        , m_recent(shape.nodes)
     {
-        std::vector<discovery::endpoint_record> records;
         for (std::size_t i = 0; i < shape.endpoints; ++i) {
             const replica_id id { "e" + std::to_string(i) };
-            records.push_back({ id, service_id { "s" }, endpoint_id { id.value }, failure_domain { "a" }, shape.slots, false, 1 });
+            m_records.push_back({ id, service_id { "s" }, endpoint_id { id.value }, failure_domain { "a" }, shape.slots, false, 1 });
             m_engineById[id] = i;
             m_engines.push_back({ shape.speeds[i % shape.speeds.size()] });
         }
         m_pool.setLimits({ tokens { shape.memory }, 1 });
-        m_pool.setEndpoints(records, m_now);
+        m_pool.setEndpoints(m_records, m_now);
         std::vector<double> weights;
         for (std::size_t i = 0; i < std::max(shape.sessions, shape.sharedPrompts); ++i)
             weights.push_back(1 / std::pow(static_cast<double>(i) + 10, 0.9));
@@ -136,11 +147,17 @@
         const double requestMs = m_shape.baseMs + typicalPrefilledTokens / m_shape.promptTokensPerMs + m_shape.stepMs * meanOutputTokens;
         m_arrivalsPerMs = m_shape.load * m_shape.slots * speed / requestMs;
         const auto end = m_now + fromMs(1000 * m_shape.seconds);
+        auto ownerChange = m_now + fromMs(500 * m_shape.seconds);
+        m_start = m_now;
         m_events.push({ m_now, step::arrival });
         while (!m_events.empty()) {
             const auto next = m_events.top();
             m_events.pop();
             m_now = next.time;
+            if (m_shape.changesOwner && m_now >= ownerChange) {
+                changeOwner();
+                ownerChange = monotonic_time::max();
+            }
             if (next.what != step::arrival)
                 proceed(next);
             else if (m_now < end)
@@ -164,6 +181,29 @@
         return total;
     }
 
+    // Speeds, running requests and the prompts answered last are what the nodes tell a new owner.
+    void changeOwner()
+    {
+        service_pool next(m_shape.seed + 1);
+        next.setLimits({ tokens { m_shape.memory }, 1 });
+        next.setEndpoints(m_records, m_now);
+        for (const auto& [replica, speed] : m_pool.speeds())
+            next.setReportedSpeed(replica, speed);
+        for (const auto& node : m_recent) {
+            for (const auto& prompt : node.all())
+                next.recordAnswered(prompt.replica, prompt.startedAtMs, prompt.parts);
+        }
+        for (const auto& [id, prompt] : m_running) {
+            if (!prompt.granted)
+                next.submit(prompt.request);
+            else
+                next.adopt({ id, {}, prompt.granted->replica, prompt.request.prompt, prompt.request.output,
+                               prompt.granted->expectedFirstEvent, prompt.hasFirstEvent, prompt.granted->kept, prompt.request.promptParts },
+                    m_now);
+        }
+        m_pool = std::move(next);
+    }
+
     void arrive()
     {
         m_events.push({ m_now + fromMs(std::exponential_distribution(m_arrivalsPerMs)(m_random)), step::arrival });
@@ -188,7 +228,7 @@
         request.target = m_now + 1s;
         request.deadline = m_now + 15s;
         request.promptParts = significantParts(session.parts);
-        m_running.emplace(request.id, running_prompt { request, index });
+        m_running.emplace(request.id, running_prompt { request, request.id % m_recent.size(), false, std::nullopt, index });
         if (!m_shape.knowsParts)
             request.promptParts.clear();
         const auto start = std::chrono::steady_clock::now();
@@ -214,6 +254,7 @@
     {
         auto& prompt = m_running.at(granted.id);
         prompt.engine = m_engineById.at(granted.replica);
+        prompt.granted = granted;
         auto& used = m_engines[prompt.engine];
         used.running += prompt.request.prompt.value + prompt.request.output.value;
         used.cached.limitTo(capacity(used));
@@ -221,12 +262,15 @@
         for (const auto& entry : m_engines)
             possible = std::max(possible, entry.cached.kept(prompt.request.promptParts).value);
         m_result.possible += possible;
+        m_result.savedOfPossible[second()].second += possible;
         m_result.promptTokens += prompt.request.prompt.value;
         m_result.waitsMs.push_back(inMilliseconds(m_now - prompt.request.arrived));
         // The time of the prefill before it is not known yet, so it looks again when its turn comes.
         m_events.push({ std::max(m_now, used.prefillFrom), step::prefill, granted.id });
     }
 
+    std::int64_t second() const { return std::chrono::floor<std::chrono::seconds>(m_now - m_start).count(); }
+
     tokens capacity(const engine& used) const { return tokens { std::max<std::int64_t>(m_shape.memory - used.running, 0) }; }
 
     void proceed(const event& next)
@@ -242,6 +286,7 @@
             }
             const auto kept = used.cached.kept(request.promptParts);
             m_result.saved += kept.value;
+            m_result.savedOfPossible[second()].first += kept.value;
             used.cached.use(request.promptParts);
             const auto work = static_cast<double>(m_cost.work(request.prompt).value - m_cost.work(kept).value);
             used.prefillFrom = m_now + fromMs(variation() * work / m_shape.promptTokensPerMs / used.speed);
@@ -251,6 +296,9 @@
         case step::first_event:
             m_result.firstEventsMs.push_back(inMilliseconds(m_now - request.arrived));
             used.cached.add(request.promptParts, capacity(used));
+            prompt.hasFirstEvent = true;
+            if (m_shape.listsAnswered)
+                m_recent[prompt.node].add({ prompt.granted->replica, 1, request.promptParts });
             m_pool.recordProgress(next.request, 1, m_now);
             m_events.push({ m_now + fromMs(variation() * m_shape.stepMs * static_cast<double>(request.output.value) / used.speed),
                 step::end, next.request });
@@ -280,7 +328,10 @@
     std::vector<std::int64_t> m_sharedLengths;
     std::priority_queue<event> m_events;
     std::map<std::uint64_t, running_prompt> m_running;
+    std::vector<discovery::endpoint_record> m_records;
+    std::vector<recent_prompts> m_recent;
     double m_arrivalsPerMs = 0;
+    monotonic_time m_start {};
     std::uint64_t m_lastId = 0;
     monotonic_time m_now { 1h };
     bench_result m_result;
@@ -304,6 +355,28 @@
               << " found_of_predicted=" << share(result.reuse.found, result.reuse.predicted) << std::endl;
 }
 
+/// Seconds of reuse that a change of the owner costs, compared with the time before it.
+void measureOwnerChange(const bench_shape& shape)
+{
+    auto result = prefix_bench(shape).run();
+    const auto change = static_cast<std::int64_t>(shape.seconds / 2);
+    const auto shareIn = [&](std::int64_t from, std::int64_t to) {
+        std::pair<double, double> sum;
+        for (auto i = from; i < to; ++i) {
+            sum.first += static_cast<double>(result.savedOfPossible[i].first);
+            sum.second += static_cast<double>(result.savedOfPossible[i].second);
+        }
+        return sum.second > 0 ? sum.first / sum.second : 0;
+    };
+    const double before = shareIn(change / 2, change);
+    double lostSeconds = 0;
+    for (auto i = change; i < 2 * change; ++i)
+        lostSeconds += 1 - shareIn(i, i + 1) / before;
+    std::cout << "prefixbench_owner_change lists_answered=" << shape.listsAnswered << " nodes=" << shape.nodes << " load=" << shape.load
+              << " seed=" << shape.seed << " before=" << before << " first_second=" << shareIn(change, change + 1)
+              << " second_second=" << shareIn(change + 1, change + 2) << " lost_s=" << lostSeconds << std::endl;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -318,11 +391,20 @@
     app.add_option("--rate", shape.promptTokensPerMs, "prompt tokens that an engine prefills per ms")->check(CLI::Range(1, 100000));
     app.add_option("--seconds", shape.seconds, "simulated time")->check(CLI::Range(1, 100000));
     app.add_option("--seed", shape.seed, "seed of the load");
+    app.add_option("--nodes", shape.nodes, "nodes that take requests")->check(CLI::Range(1, 100000));
+    app.add_flag("--owner-change", shape.changesOwner, "measure a change of the owner after half of the time instead");
     app.add_option("--speeds", shape.speeds, "speeds of the engines, repeated over them")->check(CLI::PositiveNumber);
     app.add_option("--load", loads, "shares of the work that all slots can do");
     CLI11_PARSE(app, argc, argv);
     for (const auto load : loads) {
         shape.load = load;
+        if (shape.changesOwner) {
+            for (const bool listsAnswered : { false, true }) {
+                shape.listsAnswered = listsAnswered;
+                measureOwnerChange(shape);
+            }
+            continue;
+        }
         for (const bool knowsParts : { false, true }) {
             shape.knowsParts = knowsParts;
             measure(shape);
