--- a/tools/carawaylink-prefixbench/main.cpp
+++ b/tools/carawaylink-prefixbench/main.cpp
@@ -67,6 +67,7 @@
     double speed = 1;
     monotonic_time prefillFrom {};
     std::int64_t running = 0;
+    unsigned requests = 0;
     prefix_belief cached;
 };
 
@@ -94,6 +95,8 @@
     /// Share of the possible reuse in each second.
     std::map<std::int64_t, std::pair<std::int64_t, std::int64_t>> savedOfPossible;
     std::int64_t possible = 0;
+    /// The same, of endpoints with a free slot.
+    std::int64_t reachable = 0;
     std::int64_t saved = 0;
     std::vector<double> waitsMs;
     std::vector<double> firstEventsMs;
@@ -256,11 +259,18 @@
         prompt.engine = m_engineById.at(granted.replica);
         prompt.granted = granted;
         auto& used = m_engines[prompt.engine];
+        std::int64_t possible = 0;
+        std::int64_t reachable = 0;
+        for (const auto& entry : m_engines) {
+            const auto kept = entry.cached.kept(prompt.request.promptParts).value;
+            possible = std::max(possible, kept);
+            if (entry.requests < m_shape.slots)
+                reachable = std::max(reachable, kept);
+        }
+        ++used.requests;
+        m_result.reachable += reachable;
         used.running += prompt.request.prompt.value + prompt.request.output.value;
         used.cached.limitTo(capacity(used));
-        std::int64_t possible = 0;
-        for (const auto& entry : m_engines)
-            possible = std::max(possible, entry.cached.kept(prompt.request.promptParts).value);
         m_result.possible += possible;
         m_result.savedOfPossible[second()].second += possible;
         m_result.promptTokens += prompt.request.prompt.value;
@@ -305,6 +315,7 @@
             return;
         case step::end:
             m_result.totalsMs.push_back(inMilliseconds(m_now - request.arrived));
+            --used.requests;
             used.running -= request.prompt.value + request.output.value;
             used.cached.add(request.promptParts, capacity(used));
             m_pool.recordOutcome(next.request, outcome::completed, static_cast<std::size_t>(request.output.value), m_now);
@@ -346,7 +357,8 @@
     std::cout << "prefixbench knows_parts=" << shape.knowsParts << " endpoints=" << shape.endpoints << " sessions=" << shape.sessions
               << " load=" << shape.load << " seed=" << shape.seed << " requests=" << requests << " refused=" << result.refused
               << " prompt_tokens=" << result.promptTokens << " possible_share=" << share(result.possible, result.promptTokens)
-              << " saved_of_possible=" << share(result.saved, result.possible) << " wait_p99_ms=" << percentile(result.waitsMs, 0.99)
+              << " saved_of_possible=" << share(result.saved, result.possible)
+              << " saved_of_reachable=" << share(result.saved, result.reachable) << " wait_p99_ms=" << percentile(result.waitsMs, 0.99)
               << " first_event_p50_ms=" << percentile(result.firstEventsMs, 0.5)
               << " first_event_p99_ms=" << percentile(result.firstEventsMs, 0.99) << " total_p50_ms=" << percentile(result.totalsMs, 0.5)
               << " total_p99_ms=" << percentile(result.totalsMs, 0.99)
