--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -39,6 +39,8 @@
     void unreadableRest();
     /// Admission control acted in a pool that this node owns.
     void admissions(const placement::admission_counts& counts);
+    /// Prompt tokens of this node's requests since its start that were predicted to be cached, and that were.
+    void setReuse(const placement::reuse_totals& totals);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -54,6 +56,9 @@
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
+    prometheus::Family<prometheus::Counter>& m_reuse;
+    prometheus::Counter& m_predictedReuse;
+    prometheus::Counter& m_foundReuse;
     prometheus::Gauge& m_messageBytes;
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_active;
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -115,6 +115,8 @@
 void slot_client::submit(waiting_request request, monotonic_time now)
 {
     request.domain = m_domain;
+    if (!m_local.limits().memory)
+        request.promptParts.clear();
     enqueue(std::move(request), now);
 }
 
@@ -137,10 +139,13 @@
     m_hasUrgentCalls = true;
 }
 
+// This node uses too few requests of an endpoint to know what it holds, and the account would grow with the number of endpoints.
 void slot_client::enqueueLocally(waiting_request request)
 {
     const auto id = request.id;
-    m_local.submit(request);
+    auto local = request;
+    local.promptParts.clear();
+    m_local.submit(std::move(local));
     m_waiting[id] = { std::move(request), std::nullopt };
 }
 
@@ -201,8 +206,11 @@
         return;
     auto& entry = found->second;
     entry.events = events;
+    if (std::exchange(entry.request.hasFirstEvent, true))
+        return;
+    m_recentPrompts.add({ entry.request.replica, m_local.startOf(entry.request.replica), entry.request.promptParts });
     // The end of a prefill changes what the owner may place on the endpoint.
-    if (!std::exchange(entry.request.hasFirstEvent, true) && m_links[entry.pool].isOpen) {
+    if (m_links[entry.pool].isOpen) {
         m_links[entry.pool].next.progress.push_back({ id, events });
         entry.reportedEvents = events;
         m_hasUrgentCalls = true;
@@ -216,6 +224,8 @@
     if (found == m_running.end())
         return;
     auto& link = m_links[found->second.pool];
+    if (result == outcome::broken || result == outcome::unreachable || result == outcome::replaced)
+        m_recentPrompts.remove(found->second.request.replica);
     m_running.erase(found);
     if (!link.isOpen)
         return;
@@ -373,7 +383,8 @@
     const auto previous = m_running.find(granted.id);
     if (previous != m_running.end() && previous->second.pool != pool)
         recordOutcome(granted.id, outcome::timed_out, 0, now);
-    m_local.adopt({ granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, now);
+    m_local.adopt(
+        { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false, granted.kept, {} }, now);
     startRunning(request, granted, pool);
     decisions.grants.push_back(granted);
 }
@@ -412,8 +423,9 @@
 
 void slot_client::startRunning(const waiting_request& request, const grant& granted, std::uint32_t pool)
 {
-    m_running[granted.id]
-        = { { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false }, pool, 0, 0 };
+    m_running[granted.id] = { { granted.id, {}, granted.replica, request.prompt, request.output, granted.expectedFirstEvent, false,
+                                  granted.kept, request.promptParts },
+        pool, 0, 0 };
 }
 
 void slot_client::loseOwner(const node_id& owner, monotonic_time now)
@@ -577,43 +589,4 @@
     return static_cast<std::uint32_t>(std::ranges::count_if(m_running, [pool](const auto& entry) { return entry.second.pool == pool; }));
 }
 
-void slot_client::openSession(std::uint32_t pool, monotonic_time now)
-{
-    auto& link = m_links[pool];
-    link.session = ++m_lastSession;
-    link.lastCall = 0;
-    link.lastReply = 0;
-    link.isOpen = true;
-    link.next = {};
-    link.next.wantsReply = true;
-    for (auto& [id, entry] : m_running) {
-        if (entry.pool != pool)
-            continue;
-        link.next.adopted.push_back(entry.request);
-        entry.reportedEvents = entry.events;
-    }
-    for (const auto& [id, entry] : m_waiting) {
-        if (entry.pool == pool)
-            link.next.requests.push_back(entry.request);
-    }
-    for (const auto& [replica, perSecond] : m_local.requestLimits()) {
-        if (poolOfReplica(replica) == pool)
-            link.next.limits.push_back({ replica, perSecond });
-    }
-    for (const auto& replica : m_local.withNotice(now)) {
-        if (poolOfReplica(replica) == pool)
-            link.next.notices.push_back(*noticeOf(replica, now));
-    }
-}
-
-void slot_client::collectProgress(std::uint32_t pool)
-{
-    for (auto& [id, entry] : m_running) {
-        if (entry.pool != pool || entry.events <= entry.reportedEvents)
-            continue;
-        entry.reportedEvents = entry.events;
-        m_links[pool].next.progress.push_back({ id, entry.events });
-    }
-}
-
 } // namespace carawaylink::placement
