Probe a quarantined prompt part after its term instead of letting it go

Cause: a quarantine ended by the clock after 60 s although requests with the part had never stopped; 11 to 13 of them reached endpoints before the next decision.

Change: after its term a part is on probation. A node that gets a request with it asks the node in charge of the part (by hash, as for the store's record), which grants one probe at a time; the request waits for the reply, at most 0.5 s, others are refused. A probe is sent to one endpoint at most. An answer ends the quarantine on all nodes, a crash prolongs it (one crash suffices for a known part). A node that comes to be in charge grants none for 3 s, so each lost node in charge or prober costs at most one further request. Nodes that start learn the parts on probation like those in force; a part that nobody asks for is forgotten after half an hour, and until then the store keeps its record.

Compatibility: the store's records are unchanged. Entries on probation are a new field at the end of quarantine_update, and part_probe is a new member of the union; a node without them ignores both, and lets all requests through after the term as before. While such a node is in charge, newer nodes get no reply and keep refusing.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -450,7 +450,8 @@
 {
     if (m_responder->closed() || m_admitted.responseDeadline - now < minRetryTime || m_sends.undelivered() >= maxUndeliveredSends)
         return false;
-    if (m_sends.mayHaveExecuted() && !m_admitted.route.isSafeToRetry())
+    const bool isUnsafe = m_sends.mayHaveExecuted() && !m_admitted.route.isSafeToRetry();
+    if (isUnsafe || (m_admitted.isProbe && m_sends.delivered() > 0))
         return false;
     if (result == placement::outcome::unreachable)
         return true;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -28,6 +28,8 @@
     tokens expectedOutput { 0 };
     tokens prompt { 0 };
     prompt_quarantine::parts sharedParts;
+    /// Probes quarantined parts: reaches one endpoint at most.
+    bool isProbe = false;
 };
 
 /// One request from admission to its final response: sends it to the granted endpoints, relays the response, retries where that is
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -34,6 +34,10 @@
                            .Name("carawaylink_gateway_memory_exceeded_total")
                            .Help("Messages that were ended because all messages together held too much memory, by kind")
                            .Register(m_registry))
+    , m_promptProbes(prometheus::BuildCounter()
+                         .Name("carawaylink_gateway_prompt_probes_total")
+                         .Help("Requests that asked to probe a quarantined prompt part, by what became of them")
+                         .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
@@ -50,6 +54,7 @@
     , m_active(m_gauges.Add({ { "kind", "active_requests" } }))
     , m_liveNodes(m_gauges.Add({ { "kind", "live_nodes" } }))
     , m_quarantinedParts(m_gauges.Add({ { "kind", "quarantined_prompt_parts" } }))
+    , m_partsOnProbation(m_gauges.Add({ { "kind", "prompt_parts_on_probation" } }))
     , m_limitedEndpoints(m_gauges.Add({ { "kind", "endpoints_with_request_limit" } }))
     , m_leavingEndpoints(m_gauges.Add({ { "kind", "leaving_endpoints" } }))
     , m_restingEndpoints(m_gauges.Add({ { "kind", "resting_endpoints" } }))
@@ -102,9 +107,15 @@
     m_liveNodes.Set(static_cast<double>(nodes));
 }
 
-void gateway_metrics::setQuarantinedParts(std::size_t parts)
+void gateway_metrics::promptProbe(std::string_view result)
 {
-    m_quarantinedParts.Set(static_cast<double>(parts));
+    m_promptProbes.Add({ { "result", std::string(result) } }).Increment();
+}
+
+void gateway_metrics::setQuarantinedParts(std::size_t inForce, std::size_t onProbation)
+{
+    m_quarantinedParts.Set(static_cast<double>(inForce));
+    m_partsOnProbation.Set(static_cast<double>(onProbation));
 }
 
 void gateway_metrics::setLimitedEndpoints(std::size_t endpoints)
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -29,7 +29,10 @@
     void setWaiting(std::size_t requests);
     void setActive(std::size_t requests);
     void setLiveNodes(std::size_t nodes);
-    void setQuarantinedParts(std::size_t parts);
+    /// Parts whose requests are refused, and parts that are on probation.
+    void setQuarantinedParts(std::size_t inForce, std::size_t onProbation);
+    /// A request that asked for a probe was granted or refused it, or a probe was answered.
+    void promptProbe(std::string_view result);
     void setLimitedEndpoints(std::size_t endpoints);
     /// Endpoints whose answers say that they leave, and those that asked this node for rest.
     void setLeavingEndpoints(std::size_t endpoints);
@@ -47,6 +50,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_unexpectedDecisions;
     prometheus::Family<prometheus::Counter>& m_memoryExceeded;
+    prometheus::Family<prometheus::Counter>& m_promptProbes;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
@@ -55,6 +59,7 @@
     prometheus::Gauge& m_active;
     prometheus::Gauge& m_liveNodes;
     prometheus::Gauge& m_quarantinedParts;
+    prometheus::Gauge& m_partsOnProbation;
     prometheus::Gauge& m_limitedEndpoints;
     prometheus::Gauge& m_leavingEndpoints;
     prometheus::Gauge& m_restingEndpoints;
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -22,6 +22,9 @@
 constexpr auto watchTime = std::chrono::seconds(60);
 // A node that was paused for longer may have unread reports of answers.
 constexpr auto maxTickInterval = std::chrono::milliseconds(500);
+// Of a node that was refused a probe of a part. With many nodes it is longer, which bounds the questions to the node in charge to 20/s.
+constexpr auto minProbeInterval = std::chrono::seconds(1);
+constexpr auto probeIntervalPerNode = std::chrono::milliseconds(50);
 
 template <typename Integer> std::optional<Integer> parse(std::string_view text, int base)
 {
@@ -33,8 +36,12 @@
 peer::quarantine_updateT encode(std::span<const quarantine::quarantine_entry> entries)
 {
     peer::quarantine_updateT update;
-    for (const auto& entry : entries)
-        update.parts.emplace_back(entry.part.value, encodeMilliseconds(entry.remaining), entry.times);
+    for (const auto& entry : entries) {
+        if (entry.remaining > duration {})
+            update.parts.emplace_back(entry.part.value, encodeMilliseconds(entry.remaining), entry.times);
+        else
+            update.on_probation.emplace_back(entry.part.value, encodeMilliseconds(entry.idle), entry.times);
+    }
     return update;
 }
 
@@ -45,6 +52,15 @@
     , m_log(log)
     , m_send(std::move(send))
     , m_nodes({ m_self })
+    , m_probes(
+          [this](part_hash part) {
+              if (m_members)
+                  sendProbeStep(m_members->nodeFor(part.value), part, peer::probe_step::asked);
+          },
+          [this](part_hash part) {
+              if (m_members)
+                  sendProbeStep(m_members->nodeFor(part.value), part, peer::probe_step::ended);
+          })
 {
 }
 
@@ -71,6 +87,46 @@
     return longest;
 }
 
+prompt_quarantine::parts prompt_quarantine::onProbation(const parts& requested, monotonic_time now) const
+{
+    parts result;
+    std::ranges::copy_if(requested, std::back_inserter(result), [&](part_hash part) { return m_list.isOnProbation(part, now); });
+    return result;
+}
+
+duration prompt_quarantine::probeInterval() const
+{
+    return std::max<duration>(minProbeInterval, m_nodes.size() * probeIntervalPerNode);
+}
+
+bool prompt_quarantine::askForProbe(std::uint64_t request, parts probed, monotonic_time now)
+{
+    std::ranges::for_each(probed, [&](part_hash part) { m_list.recordDemand(part, now); });
+    return m_probes.ask(request, std::move(probed), probeInterval(), now);
+}
+
+bool prompt_quarantine::recordProbeAnswer(std::uint64_t request, monotonic_time now)
+{
+    const auto probed = m_probes.takeAnswered(request);
+    for (const auto part : probed) {
+        for (const auto& node : m_nodes) {
+            if (node != m_self)
+                sendProbeStep(node, part, peer::probe_step::answered);
+        }
+        release(part, m_list.timesOf(part), now);
+    }
+    return !probed.empty();
+}
+
+void prompt_quarantine::release(part_hash part, unsigned times, monotonic_time now)
+{
+    if (!m_list.release(part, times, now))
+        return;
+    m_log.event("quarantine_ended").field("part", logName(part)).field("cause", "answer").field("times", times);
+    if (isInCharge(part))
+        m_store(logName(part), "");
+}
+
 void prompt_quarantine::recordAnswer(const parts& answered, monotonic_time now)
 {
     for (const auto part : answered) {
@@ -103,6 +159,10 @@
     const bool haveMembersChanged = std::exchange(m_membersVersion, members.version()) != members.version();
     if (haveMembersChanged)
         m_nodes = members.reachable();
+    m_members = &members;
+    if (haveMembersChanged)
+        forgetProbesOfOthers(now);
+    m_probes.tick(probeInterval(), now);
     if (now - std::exchange(m_lastTickAt, now) > maxTickInterval)
         m_correlator.suspectAnew();
     sendCrashes(members, haveMembersChanged, now);
@@ -111,8 +171,9 @@
     if (now - m_lastUpkeepAt < upkeepInterval)
         return;
     m_lastUpkeepAt = now;
-    deleteEnded(members, now);
-    m_list.expire(now);
+    beginProbations(now);
+    forgetUnused(members, now);
+    forgetProbesOfOthers(now);
     std::erase_if(m_watches, [now](const auto& entry) { return entry.second.until < now; });
     passOn(now);
 }
@@ -208,7 +269,7 @@
 
 void prompt_quarantine::rewrite(const std::vector<store_record>& records, const fleet_members& members, monotonic_time now)
 {
-    for (const auto& entry : m_list.inForce(now)) {
+    for (const auto& entry : m_list.held(now)) {
         const auto key = logName(entry.part);
         const auto value = std::to_string(entry.times);
         const bool isHeld
@@ -220,11 +281,22 @@
     }
 }
 
-// One node deletes the record of a part whose time is over, so that it is not restored by a later start.
-void prompt_quarantine::deleteEnded(const fleet_members& members, monotonic_time now)
+void prompt_quarantine::beginProbations(monotonic_time now)
+{
+    for (const auto part : m_list.takeEnded(now))
+        m_log.event("part_on_probation").field("part", logName(part)).field("times", m_list.timesOf(part));
+}
+
+void prompt_quarantine::forgetProbesOfOthers(monotonic_time now)
 {
-    for (const auto part : m_list.takeEnded(now)) {
-        m_log.event("quarantine_ended").field("part", logName(part));
+    m_arbiter.retain([&](part_hash part) { return m_list.isOnProbation(part, now) && isInCharge(part); });
+}
+
+// One node deletes the record of a part, so that it is not restored by a later start.
+void prompt_quarantine::forgetUnused(const fleet_members& members, monotonic_time now)
+{
+    for (const auto part : m_list.expire(now)) {
+        m_log.event("quarantine_ended").field("part", logName(part)).field("cause", "unused");
         if (members.nodeFor(part.value) == m_self)
             m_store(logName(part), "");
     }
@@ -233,7 +305,7 @@
 // A node without knowledge gets the entries from those before it in the order of addresses, so that no request for them is needed.
 void prompt_quarantine::passOn(monotonic_time now)
 {
-    const auto entries = m_list.inForce(now);
+    const auto entries = m_list.held(now);
     if (entries.empty())
         return;
     const auto update = encode(entries);
@@ -251,6 +323,8 @@
         receive(*answers, now);
     else if (const auto* update = message.body.Asquarantine_update())
         receive(*update, now);
+    else if (const auto* probe = message.body.Aspart_probe())
+        receive(node, *probe, now);
     else
         return false;
     return true;
@@ -303,10 +377,67 @@
             .field("times", entry.times())
             .field("remaining_ms", entry.remaining_ms());
     }
+    for (const auto& entry : update.on_probation)
+        learnProbation({ part_hash { entry.part() }, entry.times(), {}, std::chrono::milliseconds(entry.idle_ms()) }, now);
     if (hasNew)
         m_onQuarantined();
 }
 
+void prompt_quarantine::learnProbation(const quarantine::quarantine_entry& entry, monotonic_time now)
+{
+    if (!m_list.merge(entry, now))
+        return;
+    // A crash with the part may be known already. It is that of a probe and prolongs the quarantine.
+    m_correlator.suspectAnew();
+    m_log.event("part_quarantined").field("part", logName(entry.part)).field("times", entry.times).field("remaining_ms", 0);
+}
+
+void prompt_quarantine::receive(const node_id& node, const peer::part_probeT& message, monotonic_time now)
+{
+    const part_hash part { message.part };
+    switch (message.step) {
+    case peer::probe_step::asked:
+        sendProbeStep(node, part, replyTo(node, message, now));
+        break;
+    case peer::probe_step::granted:
+        m_probes.grant(part);
+        break;
+    case peer::probe_step::refused:
+        m_probes.refuse(part, probeInterval(), now);
+        break;
+    case peer::probe_step::answered:
+        release(part, message.times, now);
+        m_probes.refuse(part, probeInterval(), now);
+        break;
+    case peer::probe_step::ended:
+        m_arbiter.end(part, node, now);
+        break;
+    }
+}
+
+peer::probe_step prompt_quarantine::replyTo(const node_id& prober, const peer::part_probeT& question, monotonic_time now)
+{
+    const part_hash part { question.part };
+    m_list.merge({ part, question.times, {}, {} }, now);
+    m_list.recordDemand(part, now);
+    const bool isEnded = !m_list.isOnProbation(part, now) && !m_list.remaining(part, now);
+    if (isEnded && m_list.timesOf(part) >= question.times)
+        return peer::probe_step::answered;
+    if (!isInCharge(part) || !m_list.isOnProbation(part, now) || !m_arbiter.ask(part, prober, now))
+        return peer::probe_step::refused;
+    m_log.event("probe_granted").field("part", logName(part)).field("times", m_list.timesOf(part)).field("prober", prober);
+    return peer::probe_step::granted;
+}
+
+void prompt_quarantine::sendProbeStep(const node_id& node, part_hash part, peer::probe_step step)
+{
+    peer::part_probeT message;
+    message.part = part.value;
+    message.times = m_list.timesOf(part);
+    message.step = step;
+    send(node, message);
+}
+
 template <typename Message> void prompt_quarantine::send(const node_id& node, const Message& message)
 {
     peer::envelopeT envelope;
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -4,7 +4,9 @@
 #include "discovery/endpoint_table.h"
 #include "fleet_members.h"
 #include "gateway/protocol_codec.h"
+#include "probe_requests.h"
 #include "quarantine/crash_correlator.h"
+#include "quarantine/probe_arbiter.h"
 #include "quarantine/recent_answers.h"
 #include "wire/generated/peer_state_generated.h"
 
@@ -20,7 +22,8 @@
 
 /// Keeps the requests with prompt parts that crash endpoints away from them, fleet-wide. For each service two nodes correlate the crashes
 /// that all nodes report, each by itself; they ask the nodes about answers and tell them which parts are quarantined. The nodes pass the
-/// quarantine on to nodes that start; the store keeps it for a fleet that starts as a whole. Does no I/O.
+/// quarantine on to nodes that start; the store keeps it for a fleet that starts as a whole. After its term, the node in charge of the part
+/// grants probes, one at a time: an answer ends the quarantine, a crash prolongs it. Does no I/O.
 class prompt_quarantine {
 public:
     using sender = std::function<void(const node_id& node, peer::envelopeT message)>;
@@ -46,6 +49,19 @@
     std::optional<duration> remaining(const parts& requested, monotonic_time now) const;
     /// Number of parts in force.
     std::size_t size(monotonic_time now) const { return m_list.sizeInForce(now); }
+    std::size_t sizeOnProbation(monotonic_time now) const { return m_list.sizeOnProbation(now); }
+    /// Those of the parts whose requests have to be probes.
+    parts onProbation(const parts& requested, monotonic_time now) const;
+    /// Time after which a request that was refused as a probe may be granted one.
+    duration probeInterval() const;
+    /// Called once for each request that asks for a probe, maybe before askForProbe() returns.
+    void setOnProbeDecided(probe_requests::decision_handler handler) { m_probes.setOnDecided(std::move(handler)); }
+    /// Asks whether the request may be sent although the parts are on probation; returns false if it must be refused now.
+    bool askForProbe(std::uint64_t request, parts probed, monotonic_time now);
+    /// The request has ended, which may have been a probe.
+    void endProbe(std::uint64_t request) { m_probes.end(request); }
+    /// An endpoint began to answer the request; returns whether it was a probe.
+    bool recordProbeAnswer(std::uint64_t request, monotonic_time now);
     /// An endpoint began to answer a request with these parts.
     void recordAnswer(const parts& answered, monotonic_time now);
     /// An endpoint's process ended while it had not begun to answer requests with these parts.
@@ -76,7 +92,17 @@
     void sendCrashes(const fleet_members& members, bool haveMembersChanged, monotonic_time now);
     void sendWatches(monotonic_time now);
     void announceDecisions(monotonic_time now);
-    void deleteEnded(const fleet_members& members, monotonic_time now);
+    void beginProbations(monotonic_time now);
+    void forgetUnused(const fleet_members& members, monotonic_time now);
+    bool isInCharge(quarantine::part_hash part) const { return m_members && m_members->nodeFor(part.value) == m_self; }
+    /// Drops what was granted for parts that this node is not in charge of, or that are not on probation.
+    void forgetProbesOfOthers(monotonic_time now);
+    /// An endpoint answered a probe.
+    void release(quarantine::part_hash part, unsigned times, monotonic_time now);
+    void learnProbation(const quarantine::quarantine_entry& entry, monotonic_time now);
+    peer::probe_step replyTo(const node_id& prober, const peer::part_probeT& question, monotonic_time now);
+    void sendProbeStep(const node_id& node, quarantine::part_hash part, peer::probe_step step);
+    void receive(const node_id& node, const peer::part_probeT& message, monotonic_time now);
     void passOn(monotonic_time now);
     /// The node that follows by this many steps in the order of addresses, which is closed to a ring.
     const node_id& nodeAfter(const node_id& node, std::size_t steps) const;
@@ -99,6 +125,10 @@
     /// Reachable nodes in ascending order, and the version of the members that they stem from.
     std::vector<node_id> m_nodes;
     std::uint64_t m_membersVersion = 0;
+    /// Those of the latest tick.
+    const fleet_members* m_members = nullptr;
+    quarantine::probe_arbiter m_arbiter;
+    probe_requests m_probes;
     monotonic_time m_lastUpkeepAt {};
     monotonic_time m_lastTickAt {};
 };
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -83,42 +83,90 @@
 {
     setPeerHandlers([](const node_id&, const peer::envelopeT&) {}, [](const node_id&) {});
     m_quarantine.setOnQuarantined([this] { endQuarantined(); });
+    m_quarantine.setOnProbeDecided([this](std::uint64_t id, bool isGranted) { onProbeDecided(id, isGranted); });
 }
 
 request_dispatcher::~request_dispatcher() = default;
 
 void request_dispatcher::handle(http_request request, std::shared_ptr<http_responder> responder)
+{
+    admit(std::move(request), std::move(responder), std::nullopt);
+}
+
+void request_dispatcher::reject(
+    http_responder& responder, const std::string& attempt, unsigned status, std::string_view reason, std::optional<duration> retryAfter)
+{
+    m_log.event("request_rejected")
+        .field("request", attempt)
+        .field("status", status)
+        .field("reason", reason)
+        .field("configuration", version());
+    m_metrics.requestEnded(tier { 0 }, reason);
+    responder.send(refusalResponse(status, reason, retryAfter));
+}
+
+request_dispatcher::probe_candidate::probe_candidate(
+    http_request asked, std::shared_ptr<http_responder> caller, std::string id, memory_budget* memory, std::function<void()> endForMemory)
+    : request(std::move(asked))
+    , responder(std::move(caller))
+    , attempt(std::move(id))
+    , held(memory, "probe_candidate", std::move(endForMemory))
+{
+    held.set(request.body.size());
+}
+
+void request_dispatcher::askForProbe(http_request request, std::shared_ptr<http_responder> responder, const std::string& attempt,
+    const prompt_quarantine::parts& probed, monotonic_time now)
+{
+    const auto id = m_nextId++;
+    m_waitingForProbe.try_emplace(
+        id, std::move(request), std::move(responder), attempt, m_memory, [this, id] { onProbeDecided(id, false); });
+    if (!m_quarantine.askForProbe(id, probed, now))
+        onProbeDecided(id, false);
+}
+
+void request_dispatcher::onProbeDecided(std::uint64_t id, bool isGranted)
+{
+    if (auto decided = m_waitingForProbe.extract(id)) {
+        auto& candidate = decided.mapped();
+        m_metrics.promptProbe(isGranted ? "granted" : "refused");
+        if (isGranted && !candidate.responder->closed())
+            admit(std::move(candidate.request), std::move(candidate.responder), id);
+        else
+            reject(*candidate.responder, candidate.attempt, statusUnavailable, "quarantined_prompt", m_quarantine.probeInterval());
+    }
+    // The request was refused for another reason, or its caller has left.
+    if (isGranted && !m_exchanges.contains(id))
+        m_quarantine.endProbe(id);
+}
+
+void request_dispatcher::admit(http_request request, std::shared_ptr<http_responder> responder, std::optional<std::uint64_t> probe)
 {
     const auto now = std::chrono::steady_clock::now();
     auto metadata = m_codec.decodeRequest(request);
-    const auto reject = [&](unsigned status, std::string_view reason, std::optional<duration> retryAfter) {
-        m_log.event("request_rejected")
-            .field("request", metadata.attempt)
-            .field("status", status)
-            .field("reason", reason)
-            .field("configuration", version());
-        m_metrics.requestEnded(tier { 0 }, reason);
-        responder->send(refusalResponse(status, reason, retryAfter));
+    const auto refuse = [&](unsigned status, std::string_view reason, std::optional<duration> retryAfter) {
+        reject(*responder, metadata.attempt, status, reason, retryAfter);
     };
     if (!m_routes) {
-        reject(statusUnavailable, "no_configuration", notReadyRetryAfter);
+        refuse(statusUnavailable, "no_configuration", notReadyRetryAfter);
         return;
     }
     const auto* route = m_routes->find(request.header("Host").value_or(""), request.target);
     if (!route || route->services.empty()) {
-        reject(statusNotFound, "no_route", std::nullopt);
+        refuse(statusNotFound, "no_route", std::nullopt);
         return;
     }
     const routing::team_definition* team = nullptr;
     if (m_routes->needsKey(*route)) {
         team = metadata.key.empty() ? nullptr : m_routes->teamOf(metadata.key);
         if (!team) {
-            reject(statusUnauthorized, "unknown_key", std::nullopt);
+            refuse(statusUnauthorized, "unknown_key", std::nullopt);
             return;
         }
     }
     admitted_request admitted;
-    admitted.id = m_nextId++;
+    admitted.id = probe ? *probe : m_nextId++;
+    admitted.isProbe = probe.has_value();
     admitted.route = *route;
     admitted.arrived = now;
     auto timeLeft = metadata.timeLeft.value_or(defaultTimeLeft);
@@ -130,13 +178,18 @@
     admitted.service = routing::chooseService(*route, m_random());
     if (m_drainDeadline
         && (route->streaming ? now > m_drainStartedAt + streamAdmissionTime : admitted.responseDeadline + drainMargin > *m_drainDeadline)) {
-        reject(statusUnavailable, "stopping", minRetryAfter);
+        refuse(statusUnavailable, "stopping", minRetryAfter);
         return;
     }
     admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
     if (const auto remaining = m_quarantine.remaining(admitted.sharedParts, now)) {
         logQuarantined(metadata, admitted.sharedParts, now);
-        reject(statusUnavailable, "quarantined_prompt", *remaining);
+        refuse(statusUnavailable, "quarantined_prompt", *remaining);
+        return;
+    }
+    if (const auto probed = m_quarantine.onProbation(admitted.sharedParts, now); !probed.empty() && !probe) {
+        logQuarantined(metadata, admitted.sharedParts, now);
+        askForProbe(std::move(request), std::move(responder), metadata.attempt, probed, now);
         return;
     }
     if (team) {
@@ -146,7 +199,7 @@
         if (!m_quotas.reserve(team->name, admitted.quotaUnits, admitted.route.tier, m_fleet, now)) {
             logQuotaExceeded(metadata.attempt, *team, admitted.quotaUnits, admitted.route.tier, now);
             const auto wait = m_quotas.timeUntilAvailable(team->name, admitted.quotaUnits, admitted.route.tier, m_fleet, now);
-            reject(statusTooManyRequests, "quota", std::clamp<duration>(wait, minRetryAfter, maxQuotaRetryAfter));
+            refuse(statusTooManyRequests, "quota", std::clamp<duration>(wait, minRetryAfter, maxQuotaRetryAfter));
             return;
         }
     }
@@ -163,13 +216,13 @@
 {
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const auto remaining = m_quarantine.remaining({ parts[i] }, now);
-        if (!remaining)
+        if (!remaining && m_quarantine.onProbation({ parts[i] }, now).empty())
             continue;
         m_log.event("prompt_quarantined")
             .field("request", metadata.attempt)
             .field("shared_part", metadata.sharedParts[i])
             .field("part", prompt_quarantine::logName(parts[i]))
-            .field("remaining_ms", wholeMilliseconds(*remaining));
+            .field("remaining_ms", wholeMilliseconds(remaining.value_or(duration {})));
     }
 }
 
@@ -311,7 +364,8 @@
 
 void request_dispatcher::updateGauges()
 {
-    m_metrics.setQuarantinedParts(m_quarantine.size(std::chrono::steady_clock::now()));
+    const auto now = std::chrono::steady_clock::now();
+    m_metrics.setQuarantinedParts(m_quarantine.size(now), m_quarantine.sizeOnProbation(now));
     m_metrics.setLimitedEndpoints(m_slots.limitedCount());
     const auto notices = m_slots.noticeCounts();
     m_metrics.setLeavingEndpoints(notices.leaving);
@@ -442,7 +496,10 @@
 
 void request_dispatcher::recordAnswer(const exchange& source)
 {
-    m_quarantine.recordAnswer(source.admitted().sharedParts, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_quarantine.recordAnswer(source.admitted().sharedParts, now);
+    if (m_quarantine.recordProbeAnswer(source.id(), now))
+        m_metrics.promptProbe("answered");
 }
 
 void request_dispatcher::recordUnansweredLoss(const exchange& source, const placement::grant& grant)
@@ -475,6 +532,7 @@
 
 void request_dispatcher::onExchangeEnded(const exchange& source)
 {
+    m_quarantine.endProbe(source.id());
     m_exchanges.erase(source.id());
 }
 
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -92,6 +92,24 @@
     gateway_metrics& metrics() { return m_metrics; }
 
 private:
+    /// A request that asks for a probe.
+    struct probe_candidate {
+        probe_candidate(http_request asked, std::shared_ptr<http_responder> caller, std::string id, memory_budget* memory,
+            std::function<void()> endForMemory);
+
+        http_request request;
+        std::shared_ptr<http_responder> responder;
+        std::string attempt;
+        memory_budget::holding held;
+    };
+
+    /// probe: number of the request if it was granted a probe.
+    void admit(http_request request, std::shared_ptr<http_responder> responder, std::optional<std::uint64_t> probe);
+    void reject(http_responder& responder, const std::string& attempt, unsigned status, std::string_view reason,
+        std::optional<duration> retryAfter);
+    void askForProbe(http_request request, std::shared_ptr<http_responder> responder, const std::string& attempt,
+        const prompt_quarantine::parts& probed, monotonic_time now);
+    void onProbeDecided(std::uint64_t id, bool isGranted);
     limits::retry_budget& retryBudget(const service_id& service);
     void logQuarantined(const request_metadata& metadata, const prompt_quarantine::parts& parts, monotonic_time now);
     void logQuotaExceeded(const std::string& attempt, const routing::team_definition& team, double units, tier level, monotonic_time now);
@@ -123,6 +141,7 @@
     std::map<service_id, limits::retry_budget> m_retryBudgets;
     std::function<void(const node_id&, peer::envelopeT)> m_send;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
+    std::map<std::uint64_t, probe_candidate> m_waitingForProbe;
     fleet_size m_fleet;
     std::uint64_t m_nextId = 1;
     monotonic_time m_drainStartedAt {};
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -64,6 +64,10 @@
         m_nodes[self] = std::make_unique<node>(
             self, m_log, [this, self](const node_id& target, const peer::envelopeT& message) { deliver(self, target, message); }, m_now);
         useStore(*m_nodes[self]);
+        m_nodes[self]->quarantine.setOnProbeDecided([this, index](std::uint64_t request, bool isGranted) {
+            if (isGranted)
+                m_probes.push_back({ index, request });
+        });
         for (const auto& [other, entry] : m_nodes) {
             if (other != self)
                 m_nodes[self]->members.apply(update(other, member_state::alive), m_now);
@@ -129,6 +133,46 @@
         pass(300ms);
     }
 
+    bool isOnProbation(std::size_t index, const std::vector<std::string>& prompt)
+    {
+        return !at(index).onProbation(partsOf(prompt), m_now).empty();
+    }
+
+    // A request with the prompt comes at each node every 50 ms; returns how many reach an endpoint, be it as a probe or freely. onSend is
+    // called with the node of each.
+    std::size_t sendEverywhere(const std::vector<std::string>& prompt, duration time, const std::function<void(std::size_t)>& onSend)
+    {
+        std::size_t sent = 0;
+        for (duration step {}; step < time; step += 50ms) {
+            for (std::size_t i = 0; i < maxNodes; ++i) {
+                if (!m_nodes.contains(nodeId(i)) || isRefused(i, prompt))
+                    continue;
+                const auto probed = at(i).onProbation(partsOf(prompt), m_now);
+                if (!probed.empty())
+                    at(i).askForProbe(++m_requests, probed, m_now);
+                else
+                    m_probes.push_back({ i, ++m_requests });
+            }
+            for (const auto& granted : std::exchange(m_probes, {})) {
+                ++sent;
+                m_lastProbe = granted;
+                onSend(granted.node);
+            }
+            pass(50ms);
+        }
+        return sent;
+    }
+
+    void stopNode(const node_id& id)
+    {
+        for (std::size_t i = 0; i < maxNodes; ++i) {
+            if (nodeId(i) == id)
+                stopNode(i);
+        }
+    }
+
+    node_id nodeInCharge(const std::string& part) { return m_nodes.begin()->second->members.nodeFor(partsOf({ part }).front().value); }
+
     static prompt_quarantine::parts partsOf(const std::vector<std::string>& prompt) { return prompt_quarantine::partsOf(service, prompt); }
 
     bool isRefused(std::size_t index, const std::vector<std::string>& prompt)
@@ -138,7 +182,19 @@
 
     node_id collector() { return m_nodes.begin()->second->members.nodeFor(serviceHash(service).value); }
 
+    struct probe {
+        std::size_t node = 0;
+        std::uint64_t request = 0;
+    };
+
+    static constexpr std::size_t maxNodes = 100;
+    // A quarantine for the first time.
+    static constexpr duration term = 60s;
+
     decision_log m_log { "test" };
+    std::vector<probe> m_probes;
+    probe m_lastProbe;
+    std::uint64_t m_requests = 0;
     std::map<node_id, std::unique_ptr<node>> m_nodes;
     std::map<std::string, std::string> m_store;
     std::size_t m_writes = 0;
@@ -247,15 +303,122 @@
     EXPECT_FALSE(isRefused(2, soundPrompt));
 }
 
-TEST_F(prompt_quarantine_test, endedQuarantine_isDeletedFromTheStore)
+TEST_F(prompt_quarantine_test, partThatNobodyAsksFor_isForgottenAndDeletedFromTheStore)
 {
-    // Guards against a fleet that refuses prompts of long ago after each restart.
+    // Guards against a fleet that refuses prompts of long ago after each restart, and against nodes that teach each other what they forget.
     startFleet(4);
     quarantineDeadlyPart();
     EXPECT_EQ(m_store.size(), 1U);
-    pass(62s);
-    EXPECT_TRUE(m_store.empty());
+    pass(term + 2s);
     EXPECT_FALSE(isRefused(0, deadlyPrompt));
+    EXPECT_TRUE(isOnProbation(0, deadlyPrompt));
+    EXPECT_EQ(m_store.size(), 1U);
+    pass(31min);
+    EXPECT_TRUE(m_store.empty());
+    for (std::size_t i = 0; i < 4; ++i)
+        EXPECT_FALSE(isOnProbation(i, deadlyPrompt)) << i;
+}
+
+TEST_F(prompt_quarantine_test, partAfterItsTerm_reachesOneEndpointAndIsRefusedAgain)
+{
+    // The term ended by the clock while requests with the part went on, and 11 to 13 of them reached endpoints before the next decision.
+    startFleet(6);
+    quarantineDeadlyPart();
+    pass(term);
+    const auto sent = sendEverywhere(deadlyPrompt, 15s, [this](std::size_t prober) {
+        crash(prober, deadlyPrompt);
+        at(prober).endProbe(m_lastProbe.request);
+    });
+    EXPECT_EQ(sent, 1U);
+    for (std::size_t i = 0; i < 6; ++i)
+        EXPECT_TRUE(isRefused(i, deadlyPrompt)) << i;
+    EXPECT_EQ(m_store.begin()->second, "2");
+}
+
+TEST_F(prompt_quarantine_test, probesWhileNodesAreLost_areThreeAtMost)
+{
+    // Neither the node that grants a probe nor the one that sends it may take the only knowledge of it along.
+    startFleet(8);
+    quarantineDeadlyPart();
+    pass(term);
+    std::size_t losses = 0;
+    const auto sent = sendEverywhere(deadlyPrompt, 70s, [&](std::size_t prober) {
+        if (losses++ < 2) {
+            stopNode(nodeInCharge("deadly"));
+            stopNode(prober);
+            return;
+        }
+        crash(prober, deadlyPrompt);
+        at(prober).endProbe(m_lastProbe.request);
+    });
+    EXPECT_LE(sent, 3U);
+    EXPECT_GE(sent, 1U);
+}
+
+TEST_F(prompt_quarantine_test, answeredProbe_endsTheQuarantineEverywhere)
+{
+    // A sound part that was quarantined by mistake has to come back into use, also where few requests have it.
+    startFleet(6);
+    quarantineDeadlyPart();
+    pass(term);
+    EXPECT_EQ(sendEverywhere(deadlyPrompt, 6s,
+                  [this](std::size_t prober) {
+                      if (isOnProbation(prober, deadlyPrompt)) {
+                          EXPECT_TRUE(at(prober).recordProbeAnswer(m_lastProbe.request, m_now));
+                          m_probes.clear();
+                      }
+                  })
+            > 1,
+        true);
+    for (std::size_t i = 0; i < 6; ++i)
+        EXPECT_FALSE(isOnProbation(i, deadlyPrompt)) << i;
+    EXPECT_TRUE(m_store.empty());
+    // Known from before, it is quarantined by its next crash.
+    crash(3, deadlyPrompt);
+    pass(500ms);
+    EXPECT_TRUE(isRefused(0, deadlyPrompt));
+}
+
+TEST_F(prompt_quarantine_test, nodeThatStartsDuringProbation_learnsItAndAsks)
+{
+    // A node without the knowledge would send all requests with the part.
+    startFleet(5);
+    quarantineDeadlyPart();
+    stopNode(std::size_t { 2 });
+    pass(term);
+    m_store.clear();
+    startNode(2);
+    setState(2, member_state::alive);
+    pass(1500ms);
+    EXPECT_TRUE(isOnProbation(2, deadlyPrompt));
+}
+
+TEST_F(prompt_quarantine_test, requestWithoutReply_isRefusedAndItsLateProbeIsReturned)
+{
+    // A node in charge that is lost, or does not know probes, must not hold the request until its deadline.
+    startFleet(3);
+    quarantineDeadlyPart();
+    pass(term + 1s);
+    std::size_t asker = 0;
+    while (nodeId(asker) == nodeInCharge("deadly"))
+        ++asker;
+    std::vector<bool> decisions;
+    at(asker).setOnProbeDecided([&](std::uint64_t, bool isGranted) { decisions.push_back(isGranted); });
+    m_nodes.at(nodeId(asker))->isCut = true;
+    EXPECT_TRUE(at(asker).askForProbe(1, at(asker).onProbation(partsOf(deadlyPrompt), m_now), m_now));
+    EXPECT_FALSE(at(asker).askForProbe(2, at(asker).onProbation(partsOf(deadlyPrompt), m_now), m_now));
+    pass(600ms);
+    EXPECT_EQ(decisions, std::vector { false });
+    m_nodes.at(nodeId(asker))->isCut = false;
+    m_messages = 0;
+    peer::envelopeT late;
+    peer::part_probeT granted;
+    granted.part = partsOf({ "deadly" }).front().value;
+    granted.step = peer::probe_step::granted;
+    late.body.Set(std::move(granted));
+    at(asker).receive(nodeInCharge("deadly"), late, m_now);
+    EXPECT_EQ(m_messages, 1U);
+    EXPECT_EQ(decisions, std::vector { false });
 }
 
 TEST_F(prompt_quarantine_test, storeFromAnOlderCopy_getsTheQuarantineAgain)
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -465,6 +465,38 @@
     EXPECT_NE(m_metrics.text().find("carawaylink_gateway_state{kind=\"quarantined_prompt_parts\"} 1"), std::string::npos);
 }
 
+TEST_F(request_dispatcher_test, promptPartOnProbation_isSentOnceWithoutRetriesUntilItIsAnswered)
+{
+    // After the term of a quarantine all requests with the part went to endpoints at once, each with all attempts of its route.
+    for (int i = 0; i < 4; ++i)
+        mortalEndpoint("endpoint-" + std::to_string(i));
+    start(true, false, 3);
+    run([&] {
+        peer::quarantine_updateT update;
+        for (const auto part : prompt_quarantine::partsOf(service_id { "service" }, std::vector<std::string> { "deadly", "sound" }))
+            update.on_probation.emplace_back(part.value, 0, 1);
+        peer::envelopeT message;
+        message.body.Set(std::move(update));
+        m_dispatcher.receive(node_id { "other" }, message);
+    });
+    // The node in charge does not know yet whether another one was before.
+    for (const auto* part : { "deadly", "sound" }) {
+        const auto refusal = sendWithPart(part);
+        EXPECT_EQ(refusal.status, 503U) << part;
+        EXPECT_TRUE(refusal.header("Retry-After")) << part;
+    }
+    std::this_thread::sleep_for(3200ms);
+    EXPECT_EQ(requestsAtAll(), 0);
+    EXPECT_EQ(sendWithPart("deadly").status, 502U);
+    EXPECT_EQ(sendWithPart("deadly").status, 503U);
+    EXPECT_EQ(requestsAtAll(), 1);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(sendWithPart("sound").status, 200U);
+    std::this_thread::sleep_for(1200ms);
+    EXPECT_EQ(sendWithPart("deadly").status, 503U);
+    EXPECT_EQ(requestsAtAll(), 4);
+}
+
 TEST_F(request_dispatcher_test, connectionsLostByLivingEndpoints_quarantineNoPart)
 {
     // Guards against taking lost answers and reset connections for crashes: their endpoints go on to serve others.
--- a/libs/quarantine/tests/quarantine_list_tests.cpp
+++ b/libs/quarantine/tests/quarantine_list_tests.cpp
@@ -32,9 +32,9 @@
     quarantine_list other;
     const auto time = m_list.quarantine(part, m_now).remaining;
     for (int i = 0; i < 100; ++i) {
-        for (const auto& entry : m_list.inForce(m_now))
+        for (const auto& entry : m_list.held(m_now))
             other.merge(entry, m_now + 50ms);
-        for (const auto& entry : other.inForce(m_now + 50ms))
+        for (const auto& entry : other.held(m_now + 50ms))
             EXPECT_FALSE(m_list.merge(entry, m_now + 100ms));
         m_now += 100ms;
     }
@@ -45,8 +45,30 @@
 {
     EXPECT_TRUE(m_list.merge({ part, 1, 20s }, m_now));
     EXPECT_EQ(m_list.remaining(part, m_now), 20s);
-    EXPECT_EQ(m_list.inForce(m_now).size(), 1U);
-    EXPECT_TRUE(m_list.inForce(m_now + 21s).empty());
+    EXPECT_EQ(m_list.sizeInForce(m_now), 1U);
+    EXPECT_EQ(m_list.sizeInForce(m_now + 21s), 0U);
+}
+
+TEST_F(quarantine_list_test, partAfterItsTerm_isOnProbationUntilReleased)
+{
+    m_now += m_list.quarantine(part, m_now).remaining;
+    EXPECT_TRUE(m_list.isOnProbation(part, m_now));
+    EXPECT_FALSE(m_list.release(part, 0, m_now));
+    EXPECT_TRUE(m_list.release(part, 1, m_now));
+    EXPECT_FALSE(m_list.isOnProbation(part, m_now));
+    // An entry that another node passed on before it learned of the answer.
+    EXPECT_FALSE(m_list.merge({ part, 1, {}, 1s }, m_now));
+    EXPECT_EQ(m_list.quarantine(part, m_now).times, 2U);
+}
+
+TEST_F(quarantine_list_test, partsOnProbation_areBounded)
+{
+    // Nodes pass them on every second.
+    for (std::uint64_t i = 0; i < 200; ++i)
+        m_list.merge({ part_hash { i }, 1, {}, std::chrono::seconds(i) }, m_now);
+    EXPECT_EQ(m_list.expire(m_now).size(), 136U);
+    EXPECT_EQ(m_list.held(m_now).size(), 64U);
+    EXPECT_TRUE(m_list.isOnProbation(part_hash { 0 }, m_now));
 }
 
 TEST(recent_answers_test, manyParts_areBounded)
