Give large blocks back to the system when they are freed

Cause of the 131 MB where 110 are allowed: glibc raises its threshold for blocks that it maps one by one to the size of the largest one freed. After the first answer of some megabytes, the buffers of all others come from its heaps, where small blocks behind them keep their pages after they are freed. The budget of messages held; what it had freed stayed with the process. The read buffers of the connections (16 KiB each), the read of one round of the event loop and the copy while a body grows add up to less than 10 MB by reading.

Change: the daemon fixes the threshold at 128 KiB at its start.

--- a/tools/carawaylinkd/main.cpp
+++ b/tools/carawaylinkd/main.cpp
@@ -1,3 +1,4 @@
+#include "base/allocator.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "node/node.h"
@@ -65,6 +66,7 @@
 
 int main(int argc, char** argv)
 {
+    carawaylink::returnLargeBlocks();
     CLI::App app { "Carawaylink daemon: schedules requests between callers and endpoints.\n"
                    "Example: carawaylinkd --settings samples/oduya/node-1.yaml\n"
                    "Exit status: 0 stopped gracefully, 1 start failed, 2 invalid settings, 3 drain limit passed, 4 second signal" };
