Count requests that are not written to their endpoint yet as memory

Cause: a request's body was counted once, but held twice until its endpoint had read it: by the exchange and by the call. Endpoints that do not read made the process hold up to twice its budget.

Change: each call counts its serialized request until it is written, and is cancelled when it holds the most while the budget is exceeded.

Before the change nothing is counted there (by reading; the test was not run on the code before).

--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -98,7 +98,7 @@
 ///     client.send("127.0.0.1:80", { "GET", "/load" }, {}, [](http_result result) { ... });
 class http_client {
 public:
-    /// memory: counts the response bodies that send() collects; must outlive the calls.
+    /// memory: counts the requests that are not written yet and the response bodies that send() collects; must outlive the calls.
     explicit http_client(boost::asio::io_context& context, memory_budget* memory = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -189,6 +189,7 @@
         , m_handlers(std::make_shared<http_stream_handlers>(std::move(handlers)))
         , m_timer(m_cache->context)
         , m_serializedRequest(serialize(request, m_address))
+        , m_heldRequest(m_cache->memory, "endpoint_request", [this] { endForMemory(); })
         , m_parser(request.method == "HEAD")
     {
     }
@@ -197,6 +198,7 @@
     {
         recordActivity();
         armTimer();
+        m_heldRequest.set(m_serializedRequest.size());
         if (m_options.reuseConnection)
             m_connection = m_cache->take(m_address, m_options.answerKey);
         if (m_connection) {
@@ -293,6 +295,7 @@
                     return;
                 }
                 self->m_serializedRequest = {};
+                self->m_heldRequest.set(0);
                 self->recordActivity();
                 self->read();
             });
@@ -376,11 +379,18 @@
         return std::min<duration>(maxIdleTime, std::chrono::seconds(seconds) / 2);
     }
 
+    void endForMemory()
+    {
+        const auto self = shared_from_this();
+        end(http_failure::cancelled, "no memory is left for the request to " + m_address);
+    }
+
     void end(http_failure failure, std::string detail)
     {
         if (std::exchange(m_done, true))
             return;
         m_timer.cancel();
+        m_heldRequest.set(0);
         boost::system::error_code ignored;
         if (m_connection)
             m_connection->socket.close(ignored);
@@ -396,6 +406,8 @@
     std::shared_ptr<http_stream_handlers> m_handlers;
     asio::steady_timer m_timer;
     std::string m_serializedRequest;
+    /// Of the request, until it is written.
+    memory_budget::holding m_heldRequest;
     response_parser m_parser;
     std::unique_ptr<open_connection> m_connection;
     http_connection m_connectionInfo;
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -1,3 +1,4 @@
+#include "base/memory_budget.h"
 #include "http/client.h"
 
 #include <atomic>
@@ -46,8 +47,11 @@
         return result.value_or(http_result {});
     }
 
+    static constexpr std::size_t maxBytes = 24U << 20;
+
+    memory_budget memory { maxBytes, [this](std::function<void()> work) { asio::post(context, std::move(work)); } };
     asio::io_context context { 1 };
-    http_client client { context };
+    http_client client { context, &memory };
 };
 
 // Guards against a truncated, stalled or malformed response being reported as complete, or its request as not sent.
@@ -90,6 +94,27 @@
     EXPECT_TRUE(result.ok()) << result.detail;
 }
 
+// Guards against an endpoint that does not read and makes the process hold requests beside its budget.
+TEST_F(client_test, request_that_its_peer_does_not_read_counts_as_memory_and_ends_when_it_exceeds_it)
+{
+    constexpr std::size_t bodyBytes = maxBytes * 2 / 3;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::vector<http_failure> failures;
+    const auto send = [&] {
+        client.send(address, { "POST", "/", {}, std::string(bodyBytes, 'x') }, {},
+            [&](const http_result& done) { failures.push_back(done.failure); });
+        context.restart();
+        context.run_for(50ms);
+    };
+    send();
+    EXPECT_GE(memory.usedBytes(), bodyBytes);
+    EXPECT_TRUE(failures.empty());
+    send();
+    EXPECT_EQ(failures, std::vector { http_failure::cancelled });
+    EXPECT_LT(memory.usedBytes(), maxBytes);
+}
+
 /// A server with a script for each of its connections; counts the connections.
 class scripted_server {
 public:
