--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -30,6 +30,8 @@
     tokens prompt { 0 };
     prompt_quarantine::parts sharedParts;
     placement::prompt_parts promptParts;
+    /// Probes quarantined parts: reaches one endpoint at most.
+    bool isProbe = false;
 };
 
 /// One request from admission to its final response: sends it to the granted endpoints, relays the response, retries where that is
