Remember in the store which teams used their quota unevenly, for a start of all nodes

If all processes were killed just after a window was used up, a part of it was granted again: nothing of the usage before is known after a start, and it was taken for even. The node in charge of a team now adds up what all nodes report, and marks the team in the store as long as its usage in the last window is ahead of an even one by a tenth of the window.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -87,6 +87,8 @@
     nodes,
     /// Prompt parts that crash endpoints.
     quarantine,
+    /// Teams whose usage of their quota a restarted fleet must not take for even.
+    quotas,
 };
 
 struct store_record {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -120,6 +120,7 @@
         };
         result.onQuarantine = [this](const std::vector<store_record>& records) { dispatcher.restoreQuarantine(records); };
         result.onQuarantineLost = [this](const std::vector<store_record>& records) { dispatcher.rewriteQuarantine(records); };
+        result.onQuotaMarks = [this](const std::vector<store_record>& records) { dispatcher.restoreQuotaMarks(records); };
         result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
         result.version = [this] { return dispatcher.version(); };
         return result;
@@ -165,6 +166,10 @@
             [this](const node_id& owner) { links.drop(owner); });
         dispatcher.setQuarantineStore(
             [this](const std::string& key, const std::string& value) { store.publish(store_topic::quarantine, key, value); });
+        dispatcher.setQuotaStore([this](const team_id& team, bool isMarked) {
+            log.event("quota_mark").field("team", team).field("marked", isMarked ? 1 : 0);
+            store.publish(store_topic::quotas, team.value, isMarked ? "ahead" : "");
+        });
         startMembership();
         store.start();
         tick();
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace carawaylink::gateway {
@@ -242,6 +243,16 @@
     m_slots.setMembers(members.serving(), m_fleet.rank);
 }
 
+void request_dispatcher::restoreQuotaMarks(const std::vector<store_record>& records)
+{
+    std::set<team_id> teams;
+    for (const auto& record : records) {
+        if (record.value)
+            teams.insert(team_id { record.key });
+    }
+    m_quotas.restoreMarks(std::move(teams), std::chrono::steady_clock::now());
+}
+
 void request_dispatcher::restoreQuarantine(const std::vector<store_record>& records)
 {
     m_quarantine.restore(records, std::chrono::steady_clock::now());
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -48,6 +48,8 @@
     void restoreQuarantine(const std::vector<store_record>& records);
     /// Writes what the store has lost of the quarantine. records: what it holds.
     void rewriteQuarantine(const std::vector<store_record>& records);
+    void restoreQuotaMarks(const std::vector<store_record>& records);
+    void setQuotaStore(team_quotas::mark_writer writer) { m_quotas.setMarkWriter(std::move(writer)); }
     void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -25,6 +25,7 @@
     { store_topic::endpoints, "endpoints" },
     { store_topic::nodes, "nodes" },
     { store_topic::quarantine, "quarantine" },
+    { store_topic::quotas, "quotas" },
 });
 
 } // namespace
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -22,6 +22,8 @@
 constexpr auto passiveNodesInterval = std::chrono::minutes(5);
 // The quarantine is read for what was known before this process started; later changes come from the other nodes.
 constexpr auto quarantineInterval = std::chrono::minutes(5);
+// Only what was written before this process started matters.
+constexpr auto quotaMarkInterval = std::chrono::minutes(5);
 // A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint must
 // stop receiving requests.
 constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
@@ -94,6 +96,8 @@
             [](duration) {} });
     m_quarantineFollower = follower({ store_topic::quarantine, {}, quarantineInterval },
         { [this](const auto& records) { onQuarantineSnapshot(records); }, m_handlers.onQuarantine, [](duration) {} });
+    m_quotaFollower
+        = follower({ store_topic::quotas, {}, quotaMarkInterval }, { m_handlers.onQuotaMarks, [](const auto&) {}, [](duration) {} });
 }
 
 // Each follower reads its topic anew, since what the store has lost may be in any of them.
@@ -104,7 +108,7 @@
     m_history = history;
     m_updateOffsets.clear();
     m_endpoints.onHistoryChanged();
-    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower }) {
+    for (const auto& follower : followers()) {
         if (follower)
             follower->enterHistory(history);
     }
@@ -217,7 +221,7 @@
         m_log.event(m_isReader ? "reads_store_for_all" : "reads_store_no_longer").field("rank", rank);
     adjustReadTiming(now);
     // The others get the endpoints from the first nodes, so that a store in trouble is asked seldom by most.
-    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower })
+    for (const auto& follower : followers())
         follower->setRetriesFirstReadOften(rank < store_readers::readerCount);
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -10,6 +10,7 @@
 #include "store_readers.h"
 #include "wire/generated/peer_state_generated.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
@@ -34,6 +35,8 @@
         std::function<void(const std::vector<store_record>&)> onQuarantine;
         /// The store came back from an older copy, which holds these records of the quarantine.
         std::function<void(const std::vector<store_record>&)> onQuarantineLost;
+        /// Teams whose usage before the start of this process was not even.
+        std::function<void(const std::vector<store_record>&)> onQuotaMarks;
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
     };
@@ -55,6 +58,11 @@
 
 private:
     void follow();
+    /// The followers of all topics; those that do not exist yet are null.
+    std::array<std::shared_ptr<store_follower>, 5> followers() const
+    {
+        return { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_quotaFollower };
+    }
     bool applyConfiguration(const store_record& record);
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
@@ -97,6 +105,7 @@
     std::shared_ptr<store_follower> m_endpointFollower;
     std::shared_ptr<store_follower> m_nodeFollower;
     std::shared_ptr<store_follower> m_quarantineFollower;
+    std::shared_ptr<store_follower> m_quotaFollower;
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
--- a/libs/gateway/src/team_quotas.cpp
+++ b/libs/gateway/src/team_quotas.cpp
@@ -11,6 +11,8 @@
 // A process adopts the remaining units that other nodes know within this time after its start.
 constexpr auto adoptionTime = std::chrono::seconds(3);
 constexpr auto expiryInterval = std::chrono::seconds(1);
+// A team that sends eight times its limit uses a tenth of its window in about 100 ms.
+constexpr auto markInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -33,9 +35,14 @@
 void team_quotas::configure(const routing::team_definition& team, monotonic_time now)
 {
     const limits::quota_limit limit { team.ratePerSecond, team.burst, m_window };
-    const auto [position, inserted] = m_teams.try_emplace(teamHash(team.name), limit, now, m_isFirstStart);
-    if (!inserted)
-        position->second.quota.configure(limit, now);
+    const auto [position, inserted] = m_teams.try_emplace(teamHash(team.name), team.name, limit, now, m_isFirstStart);
+    auto& state = position->second;
+    if (inserted) {
+        applyMark(state);
+        return;
+    }
+    state.quota.configure(limit, now);
+    state.fleetUsage.configure(limit, now);
 }
 
 limits::quota_nodes team_quotas::nodesFor(const team_state& team, const fleet_size& fleet, monotonic_time now) const
@@ -80,8 +87,58 @@
     return state ? state->quota.remaining(now) : 0;
 }
 
+void team_quotas::restoreMarks(std::set<team_id> teams, monotonic_time now)
+{
+    if (now - m_startedAt > adoptionTime)
+        return;
+    m_marksAtStart = std::move(teams);
+    for (auto& [hash, team] : m_teams)
+        applyMark(team);
+}
+
+// Peers that have just started themselves report that more is left, so that nothing is adopted from any.
+void team_quotas::applyMark(team_state& team)
+{
+    if (m_isFirstStart || !m_marksAtStart.contains(team.name))
+        return;
+    team.quota.assumeUsedAt(m_startedAt);
+    team.hasAdopted = true;
+    team.isMarked = true;
+    team.lastAheadAt = m_startedAt;
+}
+
+void team_quotas::countForFleet(team_state& team, double allUsed, monotonic_time now)
+{
+    // The count of a team without reports for long starts over.
+    const double before = allUsed < team.fleetTotal ? 0 : team.fleetTotal;
+    team.fleetUsage.addPeerUsage(allUsed - before, now);
+    team.fleetTotal = allUsed;
+}
+
+void team_quotas::updateMarks(const fleet_members& members, monotonic_time now)
+{
+    for (auto& [hash, team] : m_teams) {
+        if (!team.quota.isLimited())
+            continue;
+        const bool isAhead = team.fleetUsage.isAheadOfEvenUsage(now);
+        if (isAhead)
+            team.lastAheadAt = now;
+        const bool needsMark = isAhead || (team.isMarked && now - team.lastAheadAt < m_window);
+        if (needsMark == team.isMarked)
+            continue;
+        team.isMarked = needsMark;
+        // A node that is no longer in charge must not delete the mark of its successor.
+        if (members.nodeFor(hash) == m_self)
+            m_writeMark(team.name, needsMark);
+    }
+}
+
 void team_quotas::tick(const fleet_members& members, monotonic_time now)
 {
+    if (now - m_lastMarkUpdateAt >= markInterval) {
+        m_lastMarkUpdateAt = now;
+        updateMarks(members, now);
+    }
     if (now - m_lastExpiryAt > expiryInterval) {
         m_lastExpiryAt = now;
         m_collector.expire(now);
@@ -116,6 +173,7 @@
         // Without the configuration of the team, the remaining units are unknown here.
         if (team == m_teams.end())
             continue;
+        countForFleet(team->second, total.allUsed, now);
         const auto level = team->second.quota.remaining(now);
         totals.totals.emplace_back(use.team(), total.confirmed, total.othersUsed, static_cast<float>(total.othersReserved),
             static_cast<float>(level), encodeMilliseconds(total.counted));
--- a/libs/gateway/tests/team_quotas_tests.cpp
+++ b/libs/gateway/tests/team_quotas_tests.cpp
@@ -78,6 +78,43 @@
     EXPECT_NEAR(quotas.remaining(team, m_now), 1500, 1);
 }
 
+TEST_F(team_quotas_test, unevenUseOfAllNodes_isMarkedUntilItsWindowHasPassed)
+{
+    // After a kill of all processes the store is all that remains of a window that was used up at once.
+    auto quotas = makeQuotas(false);
+    std::vector<bool> marks;
+    quotas.setMarkWriter([&](const team_id& name, bool isMarked) {
+        EXPECT_EQ(name, team);
+        marks.push_back(isMarked);
+    });
+    quotas.receive(other, report(100, 1500), m_now);
+    quotas.tick(m_members, m_now);
+    EXPECT_TRUE(marks.empty());
+    quotas.receive(other, report(900, 800), m_now + 1s);
+    for (auto now = m_now + 1s; now < m_now + 9s; now += 200ms)
+        quotas.tick(m_members, now);
+    EXPECT_EQ(marks, std::vector<bool> { true });
+    for (auto now = m_now + 9s; now < m_now + 18s; now += 200ms)
+        quotas.tick(m_members, now);
+    EXPECT_EQ(marks, (std::vector<bool> { true, false }));
+}
+
+TEST_F(team_quotas_test, markedTeam_afterAStart_getsNothingForAWindow)
+{
+    // Nodes that start together took over from each other that a part of the quota is left. The mark may be read before the configuration.
+    for (const bool isMarkFirst : { true, false }) {
+        team_quotas quotas(self, 1, false, 8s, m_now, [](const node_id&, const peer::envelopeT&) {});
+        if (isMarkFirst)
+            quotas.restoreMarks({ team }, m_now);
+        quotas.configure(limitedTeam(), m_now + 10ms);
+        if (!isMarkFirst)
+            quotas.restoreMarks({ team }, m_now + 20ms);
+        quotas.receive(other, report(0, 900), m_now + 100ms);
+        EXPECT_FALSE(quotas.reserve(team, 1, urgent, {}, m_now + 7900ms)) << isMarkFirst;
+        EXPECT_TRUE(quotas.reserve(team, 800, urgent, {}, m_now + 8200ms)) << isMarkFirst;
+    }
+}
+
 TEST_F(team_quotas_test, unknownTeam_getsNoTotals)
 {
     // A node in charge that does not know the team's configuration yet must not report that nothing is left.
--- a/libs/limits/include/limits/usage_collector.h
+++ b/libs/limits/include/limits/usage_collector.h
@@ -30,6 +30,8 @@
     double othersReserved = 0;
     /// Time since the collector began to count.
     duration counted {};
+    /// Units used by all nodes since the collector began to count.
+    double allUsed = 0;
 };
 
 /// Adds up what the nodes use of the quotas of those teams that one node is in charge of. A new collector starts from what the nodes
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -16,6 +16,8 @@
 // Units reserved for more urgent requests, as a multiple of the request's size per tier, so that small requests need only a small reserve.
 constexpr double reserveFactorPerTier = 60;
 constexpr double maxReserveFraction = 0.1;
+// Usage that is ahead of an even one by less than this fraction of the window is left to the overrun that is tolerated.
+constexpr double evenUsageMargin = 0.1;
 // Fraction of the burst that is available immediately after a restart, when the usage before it is unknown.
 constexpr double initialBurstFraction = 0.25;
 // Own usage is averaged over this time, since a single large request says little about the usage of peers.
@@ -85,6 +87,7 @@
 
 void shared_quota::addPeerUsage(double units, monotonic_time now)
 {
+    expireOldUsage(now);
     addUsage(units, now);
 }
 
@@ -120,6 +123,25 @@
     distributeOverWindow(usedShare * limit, limit, now);
 }
 
+void shared_quota::assumeUsedAt(monotonic_time time)
+{
+    std::erase_if(m_intervals, [time](const interval& part) { return part.start <= time; });
+    m_intervals.push_front({ time, m_limit.unitsPerWindow(), m_limit.unitsPerWindow() });
+}
+
+// What was used in any span up to now and what a restarted fleet grants in the rest of the window add up to at most the limit if the usage
+// of each span is at most its share of the window.
+bool shared_quota::isAheadOfEvenUsage(monotonic_time now) const
+{
+    const double limit = m_limit.unitsPerWindow();
+    double units = 0;
+    return std::any_of(m_intervals.rbegin(), m_intervals.rend(), [&](const interval& part) {
+        const auto age = now - part.start;
+        units += countedUnits(part);
+        return age <= m_limit.window && units > limit * (inSeconds(age) / inSeconds(m_limit.window) + evenUsageMargin);
+    });
+}
+
 double shared_quota::remaining(monotonic_time now) const
 {
     const auto length = intervalLength();
--- a/libs/limits/src/usage_collector.cpp
+++ b/libs/limits/src/usage_collector.cpp
@@ -26,7 +26,7 @@
     known.lastReportAt = now;
     state.growth += added;
     state.reserved += use.reserved - std::exchange(known.reserved, use.reserved);
-    return { use.used, state.growth - known.growth, state.reserved - known.reserved, now - state.since };
+    return { use.used, state.growth - known.growth, state.reserved - known.reserved, now - state.since, state.growth };
 }
 
 void usage_collector::removeNode(const node_id& node)
--- a/libs/limits/tests/limits_tests.cpp
+++ b/libs/limits/tests/limits_tests.cpp
@@ -163,6 +163,30 @@
     EXPECT_NEAR(quota.remaining(start), 700, 1);
 }
 
+TEST(shared_quota_test, windowAssumedUsedAtTheStart_isGrantedOnceItHasPassed)
+{
+    // All processes were killed just after a window was used up; refilled by the rate, part of it was granted again.
+    shared_quota quota(smallLimit, start, false);
+    quota.assumeUsedAt(start);
+    EXPECT_FALSE(use(quota, 10, start + 7900ms));
+    EXPECT_TRUE(use(quota, 900, start + 8200ms));
+}
+
+TEST(shared_quota_test, usageAheadOfEvenUsage_isTold)
+{
+    // A team that uses its whole limit evenly needs no memory of it; one that used the window at once does, until the window has passed.
+    shared_quota even(smallLimit, start, true);
+    for (auto now = start; now < start + 20s; now += 100ms) {
+        ASSERT_TRUE(use(even, 12, now));
+        EXPECT_FALSE(even.isAheadOfEvenUsage(now));
+    }
+    shared_quota burst(smallLimit, start, true);
+    ASSERT_TRUE(use(burst, 900, start));
+    EXPECT_TRUE(burst.isAheadOfEvenUsage(start));
+    EXPECT_TRUE(burst.isAheadOfEvenUsage(start + 6s));
+    EXPECT_FALSE(burst.isAheadOfEvenUsage(start + 8200ms));
+}
+
 TEST(shared_quota_test, requestLargerThanWindow_withUnusedQuota_isAdmitted)
 {
     // Guards against a request that could never be admitted.
