Take the usage assumed at a start from a node's share by that share only

At a start of all nodes each counts the window as used by the whole fleet, and hears from few others at first, so that it may use its share only. The whole assumed usage was taken from that share, which left less than nothing (users: available -632,975 of 272,666) until the nodes knew each other or the assumption had left the window. All nodes assume the same, so that what it leaves is divided like the window itself.

shared_quota_test.restartedNodes_thatHearFromFew_divideWhatTheAssumedUsageLeaves: available -834,107 for 2 of 7 nodes and nothing granted by seven isolated nodes before; now above 0, and the seven grant no more together than one that serves alone, and at least 0.95 of it.

--- a/libs/limits/include/limits/shared_quota.h
+++ b/libs/limits/include/limits/shared_quota.h
@@ -88,18 +88,22 @@
         double units = 0;
         /// Units per window of the limit in force at the time of use.
         double limit = 0;
+        /// Usage of all nodes before this one knew of it by itself, which other nodes assume as well.
+        bool isAssumed = false;
     };
     struct timed_usage {
         monotonic_time time;
         double units = 0;
     };
 
-    void addUsage(double units, monotonic_time now);
+    void addUsage(double units, monotonic_time now, bool isAssumed = false);
     void expireOldUsage(monotonic_time now);
     void distributeOverWindow(double units, double limit, monotonic_time now);
     /// Units of the interval that count against the current limit.
     double countedUnits(const interval& part) const;
-    double used() const;
+    /// Units that count for a node that may use this share of the quota.
+    double countedUnits(const interval& part, double share) const;
+    double used(double share) const;
     double estimatedUnreportedUsage(const quota_nodes& nodes, monotonic_time now) const;
     /// Units of requests that this node refused recently.
     double refusedUnits(monotonic_time now) const;
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -46,7 +46,7 @@
     // Assumes that the rate's part of the window was used evenly, so that it expires gradually; most of the burst counts as used now and
     // expires with the whole window.
     distributeOverWindow(m_limit.unitsPerWindow() - m_limit.burst, m_limit.unitsPerWindow(), now);
-    addUsage((1 - initialBurstFraction) * m_limit.burst, now);
+    addUsage((1 - initialBurstFraction) * m_limit.burst, now, true);
 }
 
 void shared_quota::configure(const quota_limit& limit, monotonic_time now)
@@ -95,7 +95,7 @@
 {
     const double capacity = m_limit.unitsPerWindow() * nodes.share();
     return { requiredUnits(units, level, capacity),
-        capacity - used() - m_reserved - m_peerReserved - estimatedUnreportedUsage(nodes, now) };
+        capacity - used(nodes.share()) - m_reserved - m_peerReserved - estimatedUnreportedUsage(nodes, now) };
 }
 
 duration shared_quota::timeUntilAvailable(double units, tier level, const quota_nodes& nodes, monotonic_time now) const
@@ -105,7 +105,7 @@
     for (const auto& part : m_intervals) {
         if (shortfall <= 0)
             break;
-        shortfall -= countedUnits(part);
+        shortfall -= countedUnits(part, nodes.share());
         if (shortfall <= 0)
             return std::max<duration>(part.start + intervalLength() + m_limit.window - now, duration {});
     }
@@ -126,7 +126,7 @@
 void shared_quota::assumeUsedAt(monotonic_time time)
 {
     std::erase_if(m_intervals, [time](const interval& part) { return part.start <= time; });
-    m_intervals.push_front({ time, m_limit.unitsPerWindow(), m_limit.unitsPerWindow() });
+    m_intervals.push_front({ time, m_limit.unitsPerWindow(), m_limit.unitsPerWindow(), true });
 }
 
 // What was used in any span up to now and what a restarted fleet grants in the rest of the window add up to at most the limit if the usage
@@ -151,11 +151,12 @@
     return m_limit.unitsPerWindow() - current - m_reserved - m_peerReserved;
 }
 
-void shared_quota::addUsage(double units, monotonic_time now)
+void shared_quota::addUsage(double units, monotonic_time now, bool isAssumed)
 {
     const double limit = m_limit.unitsPerWindow();
-    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength() || m_intervals.back().limit != limit)
-        m_intervals.push_back({ now, 0, limit });
+    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength() || m_intervals.back().limit != limit
+        || m_intervals.back().isAssumed != isAssumed)
+        m_intervals.push_back({ now, 0, limit, isAssumed });
     m_intervals.back().units += units;
 }
 
@@ -173,7 +174,7 @@
 void shared_quota::distributeOverWindow(double units, double limit, monotonic_time now)
 {
     for (int i = intervalsPerWindow; i > 0; --i)
-        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow, limit });
+        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow, limit, true });
 }
 
 // The usage itself stays as it was: scaled down for good, it granted nearly a whole quota again once the limit was raised.
@@ -182,10 +183,17 @@
     return part.units * std::min(m_limit.unitsPerWindow() / part.limit, 1.0);
 }
 
-double shared_quota::used() const
+// Nodes that do not hear from each other divide what the assumed usage leaves. Taken in full from a share, it left nothing at all: at a
+// start of all nodes, which hear from few at first, each refused everything.
+double shared_quota::countedUnits(const interval& part, double share) const
+{
+    return countedUnits(part) * (part.isAssumed ? share : 1);
+}
+
+double shared_quota::used(double share) const
 {
     return std::accumulate(
-        m_intervals.begin(), m_intervals.end(), 0.0, [this](double total, const interval& part) { return total + countedUnits(part); });
+        m_intervals.begin(), m_intervals.end(), 0.0, [&](double total, const interval& part) { return total + countedUnits(part, share); });
 }
 
 // Peers are assumed to use as much as this node, or as they last reported. The largest request of this node is left out, since each peer
--- a/libs/limits/tests/limits_tests.cpp
+++ b/libs/limits/tests/limits_tests.cpp
@@ -156,6 +156,25 @@
     EXPECT_GE(granted, 240);
 }
 
+TEST(shared_quota_test, restartedNodes_thatHearFromFew_divideWhatTheAssumedUsageLeaves)
+{
+    // Nodes that heard from two of seven after a start of all took the assumed usage of the fleet from their share (available -632,975 of
+    // 272,666) and refused every request until it had left the window.
+    const quota_nodes fewHeard { 2, 7 };
+    shared_quota quota({ 135000, 135000, 8s }, start, false);
+    EXPECT_GT(quota.requirementFor(100, urgent, fewHeard, start).availableUnits, 0);
+
+    // Seven nodes that hear from nobody grant no more together than one that serves alone.
+    const quota_limit limit { 10000, 20000, 8s };
+    shared_quota single(limit, start, false);
+    shared_quota isolated(limit, start, false);
+    const auto sumOf = [](const std::vector<double>& used) { return std::accumulate(used.begin(), used.end(), 0.0); };
+    const auto usedAlone = sumOf(usagePerStep(single, 80));
+    const auto usedBySeven = 7 * sumOf(usagePerStep(isolated, 80, { 1, 7 }));
+    EXPECT_LE(usedBySeven, usedAlone);
+    EXPECT_GE(usedBySeven, 0.95 * usedAlone);
+}
+
 TEST(shared_quota_test, restartedNode_afterSetRemaining_hasReportedUnits)
 {
     shared_quota quota(smallLimit, start, false);
