Let a node that restarts alone follow what the node in charge of a marked team knows to be left

A mark made a single restarted node refuse the team's requests for a window. It now takes the remaining units from the totals of the node in charge if that one has counted for a window, all counted as used just now: the units adopted before were distributed evenly and so granted again too early. A node in charge that does not serve a team knows its use only from the reports, and told that all was left; it now tells the lower of both views.

--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -53,6 +53,7 @@
     , m_limitedEndpoints(m_gauges.Add({ { "kind", "endpoints_with_request_limit" } }))
     , m_leavingEndpoints(m_gauges.Add({ { "kind", "leaving_endpoints" } }))
     , m_restingEndpoints(m_gauges.Add({ { "kind", "resting_endpoints" } }))
+    , m_markedTeams(m_gauges.Add({ { "kind", "marked_teams" } }))
     , m_configuration(m_gauges.Add({ { "kind", "configuration_version" } }))
 {
 }
@@ -122,6 +123,11 @@
     m_restingEndpoints.Set(static_cast<double>(endpoints));
 }
 
+void gateway_metrics::setMarkedTeams(std::size_t teams)
+{
+    m_markedTeams.Set(static_cast<double>(teams));
+}
+
 void gateway_metrics::unreadableRest()
 {
     m_unreadableRests.Increment();
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -36,6 +36,7 @@
     void setRestingEndpoints(std::size_t endpoints);
     /// An endpoint asked for rest in a form that cannot be read.
     void unreadableRest();
+    void setMarkedTeams(std::size_t teams);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -58,6 +59,7 @@
     prometheus::Gauge& m_limitedEndpoints;
     prometheus::Gauge& m_leavingEndpoints;
     prometheus::Gauge& m_restingEndpoints;
+    prometheus::Gauge& m_markedTeams;
     prometheus::Gauge& m_configuration;
 };
 
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -327,6 +327,7 @@
     const auto notices = m_slots.noticeCounts();
     m_metrics.setLeavingEndpoints(notices.leaving);
     m_metrics.setRestingEndpoints(notices.resting);
+    m_metrics.setMarkedTeams(m_quotas.markedTeams());
 }
 
 void request_dispatcher::releaseUnknownSlots()
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -317,6 +317,7 @@
     if (now - m_lastFirstCopyRequestAt < copyRequestInterval)
         return;
     m_lastFirstCopyRequestAt = now;
+    m_log.event("first_copy_requested").field("peer", sender);
     requestCopy({ &sender, 1 }, now);
 }
 
--- a/libs/gateway/src/team_quotas.cpp
+++ b/libs/gateway/src/team_quotas.cpp
@@ -2,6 +2,7 @@
 
 #include "peer_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawaylink::gateway {
@@ -101,12 +102,23 @@
 {
     if (m_isFirstStart || !m_marksAtStart.contains(team.name))
         return;
-    team.quota.assumeUsedAt(m_startedAt);
+    team.quota.assumeUsedAt(team.quota.unitsPerWindow(), m_startedAt);
+    team.startedMarked = true;
     team.hasAdopted = true;
     team.isMarked = true;
     team.lastAheadAt = m_startedAt;
 }
 
+// Of a single node that restarts, the others know what is left. The node in charge knows it if it has counted for a window; when the units
+// were used is not known, so that they leave the window last.
+void team_quotas::followKnownLevel(team_state& team, const limits::quota_total& total, double level, monotonic_time now)
+{
+    if (!team.startedMarked || now - m_startedAt >= m_window || total.counted < m_window)
+        return;
+    const double perWindow = team.quota.unitsPerWindow();
+    team.quota.assumeUsedAt(std::clamp(perWindow - level, 0.0, perWindow), now);
+}
+
 void team_quotas::countForFleet(team_state& team, double allUsed, monotonic_time now)
 {
     // The count of a team without reports for long starts over.
@@ -133,6 +145,11 @@
     }
 }
 
+std::size_t team_quotas::markedTeams() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_teams, [](const auto& entry) { return entry.second.isMarked; }));
+}
+
 void team_quotas::tick(const fleet_members& members, monotonic_time now)
 {
     if (now - m_lastMarkUpdateAt >= markInterval) {
@@ -174,7 +191,8 @@
         if (team == m_teams.end())
             continue;
         countForFleet(team->second, total.allUsed, now);
-        const auto level = team->second.quota.remaining(now);
+        // A node in charge that does not serve the team knows its use only from the reports.
+        const auto level = std::min(team->second.quota.remaining(now), team->second.fleetUsage.remaining(now));
         totals.totals.emplace_back(use.team(), total.confirmed, total.othersUsed, static_cast<float>(total.othersReserved),
             static_cast<float>(level), encodeMilliseconds(total.counted));
     }
@@ -194,6 +212,7 @@
         const limits::quota_total total { entry.confirmed(), entry.others_used(), entry.others_reserved(),
             std::chrono::milliseconds(entry.counted_ms()) };
         found->second.reporter.receive(node, totals.run, total, entry.level(), found->second.quota, now);
+        followKnownLevel(found->second, total, entry.level(), now);
     }
 }
 
--- a/libs/gateway/src/team_quotas.h
+++ b/libs/gateway/src/team_quotas.h
@@ -41,6 +41,8 @@
     limits::quota_requirement requirementFor(
         const team_id& team, double units, tier level, const fleet_size& fleet, monotonic_time now) const;
     duration timeUntilAvailable(const team_id& team, double units, tier level, const fleet_size& fleet, monotonic_time now) const;
+    /// Number of teams whose usage is uneven by what this node was told.
+    std::size_t markedTeams() const;
     double remaining(const team_id& team, monotonic_time now) const;
 
     /// Sends the reports that are due; call every few tens of milliseconds.
@@ -65,6 +67,8 @@
         double fleetTotal = 0;
         /// The store names the team as having used its quota unevenly, and the usage was last uneven at this time.
         bool isMarked = false;
+        /// The team had a mark when this process started.
+        bool startedMarked = false;
         monotonic_time lastAheadAt {};
         limits::usage_reporter reporter;
         /// The remaining units were taken over from another node after the start of this process.
@@ -76,6 +80,7 @@
 
     const team_state* find(const team_id& team) const;
     team_state* find(const team_id& team) { return const_cast<team_state*>(std::as_const(*this).find(team)); }
+    void followKnownLevel(team_state& team, const limits::quota_total& total, double level, monotonic_time now);
     void countForFleet(team_state& team, double allUsed, monotonic_time now);
     /// Writes and deletes the marks of the teams that this node is in charge of.
     void updateMarks(const fleet_members& members, monotonic_time now);
--- a/libs/gateway/tests/team_quotas_tests.cpp
+++ b/libs/gateway/tests/team_quotas_tests.cpp
@@ -115,6 +115,42 @@
     }
 }
 
+TEST_F(team_quotas_test, markedTeam_afterTheStartOfASingleNode_getsWhatTheNodeInChargeKnowsToBeLeft)
+{
+    // A restarted node refused a team in use for a window, although the node in charge knew that units were left. One that has
+    // counted for less than a window may have started as well and does not know.
+    auto quotas = makeQuotas(false);
+    quotas.restoreMarks({ team }, m_now);
+    fleet_members members { self, 0, m_now };
+    member_update member;
+    member.node = other;
+    member.run = incarnation { 1 };
+    members.apply(member, m_now);
+    quotas.tick(members, m_now);
+    const auto collector = m_sent.back().first;
+    const auto totals = [](std::uint32_t countedMs) {
+        peer::quota_totalsT message;
+        message.run = 7;
+        message.totals.emplace_back(teamHash(team), 0.0, 500.0, 0.0F, 600.0F, countedMs);
+        return message;
+    };
+    quotas.receive(collector, totals(7900), m_now + 10ms);
+    EXPECT_NEAR(quotas.remaining(team, m_now + 10ms), 0, 1);
+    quotas.receive(collector, totals(60000), m_now + 20ms);
+    EXPECT_NEAR(quotas.remaining(team, m_now + 20ms), 600, 1);
+    EXPECT_NEAR(quotas.remaining(team, m_now + 7s), 600, 1);
+}
+
+TEST_F(team_quotas_test, nodeInChargeThatDoesNotServeTheTeam_tellsWhatIsLeft)
+{
+    // A restarted node adopted a whole quota from a node in charge that had counted the use of the others only for them.
+    auto quotas = makeQuotas(true);
+    quotas.receive(other, report(1500, 300), m_now);
+    const auto* totals = m_sent.back().second.body.Asquota_totals();
+    ASSERT_NE(totals, nullptr);
+    EXPECT_NEAR(totals->totals.front().level(), 300, 1);
+}
+
 TEST_F(team_quotas_test, unknownTeam_getsNoTotals)
 {
     // A node in charge that does not know the team's configuration yet must not report that nothing is left.
--- a/libs/limits/include/limits/shared_quota.h
+++ b/libs/limits/include/limits/shared_quota.h
@@ -67,8 +67,9 @@
     /// Sets the remaining units to what a peer reports, for a node that has just started.
     void setRemaining(double units, monotonic_time now);
 
-    /// Counts the whole window as used at this time, for a node that has just started and knows nothing of an uneven usage before.
-    void assumeUsedAt(monotonic_time time);
+    /// Replaces what is known up to this time by units that were all used at it, for a node that has just started and knows nothing of an
+    /// uneven usage before.
+    void assumeUsedAt(double units, monotonic_time time);
     /// Whether the usage up to now would exceed the limit noticeably if a restarted fleet took it for even.
     bool isAheadOfEvenUsage(monotonic_time now) const;
 
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -123,10 +123,10 @@
     distributeOverWindow(usedShare * limit, limit, now);
 }
 
-void shared_quota::assumeUsedAt(monotonic_time time)
+void shared_quota::assumeUsedAt(double units, monotonic_time time)
 {
     std::erase_if(m_intervals, [time](const interval& part) { return part.start <= time; });
-    m_intervals.push_front({ time, m_limit.unitsPerWindow(), m_limit.unitsPerWindow(), true });
+    m_intervals.push_front({ time, units, m_limit.unitsPerWindow(), true });
 }
 
 // What was used in any span up to now and what a restarted fleet grants in the rest of the window add up to at most the limit if the usage
--- a/libs/limits/tests/limits_tests.cpp
+++ b/libs/limits/tests/limits_tests.cpp
@@ -186,7 +186,7 @@
 {
     // All processes were killed just after a window was used up; refilled by the rate, part of it was granted again.
     shared_quota quota(smallLimit, start, false);
-    quota.assumeUsedAt(start);
+    quota.assumeUsedAt(quota.unitsPerWindow(), start);
     EXPECT_FALSE(use(quota, 10, start + 7900ms));
     EXPECT_TRUE(use(quota, 900, start + 8200ms));
 }
