--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -44,6 +44,7 @@
     void admissions(const placement::admission_counts& counts);
     /// Prompt tokens of this node's requests since its start that were predicted to be cached, and that were.
     void setReuse(const placement::reuse_totals& totals);
+    void setMarkedTeams(std::size_t teams);
     void setConfiguration(config_version version);
 
     /// Metrics in the Prometheus text format.
@@ -72,6 +73,7 @@
     prometheus::Gauge& m_limitedEndpoints;
     prometheus::Gauge& m_leavingEndpoints;
     prometheus::Gauge& m_restingEndpoints;
+    prometheus::Gauge& m_markedTeams;
     prometheus::Gauge& m_configuration;
 };
 
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -10,8 +10,8 @@
 #include "store_readers.h"
 #include "wire/generated/peer_state_generated.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
-#include <concepts>
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,6 +35,8 @@
         std::function<void(const std::vector<store_record>&)> onQuarantine;
         /// The store came back from an older copy, which holds these records of the quarantine.
         std::function<void(const std::vector<store_record>&)> onQuarantineLost;
+        /// Teams whose usage before the start of this process was not even.
+        std::function<void(const std::vector<store_record>&)> onQuotaMarks;
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
     };
@@ -56,6 +58,11 @@
 
 private:
     void follow();
+    /// The followers of all topics; those that do not exist yet are null.
+    std::array<std::shared_ptr<store_follower>, 5> followers() const
+    {
+        return { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_quotaFollower };
+    }
     bool applyConfiguration(const store_record& record);
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
@@ -66,7 +73,6 @@
     void onHistoryChanged(std::uint64_t history);
     /// The store answers one follower again; the others need not wait for their turn.
     void retryFailedReads();
-    template <std::invocable<store_follower&> Action> void forEachFollower(Action action);
     void publishSelf();
     log_position endpointPosition() const { return m_endpointFollower->position(); }
     void onEndpointsChanged();
@@ -101,6 +107,7 @@
     std::shared_ptr<store_follower> m_endpointFollower;
     std::shared_ptr<store_follower> m_nodeFollower;
     std::shared_ptr<store_follower> m_quarantineFollower;
+    std::shared_ptr<store_follower> m_quotaFollower;
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
--- a/libs/limits/include/limits/shared_quota.h
+++ b/libs/limits/include/limits/shared_quota.h
@@ -67,6 +67,12 @@
     /// Sets the remaining units to what a peer reports, for a node that has just started.
     void setRemaining(double units, monotonic_time now);
 
+    /// Replaces what is known up to this time by units that were all used at it, for a node that has just started and knows nothing of an
+    /// uneven usage before.
+    void assumeUsedAt(double units, monotonic_time time);
+    /// Whether the usage up to now would exceed the limit noticeably if a restarted fleet took it for even.
+    bool isAheadOfEvenUsage(monotonic_time now) const;
+
     /// Units left in the window.
     double remaining(monotonic_time now) const;
     /// Total units used by this node.
@@ -83,25 +89,34 @@
         double units = 0;
         /// Units per window of the limit in force at the time of use.
         double limit = 0;
+        /// Usage of all nodes before this one knew of it by itself, which other nodes assume as well.
+        bool isAssumed = false;
     };
     struct timed_usage {
         monotonic_time time;
         double units = 0;
     };
 
-    void addUsage(double units, monotonic_time now);
+    void addUsage(double units, monotonic_time now, bool isAssumed = false);
     void expireOldUsage(monotonic_time now);
     void distributeOverWindow(double units, double limit, monotonic_time now);
     /// Units of the interval that count against the current limit.
     double countedUnits(const interval& part) const;
-    double used() const;
+    /// Units that count for a node that may use this share of the quota.
+    double countedUnits(const interval& part, double share) const;
+    double used(double share) const;
     double estimatedUnreportedUsage(const quota_nodes& nodes, monotonic_time now) const;
+    /// Units of requests that this node refused recently.
+    double refusedUnits(monotonic_time now) const;
     double requiredUnits(double units, tier level, double capacity) const;
     duration intervalLength() const;
 
     quota_limit m_limit;
     std::deque<interval> m_intervals;
     std::deque<timed_usage> m_recentUsage;
+    /// Recently refused units as of the last refusal.
+    timed_usage m_refused;
+    double m_lastRefusedUnits = 0;
     double m_reserved = 0;
     double m_peerReserved = 0;
     double m_localUsage = 0;
--- a/libs/limits/src/shared_quota.cpp
+++ b/libs/limits/src/shared_quota.cpp
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace carawaylink::limits {
@@ -15,10 +16,15 @@
 // Units reserved for more urgent requests, as a multiple of the request's size per tier, so that small requests need only a small reserve.
 constexpr double reserveFactorPerTier = 60;
 constexpr double maxReserveFraction = 0.1;
+// Usage that is ahead of an even one by less than this fraction of the window is left to the overrun that is tolerated.
+constexpr double evenUsageMargin = 0.1;
 // Fraction of the burst that is available immediately after a restart, when the usage before it is unknown.
 constexpr double initialBurstFraction = 0.25;
 // Own usage is averaged over this time, since a single large request says little about the usage of peers.
 constexpr auto usageAveragingTime = std::chrono::milliseconds(1200);
+// Estimated usage of peers up to this fraction of the window does not count while few requests are refused. Half of the overrun of a tenth
+// that is tolerated in a window; the other half is for what peers use before their reports show a rising load.
+constexpr double estimateAllowance = 0.05;
 
 } // namespace
 
@@ -40,7 +46,7 @@
     // Assumes that the rate's part of the window was used evenly, so that it expires gradually; most of the burst counts as used now and
     // expires with the whole window.
     distributeOverWindow(m_limit.unitsPerWindow() - m_limit.burst, m_limit.unitsPerWindow(), now);
-    addUsage((1 - initialBurstFraction) * m_limit.burst, now);
+    addUsage((1 - initialBurstFraction) * m_limit.burst, now, true);
 }
 
 void shared_quota::configure(const quota_limit& limit, monotonic_time now)
@@ -55,8 +61,11 @@
         return true;
     expireOldUsage(now);
     const auto need = requirementFor(units, level, nodes, now);
-    if (need.availableUnits < need.requiredUnits)
+    if (need.availableUnits < need.requiredUnits) {
+        m_refused = { now, refusedUnits(now) + units };
+        m_lastRefusedUnits = units;
         return false;
+    }
     m_reserved += units;
     return true;
 }
@@ -78,6 +87,7 @@
 
 void shared_quota::addPeerUsage(double units, monotonic_time now)
 {
+    expireOldUsage(now);
     addUsage(units, now);
 }
 
@@ -85,7 +95,7 @@
 {
     const double capacity = m_limit.unitsPerWindow() * nodes.share();
     return { requiredUnits(units, level, capacity),
-        capacity - used() - m_reserved - m_peerReserved - estimatedUnreportedUsage(nodes, now) };
+        capacity - used(nodes.share()) - m_reserved - m_peerReserved - estimatedUnreportedUsage(nodes, now) };
 }
 
 duration shared_quota::timeUntilAvailable(double units, tier level, const quota_nodes& nodes, monotonic_time now) const
@@ -95,7 +105,7 @@
     for (const auto& part : m_intervals) {
         if (shortfall <= 0)
             break;
-        shortfall -= countedUnits(part);
+        shortfall -= countedUnits(part, nodes.share());
         if (shortfall <= 0)
             return std::max<duration>(part.start + intervalLength() + m_limit.window - now, duration {});
     }
@@ -113,6 +123,25 @@
     distributeOverWindow(usedShare * limit, limit, now);
 }
 
+void shared_quota::assumeUsedAt(double units, monotonic_time time)
+{
+    std::erase_if(m_intervals, [time](const interval& part) { return part.start <= time; });
+    m_intervals.push_front({ time, units, m_limit.unitsPerWindow(), true });
+}
+
+// What was used in any span up to now and what a restarted fleet grants in the rest of the window add up to at most the limit if the usage
+// of each span is at most its share of the window.
+bool shared_quota::isAheadOfEvenUsage(monotonic_time now) const
+{
+    const double limit = m_limit.unitsPerWindow();
+    double units = 0;
+    return std::any_of(m_intervals.rbegin(), m_intervals.rend(), [&](const interval& part) {
+        const auto age = now - part.start;
+        units += countedUnits(part);
+        return age <= m_limit.window && units > limit * (inSeconds(age) / inSeconds(m_limit.window) + evenUsageMargin);
+    });
+}
+
 double shared_quota::remaining(monotonic_time now) const
 {
     const auto length = intervalLength();
@@ -122,11 +151,12 @@
     return m_limit.unitsPerWindow() - current - m_reserved - m_peerReserved;
 }
 
-void shared_quota::addUsage(double units, monotonic_time now)
+void shared_quota::addUsage(double units, monotonic_time now, bool isAssumed)
 {
     const double limit = m_limit.unitsPerWindow();
-    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength() || m_intervals.back().limit != limit)
-        m_intervals.push_back({ now, 0, limit });
+    if (m_intervals.empty() || now - m_intervals.back().start >= intervalLength() || m_intervals.back().limit != limit
+        || m_intervals.back().isAssumed != isAssumed)
+        m_intervals.push_back({ now, 0, limit, isAssumed });
     m_intervals.back().units += units;
 }
 
@@ -144,7 +174,7 @@
 void shared_quota::distributeOverWindow(double units, double limit, monotonic_time now)
 {
     for (int i = intervalsPerWindow; i > 0; --i)
-        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow, limit });
+        m_intervals.push_back({ now - i * intervalLength(), units / intervalsPerWindow, limit, true });
 }
 
 // The usage itself stays as it was: scaled down for good, it granted nearly a whole quota again once the limit was raised.
@@ -153,20 +183,43 @@
     return part.units * std::min(m_limit.unitsPerWindow() / part.limit, 1.0);
 }
 
-double shared_quota::used() const
+// Nodes that do not hear from each other divide what the assumed usage leaves. Taken in full from a share, it left nothing at all: at a
+// start of all nodes, which hear from few at first, each refused everything.
+double shared_quota::countedUnits(const interval& part, double share) const
+{
+    return countedUnits(part) * (part.isAssumed ? share : 1);
+}
+
+double shared_quota::used(double share) const
 {
     return std::accumulate(
-        m_intervals.begin(), m_intervals.end(), 0.0, [this](double total, const interval& part) { return total + countedUnits(part); });
+        m_intervals.begin(), m_intervals.end(), 0.0, [&](double total, const interval& part) { return total + countedUnits(part, share); });
 }
 
-// Peers are assumed to use as much as this node, or as they last reported.
+// Peers are assumed to use as much as this node, or as they last reported. The largest request of this node is left out, since each peer
+// would be assumed to have sent the same.
 double shared_quota::estimatedUnreportedUsage(const quota_nodes& nodes, monotonic_time now) const
 {
-    const double own = std::accumulate(m_recentUsage.begin(), m_recentUsage.end(), 0.0,
-        [&](double total, const timed_usage& entry) { return now - entry.time > usageAveragingTime ? total : total + entry.units; });
-    const double ownUnitsPerSecond = own / inSeconds(usageAveragingTime);
-    const double likeThisNode = ownUnitsPerSecond * static_cast<double>(nodes.reporting - 1);
-    return std::max(likeThisNode, nodes.peerUnitsPerSecond) * inSeconds(nodes.reportAge);
+    double own = 0;
+    double largest = 0;
+    for (const auto& entry : m_recentUsage) {
+        if (now - entry.time > usageAveragingTime)
+            continue;
+        own += entry.units;
+        largest = std::max(largest, entry.units);
+    }
+    const double likeThisNode = (own - largest) / inSeconds(usageAveragingTime) * static_cast<double>(nodes.reporting - 1);
+    const double estimate = std::max(likeThisNode, nodes.peerUnitsPerSecond) * inSeconds(nodes.reportAge);
+    // A team below its limit was refused for what peers might have used. A team that sends far more than its limit uses all that is not
+    // counted, at all nodes at the same time, so that the whole estimate counts. A single refusal does not show that.
+    const bool isMostlyServed = refusedUnits(now) <= own + m_lastRefusedUnits;
+    return isMostlyServed ? std::max(estimate - estimateAllowance * m_limit.unitsPerWindow(), 0.0) : estimate;
+}
+
+// Decays over the time for which the own usage is averaged, so that the two can be compared.
+double shared_quota::refusedUnits(monotonic_time now) const
+{
+    return m_refused.units * std::exp(-inSeconds(now - m_refused.time) / inSeconds(usageAveragingTime));
 }
 
 double shared_quota::requiredUnits(double units, tier level, double capacity) const
