Test prompt parts from the caller's header to the log of the grant

No test noticed parts that are decoded but lost before the placement, or a deployment without shared parts that pays for the account. request_dispatcher_test.promptParts_ofAnsweredRequest_areStatedAsKept sends real requests and reads request_sent; prefix_placement_test.requestsWithoutParts_leaveNoEntries asserts that such requests leave nothing.

--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -7,9 +7,10 @@
 
 namespace carawaylink::gateway {
 
-/// Codec for tests. Callers send the headers "attempt", "left" (ms), "key" and "part" (one shared part of the prompt); endpoints respond
-/// with "ran: no" if they did not execute the request, "other: yes" if they are not the addressed replica and "unnamed: yes" if the
-/// response names no attempt, name a request limit in "limit", say that they leave in "leaving" and ask for rest (ms) in "rest".
+/// Codec for tests. Callers send the headers "attempt", "left" (ms), "key", "part" (one shared part of the prompt) and "prefix" (tokens of
+/// the prompt before the last part); endpoints respond with "ran: no" if they did not execute the request, "other: yes" if they are not the
+/// addressed replica and "unnamed: yes" if the response names no attempt, name a request limit in "limit", say that they leave in "leaving"
+/// and ask for rest (ms) in "rest".
 class test_codec : public protocol_codec {
 public:
     request_metadata decodeRequest(const http_request& request) const override
@@ -21,6 +22,12 @@
         metadata.key = request.header("key").value_or("");
         if (const auto part = request.header("part"))
             metadata.sharedParts = { "common", std::string(*part) };
+        if (const auto prefix = request.header("prefix")) {
+            const tokens shared { std::stoi(std::string(*prefix)) };
+            const tokens own { 300 };
+            metadata.promptParts = { { "shared", shared }, { metadata.attempt, own } };
+            metadata.prompt = tokens { shared.value + own.value };
+        }
         return metadata;
     }
     std::vector<http_header> endpointHeaders(const http_request& request, const dispatch_metadata& metadata) const override
--- a/libs/gateway/tests/request_dispatcher_fixture.h
+++ b/libs/gateway/tests/request_dispatcher_fixture.h
@@ -80,6 +80,8 @@
             route.timeout = timeout;
             route.latencyTarget = 500ms;
             routes.routes = { route };
+            if (m_engineMemory)
+                routes.services = { { service_id { "service" }, {}, 0, routing::engine_limits { 4, *m_engineMemory, 1 } } };
             if (!m_key.empty()) {
                 routing::team_definition team;
                 team.name = team_id { "team" };
@@ -130,6 +132,12 @@
         return blocking_http_client().send(m_address, request, responseTimeout);
     }
 
+    http_response sendWithPrefix(const std::string& attempt, const std::string& length)
+    {
+        const http_request request { "GET", "/p/x", { { "Host", "host" }, { "attempt", attempt }, { "prefix", length } }, {} };
+        return blocking_http_client().send(m_address, request, responseTimeout);
+    }
+
     // Ends with its process as soon as it gets a request with the part "deadly".
     void mortalEndpoint(const std::string& name)
     {
@@ -180,6 +188,7 @@
     }
 
     std::string m_key;
+    std::optional<tokens> m_engineMemory;
     gateway_settings m_settings;
     test_codec m_codec;
     std::vector<std::shared_ptr<http_responder>> m_pendingResponders;
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -521,5 +521,25 @@
     });
 }
 
+TEST_F(request_dispatcher_test, promptParts_ofAnsweredRequest_areStatedAsKept)
+{
+    // Guards against parts that are decoded but do not reach the placement, and against a log that does not show what it weighed.
+    endpoint("one", respondWith(200));
+    m_engineMemory = tokens { 500'000 };
+    start(true, false, 1);
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(sendWithPrefix("a1", "5000").status, 200U);
+    EXPECT_EQ(sendWithPrefix("a2", "5000").status, 200U);
+    EXPECT_EQ(sendWithPrefix("a3", "60").status, 200U);
+    run([this] { m_log.flush(); });
+    const auto log = testing::internal::GetCapturedStdout();
+    const auto sent = [&](const std::string& attempt, const std::string& end) {
+        return std::regex_search(log, std::regex("event=request_sent [^\\n]*request=" + attempt + " [^\\n]*" + end + "\\n"));
+    };
+    EXPECT_TRUE(sent("a1", " kept_tokens=0 prefill_wait_ms=0")) << log;
+    EXPECT_TRUE(sent("a2", " kept_tokens=5000 prefill_wait_ms=0")) << log;
+    EXPECT_TRUE(sent("a3", " earlier_requests=[0-9]+")) << log;
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/placement/tests/prefix_placement_tests.cpp
+++ b/libs/placement/tests/prefix_placement_tests.cpp
@@ -120,6 +120,15 @@
     EXPECT_EQ(place(request("other"))->kept, tokens { 0 });
 }
 
+TEST_F(prefix_placement_test, requestsWithoutParts_leaveNoEntries)
+{
+    // On deployments whose prompts share little, the account must cost nothing; the fixture has placed 80 requests without parts.
+    EXPECT_EQ(m_pool.prefixBytes(), 0U);
+    m_pool.setLimits({ std::nullopt, 1 });
+    serve(request("s"));
+    EXPECT_EQ(m_pool.prefixBytes(), 0U);
+}
+
 TEST_F(prefix_placement_test, hotKey_underLoad_spreadsOverEndpoints)
 {
     // One endpoint that gets all requests of a popular prompt would make them wait while others idle.
