Answer where a request would go now

An operator could not ask why requests go to one endpoint and not to another. GET /where on the address of the metrics answers for a service, prompt, output, target and parts: who decides in each pool, how old its view is, and for the pools of the asked node all endpoints with wait, kept tokens, load, memory and what rules them out. It sends nothing and takes no slot. Wrong parameters are answered with 400, the field and the remedy. The verb of the command line that asks the owners is not written yet.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -6,6 +6,7 @@
 #include "fleet_members.h"
 #include "mesh/membership_transport.h"
 #include "peer_links.h"
+#include "placement_query.h"
 #include "request_dispatcher.h"
 #include "store_sync.h"
 
@@ -79,9 +80,7 @@
         , directory(threads, queryLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) { answerDirectory(request, *responder); })
         , metricsServer(threads, queryLimits(),
-              [this](const http_request&, std::shared_ptr<http_responder> responder) {
-                  responder->send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
-              })
+              [this](const http_request& request, std::shared_ptr<http_responder> responder) { answerOperator(request, *responder); })
         , ticker(context)
         , random(randomSeed())
     {
@@ -231,6 +230,14 @@
 
     bool isReady() const { return dispatcher.isConfigured() && store.isLoaded() && !isDraining; }
 
+    void answerOperator(const http_request& request, http_responder& responder)
+    {
+        if (request.path() == placementQueryPath)
+            responder.send(dispatcher.answerPlacementQuery(request));
+        else
+            responder.send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
+    }
+
     void answerReadiness(const http_request& request, http_responder& responder)
     {
         if (!codec->isReadinessQuery(request))
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "exchange.h"
+#include "placement_query.h"
 
 #include <algorithm>
 #include <utility>
@@ -320,6 +321,11 @@
     m_metrics.setReuse(m_slots.reuse());
 }
 
+http_response request_dispatcher::answerPlacementQuery(const http_request& query) const
+{
+    return gateway::answerPlacementQuery(query, m_slots, m_self);
+}
+
 void request_dispatcher::releaseUnknownSlots()
 {
     m_slots.releaseUnknown([this](std::uint64_t id) { return m_exchanges.contains(id); });
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -57,6 +57,8 @@
     void tick();
     /// Updates the gauges that need a pass over endpoints; call about once per second.
     void updateGauges();
+    /// Tells an operator where a request would go now, without sending it.
+    http_response answerPlacementQuery(const http_request& query) const;
     /// Gives back slots of requests that have ended; call about once per second.
     void releaseUnknownSlots();
     bool isConfigured() const { return m_routes != nullptr; }
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -322,6 +322,20 @@
     return total;
 }
 
+std::vector<pool_explanation> slot_coordinator::explain(const service_id& name, const placement::waiting_request& request) const
+{
+    const auto* state = find(name);
+    std::vector<pool_explanation> result(state ? state->client.pools() : 0);
+    for (std::uint32_t number = 0; number < result.size(); ++number) {
+        const pool_id pool { name, number };
+        result[number].owner = placement::ownerOf(pool, m_nodes);
+        const auto owned = m_owned.pools().find(pool);
+        if (owned != m_owned.pools().end())
+            result[number].view = owned->second->explain(request, std::chrono::steady_clock::now());
+    }
+    return result;
+}
+
 std::optional<discovery::endpoint_record> slot_coordinator::lookUp(std::uint64_t hash) const
 {
     const auto found = m_endpointByHash.find(hash);
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -13,6 +13,12 @@
 
 namespace carawaylink::gateway {
 
+/// Who decides in a pool, and what it would decide if that is this node.
+struct pool_explanation {
+    std::optional<node_id> owner;
+    std::optional<placement::owner_explanation> view;
+};
+
 /// Obtains slots for the requests of this node from the owners of the pools, and owns pools itself. Exchanges calls and replies with the
 /// other nodes; those to itself stay in the process. Runs on one event loop.
 class slot_coordinator {
@@ -63,6 +69,8 @@
     placement::notice_counts noticeCounts(const service_id& service) const;
     /// Reuse of prompt parts by the requests of this node.
     placement::reuse_totals reuse() const;
+    /// Where the request would go in each pool of the service, by number; empty for an unknown service.
+    std::vector<pool_explanation> explain(const service_id& service, const placement::waiting_request& request) const;
     std::size_t ownedCount() const { return m_owned.pools().size(); }
 
 private:
--- a/libs/gateway/tests/request_dispatcher_tests.cpp
+++ b/libs/gateway/tests/request_dispatcher_tests.cpp
@@ -541,5 +541,32 @@
     EXPECT_TRUE(sent("a3", " earlier_requests=[0-9]+")) << log;
 }
 
+TEST_F(request_dispatcher_test, placementQuery_namesCandidatesWithoutSending)
+{
+    // Guards against an answer that differs from what the placement knows, and against queries that take a slot.
+    endpoint("one", respondWith(200));
+    endpoint("other", respondWith(200));
+    m_engineMemory = tokens { 500'000 };
+    start(true, false, 1);
+    EXPECT_EQ(sendWithPrefix("a1", "5000").status, 200U);
+    const auto holder = requestsAt(0) > 0 ? "one" : "other";
+    const auto ask = [this](const std::string& parameters) {
+        http_response answer;
+        run([&] { answer = m_dispatcher.answerPlacementQuery({ "GET", "/where?" + parameters }); });
+        return answer;
+    };
+    const auto answer = ask("service=service&prompt=5300&output=10&parts=shared:5000,new:300");
+    EXPECT_EQ(answer.status, 200U);
+    const std::regex expected(
+        "pool=0 owner=\\S* asked=\\S* decides=1 nodes=1 view_age_ms=[0-9]+ late=0\npool=0 replica=" + std::string(holder)
+        + " [^\n]* kept_tokens=5000 running=0 slots=4 memory=0 obstacle=none\npool=0 replica=[^\n]* kept_tokens=0 [^\n]*\n");
+    EXPECT_TRUE(std::regex_match(answer.body, expected)) << answer.body;
+    EXPECT_EQ(requestsAtAll(), 1);
+    for (const char* wrong : { "prompt=5300", "service=unknown", "service=service&prompt=-1", "service=service&parts=shared" })
+        EXPECT_EQ(ask(wrong).status, 400U) << wrong;
+    EXPECT_EQ(
+        ask("service=service&parts=a:b").body, "field=parts value=\"a:b\" remedy=\"give ID:TOKENS for each part, separated by commas\"\n");
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/placement/include/placement/placement_explanation.h
+++ b/libs/placement/include/placement/placement_explanation.h
@@ -61,4 +61,12 @@
     std::vector<explained_candidate> candidates;
 };
 
+/// The view of the owner of a pool.
+struct owner_explanation {
+    placement_explanation placement;
+    /// Nodes that use the pool, and the time since the last call of the one that has been silent for longest.
+    std::size_t nodes = 0;
+    duration age {};
+};
+
 } // namespace carawaylink::placement
--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -32,6 +32,8 @@
     std::vector<reclaimed_slots> takeReclaimed() { return std::exchange(m_reclaimed, {}); }
 
     pool_load load() const { return m_pool.totalLoad(); }
+    /// Where the request would go now; decides nothing.
+    owner_explanation explain(const waiting_request& request, monotonic_time now);
 
 private:
     /// State of one node's session.
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -222,6 +222,14 @@
     return replies;
 }
 
+owner_explanation slot_owner::explain(const waiting_request& request, monotonic_time now)
+{
+    owner_explanation result { m_pool.explain(request, now), m_nodes.size(), {} };
+    for (const auto& [node, session] : m_nodes)
+        result.age = std::max(result.age, now - session.lastHeardAt);
+    return result;
+}
+
 void slot_owner::collectDecisions(monotonic_time now)
 {
     auto decisions = m_pool.decide(now);
