--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -34,6 +34,8 @@
     admission_counts takeAdmissionCounts() { return m_pool.takeAdmissionCounts(); }
 
     pool_load load() const { return m_pool.totalLoad(); }
+    /// Where the request would go now; decides nothing.
+    owner_explanation explain(const waiting_request& request, monotonic_time now);
 
 private:
     /// State of one node's session.
