--- a/libs/placement/src/service_pool_refusal.cpp
+++ b/libs/placement/src/service_pool_refusal.cpp
@@ -14,6 +14,8 @@
 constexpr auto targetMargin = std::chrono::milliseconds(15);
 // Queue time that is acceptable in addition to a multiple of the latency target.
 constexpr auto queueTimeAllowance = std::chrono::milliseconds(500);
+// The floor stops for a rank that has reached its share, so its requests may wait longer than by the rate of its starts.
+constexpr double floorWaitMargin = 3;
 constexpr auto minRetryAfter = std::chrono::milliseconds(200);
 constexpr auto maxRetryAfter = std::chrono::seconds(4);
 
@@ -90,7 +92,7 @@
     const double rate = std::max<double>(static_cast<double>(starts), minStartsPerWindow) / inSeconds(queueRateWindow);
     double wait = static_cast<double>(position.ahead) / rate;
     if (const double floorRate = m_floor.startRate(urgencyOf(request), now); floorRate > 0)
-        wait = std::min(wait, static_cast<double>(position.sameUrgency + 1) / floorRate);
+        wait = std::min(wait, floorWaitMargin * static_cast<double>(position.sameUrgency + 1) / floorRate);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
