--- a/libs/discovery/include/discovery/endpoint_table.h
+++ b/libs/discovery/include/discovery/endpoint_table.h
@@ -24,6 +24,8 @@
     bool draining = false;
     /// Start of the process in Unix milliseconds; distinguishes restarts under the same id.
     std::int64_t startedAtMs = 0;
+    /// Version of the software that the endpoint runs; empty if it does not tell.
+    std::string version {};
 
     friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
