Limit which versions of a service's endpoints a pool may grant

Cause: during a roll-out the owner of a pool must divide its grants between two versions, and no node may use a version against the decision.

--- a/libs/placement/include/placement/owned_pools.h
+++ b/libs/placement/include/placement/owned_pools.h
@@ -19,6 +19,8 @@
     owned_pools(node_id self, std::uint64_t seed);
 
     void setLimits(const service_id& service, const pool_limits& limits);
+    /// Sets which versions of the service may be granted, and how its owner divides the grants of each pool.
+    void setVersionRules(const service_id& service, const version_rules& rules, const std::map<std::uint32_t, version_split>& splits);
     /// Takes over the pools that this node now owns and gives up the others; returns whether any changed hands.
     bool update(const endpoints_by_service& endpoints, std::span<const owner_candidate> candidates, const speed_source& knownSpeeds,
         monotonic_time now);
@@ -31,11 +33,27 @@
     std::vector<reclaimed_slots> takeReclaimed();
 
     const std::map<pool_id, std::unique_ptr<slot_owner>>& pools() const { return m_pools; }
+    slot_owner* find(const pool_id& pool)
+    {
+        const auto found = m_pools.find(pool);
+        return found == m_pools.end() ? nullptr : found->second.get();
+    }
 
 private:
     node_id m_self;
     random_source m_random;
+    struct service_versions {
+        version_rules rules;
+        std::map<std::uint32_t, version_split> splits;
+
+        version_split splitOf(std::uint32_t pool) const
+        {
+            const auto found = splits.find(pool);
+            return found == splits.end() ? version_split {} : found->second;
+        }
+    };
     std::map<service_id, pool_limits> m_limits;
+    std::map<service_id, service_versions> m_versions;
     std::map<pool_id, std::unique_ptr<slot_owner>> m_pools;
     std::vector<addressed_reply> m_rejections;
 };
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -10,6 +10,7 @@
 #include "placement/latency_model.h"
 #include "placement/prefill_cost_model.h"
 #include "placement/request_limit.h"
+#include "placement/version_rules.h"
 
 #include <algorithm>
 #include <deque>
@@ -18,6 +19,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace carawaylink::placement {
@@ -57,6 +59,8 @@
     bool isLate = false;
     /// True if a wait report was issued; set by the pool.
     bool isReported = false;
+    /// Hash of the route's name while an order of a roll-out is in progress; 0 otherwise.
+    std::uint64_t route = 0;
 };
 
 /// Why a request waits: number of endpoints that cannot take it, counted by the first reason that applies.
@@ -158,6 +162,8 @@
     leaving,
     /// It asked this node for rest.
     resting,
+    /// Its version must not be used, by an order of a roll-out or because it has just appeared.
+    version,
 };
 
 inline constexpr auto unusableReasonNames = enumTable<unusable_reason>({
@@ -165,6 +171,7 @@
     { unusable_reason::draining, "draining" },
     { unusable_reason::leaving, "leaving" },
     { unusable_reason::resting, "resting" },
+    { unusable_reason::version, "version" },
 });
 
 /// A grant of an owner that the node does not use; the request waits again.
@@ -230,6 +237,15 @@
     /// Number of listed endpoints that say that they leave, and that rest for any node.
     notice_counts countNotices(monotonic_time now) const;
 
+    /// Sets which versions may be granted. split: how the owner of the pool divides its grants; without one, a pool that uses both versions
+    /// grants the old one only, and observes nothing.
+    void setVersionRules(const version_rules& rules, const std::optional<version_split>& split = std::nullopt);
+    const version_rules& versionRules() const { return m_versionRules; }
+    /// Number of requests that run on endpoints of other versions than the target of the order.
+    std::size_t runningOld() const;
+    /// Returns what was seen of requests since the last call, while an order is in progress.
+    std::vector<version_observation> takeObservations() { return std::exchange(m_observations, {}); }
+
     void submit(waiting_request request);
     /// Counts a request that was granted elsewhere as running on the endpoint. Releases its load at a previous endpoint with the outcome
     /// timed_out. Returns false if the endpoint accepts no new requests.
@@ -269,6 +285,9 @@
         monotonic_time stallTriedAt {};
         bool isListed = true;
         monotonic_time unlistedAt {};
+        bool isTarget = false;
+        /// Requests may be granted here by the rules on versions.
+        bool isVersionAllowed = true;
     };
     struct running_request {
         replica_id replica;
@@ -284,6 +303,12 @@
         bool isEventRateRecorded = false;
         /// Adopted after its first event, which was measured elsewhere; the rest of the response yields no measurements.
         bool isAdopted = false;
+        std::uint64_t route = 0;
+    };
+    /// Grants of a route since the present split, and those of the target among them.
+    struct split_counts {
+        std::uint64_t all = 0;
+        std::uint64_t target = 0;
     };
     /// Position in the queue, without the order among equals.
     using queue_rank = std::tuple<carawaylink::tier, bool, carawaylink::tier>;
@@ -305,6 +330,14 @@
     void beginPass(monotonic_time now);
     bool hasFreeSlot(monotonic_time now) const;
     std::optional<candidate> chooseEndpoint(const waiting_request& request, bool mustMeetTarget, monotonic_time now);
+    /// Chooses among the endpoints of the target or of the other versions; of all versions without an order that uses both.
+    std::optional<candidate> chooseAmong(
+        std::optional<bool> ofTarget, const waiting_request& request, bool mustMeetTarget, monotonic_time now);
+    void applyVersionRules(endpoint_state& endpoint) const;
+    /// Whether the next request of the route goes to the target.
+    bool isTargetDue(std::uint64_t route) const;
+    void countSent(const waiting_request& request, const endpoint_state& endpoint);
+    void observe(version_event event, std::uint64_t id, const running_request& running, bool isTarget, duration time, outcome result);
     bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     bool hasFreeSlot(const endpoint_state& endpoint, monotonic_time now) const;
     bool isUsable(const endpoint_state& endpoint, monotonic_time now) const;
@@ -357,6 +390,11 @@
     // Valid during one pass of decide().
     std::vector<endpoint_state*> m_usable;
     std::map<queue_rank, std::size_t> m_startsByRank;
+    version_rules m_versionRules;
+    std::optional<version_split> m_versionSplit;
+    std::map<std::uint64_t, split_counts> m_splitByRoute;
+    std::uint64_t m_targetGrants = 0;
+    std::vector<version_observation> m_observations;
     /// Requests were submitted or slots freed since the last pass.
     bool m_hasChanged = true;
     monotonic_time m_lastPassAt {};
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -26,6 +26,9 @@
     /// Sets this node's share of the slots for decisions without an owner. rank: index of this node among count nodes.
     void setShare(std::size_t rank, std::size_t count);
 
+    /// Sets what this node knows of the versions that may be used, unless an owner has told it of a later decision.
+    void setVersionRules(const version_rules& rules);
+
     void submit(waiting_request request, monotonic_time now);
     /// Removes a waiting request; returns false if it is not waiting.
     bool withdraw(std::uint64_t id);
--- a/libs/placement/include/placement/slot_messages.h
+++ b/libs/placement/include/placement/slot_messages.h
@@ -101,6 +101,8 @@
     std::vector<wait_report> waitReports;
     /// Limits of the endpoints that are granted.
     std::vector<request_limit_report> limits;
+    /// Rules on versions that the node was not told yet in this session.
+    std::optional<version_rules> versions;
 };
 
 /// Slots that an owner took back from a node, because the node did not hold them.
--- a/libs/placement/include/placement/slot_owner.h
+++ b/libs/placement/include/placement/slot_owner.h
@@ -19,6 +19,10 @@
     slot_owner(pool_id pool, std::uint64_t seed, monotonic_time now);
 
     void setLimits(const pool_limits& limits) { m_pool.setLimits(limits); }
+    /// Sets which versions may be granted and how the grants are divided; tells all nodes that have a session.
+    void setVersionRules(const version_rules& rules, const version_split& split);
+    std::vector<version_observation> takeObservations() { return m_pool.takeObservations(); }
+    std::size_t runningOld() const { return m_pool.runningOld(); }
     void setEndpoints(const std::vector<discovery::endpoint_record>& records, monotonic_time now) { m_pool.setEndpoints(records, now); }
     /// Sets estimates with which the owner starts; its own measurements soon outweigh them.
     void setInitialSpeeds(const std::map<replica_id, endpoint_speed>& speeds);
@@ -42,6 +46,8 @@
         /// Number of the last reply with grants.
         std::uint32_t lastGrantReply = 0;
         bool needsReply = false;
+        /// The node knows the rules on versions.
+        bool knowsVersions = false;
         monotonic_time lastHeardAt {};
         /// Ids in the pool by the node's ids.
         std::unordered_map<std::uint64_t, std::uint64_t> requests;
--- a/libs/placement/src/owned_pools.cpp
+++ b/libs/placement/src/owned_pools.cpp
@@ -22,6 +22,14 @@
     }
 }
 
+void owned_pools::setVersionRules(
+    const service_id& service, const version_rules& rules, const std::map<std::uint32_t, version_split>& splits)
+{
+    const auto& given = m_versions[service] = { rules, splits };
+    for (auto position = m_pools.lower_bound({ service, 0 }); position != m_pools.end() && position->first.service == service; ++position)
+        position->second->setVersionRules(rules, given.splitOf(position->first.number));
+}
+
 bool owned_pools::update(
     const endpoints_by_service& endpoints, std::span<const owner_candidate> candidates, const speed_source& knownSpeeds, monotonic_time now)
 {
@@ -39,6 +47,8 @@
             if (isNew) {
                 pool = std::make_unique<slot_owner>(id, m_random(), now);
                 pool->setLimits(m_limits[service]);
+                if (const auto versions = m_versions.find(service); versions != m_versions.end())
+                    pool->setVersionRules(versions->second.rules, versions->second.splitOf(number));
                 changed = true;
             }
             pool->setEndpoints(pools[number], now);
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -124,8 +124,9 @@
     countRunning(endpoint, request.id,
         { endpoint.record.id, request.sender, request.prompt, m_prefillCost.work(request.prompt),
             tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
-            chosen.expectedFirstEvent },
+            chosen.expectedFirstEvent, false, false, request.route },
         now);
+    countSent(request, endpoint);
     m_connections.use(request.sender, endpoint.record.id);
     m_recentGrants.push_back({ now, rankOf(request) });
     return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
@@ -155,11 +156,15 @@
         return;
     endpoint->second.lastProgress = now;
     if (running.firstEventAt) {
-        if (events > minEventsForRate && !running.isAdopted && !std::exchange(running.isEventRateRecorded, true))
-            endpoint->second.model.recordEvents(events - 1, now - *running.firstEventAt);
+        if (events > minEventsForRate && !running.isAdopted && !std::exchange(running.isEventRateRecorded, true)) {
+            const auto elapsed = now - *running.firstEventAt;
+            endpoint->second.model.recordEvents(events - 1, elapsed);
+            observe(version_event::interval, id, running, endpoint->second.isTarget, elapsed / static_cast<std::int64_t>(events - 1), {});
+        }
         return;
     }
     running.firstEventAt = now;
+    observe(version_event::first_event, id, running, endpoint->second.isTarget, now - running.sent, {});
     endpoint->second.load.pendingPrefill.value -= running.work.value;
     updateModels(endpoint->second.model, running, now - running.sent);
 }
@@ -184,6 +189,7 @@
     if (position == m_endpoints.end())
         return;
     auto& endpoint = position->second;
+    observe(version_event::ended, id, running, endpoint.isTarget, now - running.sent, result);
     --endpoint.load.running;
     endpoint.load.memory.value -= running.memory.value;
     if (!running.firstEventAt)
--- a/libs/placement/src/service_pool_endpoints.cpp
+++ b/libs/placement/src/service_pool_endpoints.cpp
@@ -33,6 +33,7 @@
         endpoint.record = record;
         endpoint.notice.registered(record.startedAtMs);
         endpoint.isListed = true;
+        applyVersionRules(endpoint);
         if (inserted) {
             endpoint.lastProgress = now;
             endpoint.model.setInitialEstimate(typical);
@@ -152,6 +153,8 @@
         return unusable_reason::draining;
     if (endpoint.notice.isLeaving())
         return unusable_reason::leaving;
+    if (!endpoint.isVersionAllowed)
+        return unusable_reason::version;
     return std::nullopt;
 }
 
--- a/libs/placement/src/service_pool_placement.cpp
+++ b/libs/placement/src/service_pool_placement.cpp
@@ -59,7 +59,8 @@
     return model.timeToStream(lengthMargin * expectedEvents(request));
 }
 
-std::optional<service_pool::candidate> service_pool::chooseEndpoint(const waiting_request& request, bool mustMeetTarget, monotonic_time now)
+std::optional<service_pool::candidate> service_pool::chooseAmong(
+    std::optional<bool> ofTarget, const waiting_request& request, bool mustMeetTarget, monotonic_time now)
 {
     std::vector<candidate> candidates;
     // If no endpoint is fast enough for the whole response, the length estimate may be wrong, so any endpoint may be tried.
@@ -77,6 +78,8 @@
         return *exceedsEverywhere;
     };
     for (auto* endpoint : m_usable) {
+        if (ofTarget && endpoint->isTarget != *ofTarget)
+            continue;
         if (!hasCapacity(*endpoint, request, now) || isExcluded(*endpoint, request, now) || !isUsable(*endpoint, now)
             || !mayPrefill(*endpoint))
             continue;
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -91,6 +91,18 @@
     m_local.setShare(rank, count);
 }
 
+void slot_client::setVersionRules(const version_rules& rules)
+{
+    const auto& known = m_local.versionRules();
+    if (rules.stamp >= known.stamp) {
+        m_local.setVersionRules(rules);
+        return;
+    }
+    auto merged = known;
+    merged.held = rules.held;
+    m_local.setVersionRules(merged);
+}
+
 // Nodes are spread evenly over the pools by rank. Each also uses a second pool, which differs between the nodes of one primary pool, so
 // that the load of a full pool spreads over all others.
 std::optional<std::uint32_t> slot_client::choosePool() const
@@ -309,6 +321,11 @@
     else if (link.awaitingSince)
         link.awaitingSince = now;
     link.load = reply.load;
+    if (reply.versions) {
+        auto rules = *reply.versions;
+        rules.held = m_local.versionRules().held;
+        setVersionRules(rules);
+    }
     for (const auto& limit : reply.limits) {
         if (limit.perSecond)
             m_local.setRequestLimit(limit.replica, *limit.perSecond, now);
--- a/libs/placement/src/slot_owner.cpp
+++ b/libs/placement/src/slot_owner.cpp
@@ -42,6 +42,20 @@
     }
 }
 
+// Shares change often and concern the owner only; the nodes are told what they may use.
+void slot_owner::setVersionRules(const version_rules& rules, const version_split& split)
+{
+    const auto& known = m_pool.versionRules();
+    const bool isNews = rules.stamp != known.stamp || rules.use != known.use;
+    m_pool.setVersionRules(rules, split);
+    if (!isNews)
+        return;
+    for (auto& [node, session] : m_nodes) {
+        session.knowsVersions = false;
+        session.needsReply = session.needsReply || session.session != 0;
+    }
+}
+
 void slot_owner::receive(const node_id& node, const slot_call& call, monotonic_time now)
 {
     auto& session = m_nodes[node];
@@ -52,6 +66,7 @@
         session.lastCall = 0;
         session.lastReply = 0;
         session.lastGrantReply = 0;
+        session.knowsVersions = false;
         session.pending = {};
     }
     if (call.session != session.session || call.sequence != session.lastCall + 1) {
@@ -213,6 +228,8 @@
         reply.processed = session.lastCall;
         reply.session = session.session;
         reply.sequence = ++session.lastReply;
+        if (m_pool.versionRules().hasOrder() && !std::exchange(session.knowsVersions, true))
+            reply.versions = m_pool.versionRules();
         if (!reply.grants.empty())
             session.lastGrantReply = reply.sequence;
         replies.push_back({ node, std::move(reply) });
