Judge a target that seems slow by requests after a time to warm up

Change: requests at the old versions are compared only while the target gets requests; a target that seems slow is judged 2 s later by requests that were sent 1.2 s after the suspicion, and its share does not grow meanwhile; requests that one endpoint loses together count once, also where nothing arrived.

--- a/libs/rollout/include/rollout/comparison.h
+++ b/libs/rollout/include/rollout/comparison.h
@@ -33,4 +33,13 @@
 /// Compares the target with the other versions, route by route and over all routes. Returns nullopt unless the target is clearly worse.
 std::optional<fault> findFault(const evidence& given);
 
+/// How many times slower the target is in the kind and on the route of a fault of slowness, and from how many samples that is known.
+struct slowdown {
+    double factor = 1;
+    std::uint32_t samples = 0;
+
+    bool isAccepted() const;
+};
+slowdown slowdownOf(const fault& suspected, const evidence& given);
+
 } // namespace carawaylink::rollout
--- a/libs/rollout/include/rollout/decider.h
+++ b/libs/rollout/include/rollout/decider.h
@@ -23,9 +23,11 @@
     std::size_t runningOld = 0;
     /// All old versions of the service.
     std::vector<std::string> oldVersions;
-    /// Since this owner began, and of the last one to two seconds.
+    /// Since this owner began, and of the last half second to second.
     evidence total;
     evidence recent;
+    /// Of the requests sent since the decider last asked for fresh evidence.
+    evidence fresh;
 };
 
 /// How the target may be used now.
@@ -60,6 +62,8 @@
     /// The operator has deleted or replaced the order.
     void withdraw(monotonic_time now);
 
+    /// Number of times that fresh evidence was asked for: it must start anew when this grows.
+    unsigned freshStarts() const { return m_freshStarts; }
     usage_plan plan(monotonic_time now) const;
     rollout::stage stage() const { return m_stage; }
     const std::string& reason() const { return m_reason; }
@@ -70,8 +74,13 @@
 
 private:
     void enter(rollout::stage next, std::string reason, monotonic_time now);
+    /// What was counted before this owner began and since.
+    evidence allEvidence() const;
+    /// Returns a fault that justifies a revert; keeps a suspicion that does not do so yet.
+    std::optional<fault> checkFault(const fleet_view& view, monotonic_time now);
+    std::optional<fault> checkSlowness(const std::optional<fault>& found, const fleet_view& view, monotonic_time now);
     void stepOpen(const fleet_view& view, monotonic_time now);
-    void stepTesting(const fleet_view& view, monotonic_time now);
+    void stepTesting(monotonic_time now);
     void countRequests(monotonic_time now);
     /// Time at which the record of completion is written at the latest.
     monotonic_time lastCompletion() const;
@@ -92,7 +101,18 @@
     fleet_view m_view;
     rollout::stage m_stage = rollout::stage::waiting;
     std::string m_reason;
+    /// Since when the target seems slow.
+    struct suspicion {
+        monotonic_time since;
+        /// What was found last.
+        fault found;
+        bool hasFresh = false;
+    };
     std::optional<fault> m_fault;
+    std::optional<suspicion> m_suspicion;
+    /// Fresh evidence has shown that the target is not slow, whatever it was before.
+    bool m_isCleared = false;
+    unsigned m_freshStarts = 0;
     monotonic_time m_stageSince;
     std::optional<monotonic_time> m_withoutOldSince;
     std::optional<status> m_confirmed;
--- a/libs/rollout/include/rollout/evidence.h
+++ b/libs/rollout/include/rollout/evidence.h
@@ -55,13 +55,14 @@
 enum class request_end {
     good,
     bad,
-    /// The connection broke. Requests lost together with one process count once.
+    /// The connection broke, or nothing arrived. Requests that one endpoint loses together count once.
     lost,
     /// Says nothing of the endpoint.
     neutral,
 };
 
-/// Collects evidence on one pool. Ids are unique while their requests run.
+/// Collects evidence on one pool. Requests at the other versions count only while the target gets requests as well, so that both are
+/// compared under the same load. Ids are unique while their requests run.
 class evidence_collector {
 public:
     void sent(std::uint64_t id, route_hash route, const std::string& endpoint, bool isTarget, monotonic_time now);
@@ -69,10 +70,13 @@
     void interval(std::uint64_t id, duration mean);
     void ended(std::uint64_t id, request_end end, monotonic_time now);
 
-    /// Since the start, and of the last one to two seconds. Requests that wait unusually long for their first event count with the time
+    /// Since the start, and of the last half second to second. Requests that wait unusually long for their first event count with the time
     /// that they have waited.
     evidence total(monotonic_time now) const { return summarize(m_total, now); }
     evidence recent(monotonic_time now) const;
+    /// Counts the requests that are sent from now on separately.
+    void startFresh();
+    evidence fresh(monotonic_time now) const;
     std::uint64_t requests() const { return m_requests; }
     std::uint64_t targetRequests() const { return m_targetRequests; }
 
@@ -100,23 +104,29 @@
     struct open_request {
         cell_key key;
         monotonic_time sentAt;
+        bool isCompared = false;
+        bool isFresh = false;
         bool hasFirstEvent = false;
     };
 
-    template <typename Change> void change(const cell_key& key, Change apply);
-    evidence summarize(cells given, monotonic_time now) const;
+    template <typename Change> void change(const open_request& request, Change apply);
+    evidence summarize(cells given, monotonic_time now, bool isFreshOnly = false) const;
     /// Whether the time exceeds what is usual on the route, so that it counts before the first event has come.
     bool isUnusual(route_hash route, duration time) const;
     void startSlice(monotonic_time now);
 
     cells m_total;
-    /// Of the present second and the one before.
+    /// Of the present half second and the one before.
     std::array<cells, 2> m_slices;
     monotonic_time m_sliceStartedAt {};
+    /// Of the requests since startFresh().
+    cells m_fresh;
+    bool m_hasFresh = false;
     std::unordered_map<std::uint64_t, open_request> m_open;
     /// Times to the first event at endpoints of other versions than the target, by route.
     std::map<route_hash, samples> m_usual;
     std::map<std::string, monotonic_time> m_lostAt;
+    monotonic_time m_targetSentAt {};
     std::uint64_t m_requests = 0;
     std::uint64_t m_targetRequests = 0;
 };
--- a/libs/rollout/include/rollout/exposure.h
+++ b/libs/rollout/include/rollout/exposure.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/ids.h"
+
 #include <cstdint>
 
 namespace carawaylink::rollout {
@@ -8,6 +10,8 @@
 struct exposure_bound {
     double share = 0.1;
     double slack = 50;
+    /// Time after the 50th bad answer of a version from which no request may be sent to it.
+    duration rollback = std::chrono::seconds(5);
 };
 
 /// Number of requests that may have been sent to the target after this number of requests of the service. Stays below the bound, which
--- a/libs/rollout/src/comparison.cpp
+++ b/libs/rollout/src/comparison.cpp
@@ -77,6 +77,24 @@
 
 } // namespace
 
+bool slowdown::isAccepted() const
+{
+    return factor < acceptedSlowness;
+}
+
+slowdown slowdownOf(const fault& suspected, const evidence& given)
+{
+    const auto summary = [&](bool ofTarget) {
+        const auto counts = given.of(suspected.route, ofTarget);
+        return suspected.kind == fault_kind::slow_events ? counts.interval : counts.firstEvent;
+    };
+    const auto target = summary(true);
+    const auto old = summary(false);
+    if (target.endpoints == 0 || old.endpoints == 0)
+        return {};
+    return { std::exp(target.meanSum / target.endpoints - old.meanSum / old.endpoints), std::min(target.samples, old.samples) };
+}
+
 std::optional<fault> findFault(const evidence& given)
 {
     const auto allOld = given.total(false);
--- a/libs/rollout/src/decider.cpp
+++ b/libs/rollout/src/decider.cpp
@@ -21,13 +21,21 @@
 constexpr auto minWideningTime = std::chrono::milliseconds(800);
 // All nodes know within this time that only the target is used.
 constexpr auto minFinishingTime = std::chrono::milliseconds(600);
+// A target that seems slow is judged by requests that are sent after the first of these times, at the second one at the earliest.
+constexpr auto warmUpTime = std::chrono::milliseconds(1200);
+constexpr auto slownessTime = std::chrono::milliseconds(2000);
+constexpr std::uint32_t minFreshSamples = 6;
+// With fewer samples, the suspicion is decided by what there is after this time.
+constexpr auto maxSuspicionTime = std::chrono::milliseconds(3500);
+// Time for which a target must seem slow while it gets a great share.
+constexpr auto slownessTimeInUse = std::chrono::milliseconds(700);
 constexpr std::uint32_t enoughTargetRequests = 30;
 // An endpoint may be missing for a moment while the registry is read anew.
 constexpr auto missingTime = std::chrono::milliseconds(1000);
 // Further endpoints of the target may register a little later than the first.
 constexpr auto gatheringTime = std::chrono::milliseconds(300);
-// Without a confirmation for this long, another owner may have decided otherwise.
-constexpr auto confirmationTime = std::chrono::milliseconds(2000);
+// Without a confirmation for this long, or for half of the time that a roll-back may take, another owner may have decided otherwise.
+constexpr auto maxConfirmationAge = std::chrono::milliseconds(2000);
 constexpr auto renewalInterval = std::chrono::milliseconds(700);
 // Of records that only reserve more exposure.
 constexpr auto minReservationInterval = std::chrono::milliseconds(200);
@@ -86,6 +94,10 @@
     countRequests(now);
     if (isFinal(m_stage))
         return;
+    if (m_order.isWithdrawn) {
+        withdraw(now);
+        return;
+    }
     if (!m_order.fault.empty()) {
         enter(stage::reverted, m_order.fault, now);
         return;
@@ -109,14 +121,60 @@
         m_requestsAt.pop_front();
 }
 
-void decider::stepOpen(const fleet_view& view, monotonic_time now)
+evidence decider::allEvidence() const
 {
     auto total = m_inherited.collected;
-    total.add(view.total);
-    auto found = findFault(total);
-    if (!found)
-        found = findFault(view.recent);
-    if (found) {
+    total.add(m_view.total);
+    return total;
+}
+
+// An endpoint that has just started may be slow for a moment, and a machine may stand still for one.
+std::optional<fault> decider::checkFault(const fleet_view& view, monotonic_time now)
+{
+    const auto total = allEvidence();
+    const auto inTotal = findFault(total);
+    const auto inRecent = findFault(view.recent);
+    for (const auto& found : { inTotal, inRecent }) {
+        if (found && found->kind == fault_kind::failures)
+            return found;
+    }
+    return checkSlowness(inRecent || m_isCleared ? inRecent : inTotal, view, now);
+}
+
+std::optional<fault> decider::checkSlowness(const std::optional<fault>& found, const fleet_view& view, monotonic_time now)
+{
+    if (!found && !(m_suspicion && m_suspicion->hasFresh)) {
+        m_suspicion.reset();
+        return std::nullopt;
+    }
+    if (!m_suspicion)
+        m_suspicion = { now, *found, false };
+    else if (found)
+        m_suspicion->found = *found;
+    const auto age = now - m_suspicion->since;
+    if (m_stage != stage::testing)
+        return found && age >= slownessTimeInUse ? found : std::nullopt;
+    if (!m_suspicion->hasFresh) {
+        m_suspicion->hasFresh = age >= warmUpTime;
+        m_freshStarts += m_suspicion->hasFresh ? 1 : 0;
+        return std::nullopt;
+    }
+    const auto fresh = slowdownOf(m_suspicion->found, view.fresh);
+    const bool isKnown = fresh.samples >= minFreshSamples || (age >= maxSuspicionTime && fresh.samples > 0);
+    if (age < slownessTime || (!isKnown && age < maxSuspicionTime))
+        return std::nullopt;
+    const auto suspected = m_suspicion->found;
+    m_suspicion.reset();
+    if (!isKnown || !fresh.isAccepted())
+        return suspected;
+    m_isCleared = true;
+    return std::nullopt;
+}
+
+void decider::stepOpen(const fleet_view& view, monotonic_time now)
+{
+    const auto total = allEvidence();
+    if (const auto found = checkFault(view, now)) {
         m_fault = found;
         enter(stage::reverted, describe(*found), now);
         return;
@@ -146,7 +204,7 @@
             enter(stage::testing, "compares the target with the others", now);
         break;
     case stage::testing:
-        stepTesting(view, now);
+        stepTesting(now);
         break;
     case stage::widening:
         if (now >= std::min(std::max(after(finishingFrom), m_stageSince + minWideningTime), lastCompletion() - minFinishingTime))
@@ -162,14 +220,15 @@
     }
 }
 
-void decider::stepTesting(const fleet_view& view, monotonic_time now)
+void decider::stepTesting(monotonic_time now)
 {
-    auto total = m_inherited.collected;
-    total.add(view.total);
+    const auto total = allEvidence();
     const auto target = total.total(true);
     const auto until = after(target.ended >= enoughTargetRequests ? testedUntil : testedUntilWithLittleEvidence);
     const auto latest = std::max(lastCompletion() - minFinishingTime - minWideningTime, m_beganAt + minTestTime);
     const bool isTested = now >= std::min(std::max(until, m_stageSince + minTestTime), latest);
+    if (m_suspicion && now < latest)
+        return;
     // Without any request there is nothing to compare, and nothing is at risk.
     if (isTested && (hasAnswered(total) || target.sent == 0))
         enter(stage::widening, "the target is not worse", now);
@@ -221,7 +280,7 @@
 usage_plan decider::plan(monotonic_time now) const
 {
     usage_plan result;
-    const bool isConfirmed = m_confirmed && now - m_confirmedAt <= confirmationTime;
+    const bool isConfirmed = m_confirmed && now - m_confirmedAt <= std::min<duration>(maxConfirmationAge, m_bound.rollback / 2);
     switch (m_stage) {
     case stage::waiting:
     case stage::reverted:
--- a/libs/rollout/src/evidence.cpp
+++ b/libs/rollout/src/evidence.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-constexpr auto sliceTime = std::chrono::seconds(1);
+constexpr auto sliceTime = std::chrono::milliseconds(500);
 // Requests of one endpoint that are lost within this time were lost with one process.
 constexpr auto sameLossTime = std::chrono::milliseconds(250);
+// Requests at the other versions are compared for this long after a request to the target.
+constexpr auto comparedTime = std::chrono::milliseconds(300);
 // A request without first event counts once it has waited for this multiple of the usual time, and at least the minimum.
 constexpr double unusualFactor = 2;
 constexpr double minUnusualMs = 100;
@@ -96,10 +98,14 @@
     interval.add(other.interval);
 }
 
-template <typename Change> void evidence_collector::change(const cell_key& key, Change apply)
+template <typename Change> void evidence_collector::change(const open_request& request, Change apply)
 {
-    apply(m_total[key]);
-    apply(m_slices[0][key]);
+    if (!request.isCompared)
+        return;
+    apply(m_total[request.key]);
+    apply(m_slices[0][request.key]);
+    if (request.isFresh)
+        apply(m_fresh[request.key]);
 }
 
 void evidence_collector::startSlice(monotonic_time now)
@@ -117,9 +123,11 @@
     startSlice(now);
     ++m_requests;
     m_targetRequests += isTarget ? 1 : 0;
-    const cell_key key { route, isTarget, endpoint };
-    m_open.insert_or_assign(id, open_request { key, now, false });
-    change(key, [](cell& counted) { ++counted.sent; });
+    if (isTarget)
+        m_targetSentAt = now;
+    const open_request request { { route, isTarget, endpoint }, now, now - m_targetSentAt < comparedTime, m_hasFresh, false };
+    m_open.insert_or_assign(id, request);
+    change(request, [](cell& counted) { ++counted.sent; });
 }
 
 void evidence_collector::firstEvent(std::uint64_t id, duration time)
@@ -128,7 +136,7 @@
     if (found == m_open.end() || std::exchange(found->second.hasFirstEvent, true))
         return;
     const auto& key = found->second.key;
-    change(key, [time](cell& counted) { counted.firstEvent.add(time); });
+    change(found->second, [time](cell& counted) { counted.firstEvent.add(time); });
     if (!std::get<bool>(key))
         m_usual[std::get<route_hash>(key)].add(time);
 }
@@ -137,7 +145,7 @@
 {
     const auto found = m_open.find(id);
     if (found != m_open.end())
-        change(found->second.key, [mean](cell& counted) { counted.interval.add(mean); });
+        change(found->second, [mean](cell& counted) { counted.interval.add(mean); });
 }
 
 void evidence_collector::ended(std::uint64_t id, request_end end, monotonic_time now)
@@ -150,7 +158,7 @@
     m_open.erase(found);
     const auto waited = now - request.sentAt;
     if (!request.hasFirstEvent && end != request_end::lost && isUnusual(std::get<route_hash>(request.key), waited))
-        change(request.key, [waited](cell& counted) { counted.firstEvent.add(waited); });
+        change(request, [waited](cell& counted) { counted.firstEvent.add(waited); });
     if (end == request_end::neutral)
         return;
     bool isBad = end == request_end::bad;
@@ -161,7 +169,7 @@
         last = now;
         isBad = true;
     }
-    change(request.key, [isBad](cell& counted) {
+    change(request, [isBad](cell& counted) {
         ++counted.ended;
         counted.bad += isBad ? 1 : 0;
     });
@@ -176,6 +184,19 @@
     return inMilliseconds(time) > std::max(unusualFactor * typicalMs, minUnusualMs);
 }
 
+void evidence_collector::startFresh()
+{
+    m_fresh.clear();
+    m_hasFresh = true;
+    for (auto& [id, request] : m_open)
+        request.isFresh = false;
+}
+
+evidence evidence_collector::fresh(monotonic_time now) const
+{
+    return summarize(m_fresh, now, true);
+}
+
 evidence evidence_collector::recent(monotonic_time now) const
 {
     cells both;
@@ -189,11 +210,12 @@
     return summarize(std::move(both), now);
 }
 
-evidence evidence_collector::summarize(cells given, monotonic_time now) const
+evidence evidence_collector::summarize(cells given, monotonic_time now, bool isFreshOnly) const
 {
     for (const auto& [id, request] : m_open) {
         const auto waited = now - request.sentAt;
-        if (!request.hasFirstEvent && isUnusual(std::get<route_hash>(request.key), waited))
+        if (request.isCompared && (request.isFresh || !isFreshOnly) && !request.hasFirstEvent
+            && isUnusual(std::get<route_hash>(request.key), waited))
             given[request.key].firstEvent.add(waited);
     }
     evidence result;
--- a/libs/rollout/tests/decider_tests.cpp
+++ b/libs/rollout/tests/decider_tests.cpp
@@ -62,6 +62,12 @@
     play({ .oldEndpoints = 3, .targetEndpoints = 3, .requestsPerSecond = 40, .speeds = 5 }, {}, expectCompleted);
 }
 
+// Guards against good versions that are reverted for endpoints which have just started, or for a machine that stood still.
+TEST_F(decider_test, goodVersion_thatIsSlowAtFirst_isCompleted)
+{
+    play({}, { .slowness = 4, .until = 1200ms }, expectCompleted);
+}
+
 TEST_F(decider_test, goodVersion_withFewRequests_isCompleted)
 {
     play({ .oldEndpoints = 2, .targetEndpoints = 2, .requestsPerSecond = 3 }, {}, expectCompleted);
