Leave out versions that earlier orders did not complete

Cause: an order back to the version in force, given while another is undecided, made the untested target of the first the old version of the second, which serves all requests. Change: retired versions are never used, in progress as well; the status names the excluded ones.

--- a/libs/placement/include/placement/version_rules.h
+++ b/libs/placement/include/placement/version_rules.h
@@ -45,23 +45,21 @@
     /// Version that the order names.
     std::string target;
     version_use use = version_use::old_only;
-    /// Versions that must not be used once the order is completed.
+    /// Other versions that must not be used: targets of earlier orders that were not completed, and all old ones once this one is.
     std::vector<std::string> retired;
     /// Versions without an order that were not there before.
     std::vector<std::string> held;
 
     bool hasOrder() const { return stamp.order != 0; }
     bool isInProgress() const { return hasOrder() && !stamp.isFinal; }
-    /// Whether a node may use a grant of the version. Old versions remain usable until the decision is final.
+    /// Whether a node may use a grant of the version.
     bool allows(const std::string& version) const
     {
         if (std::ranges::find(held, version) != held.end())
             return false;
         if (!hasOrder())
             return true;
-        if (version == target)
-            return use != version_use::old_only;
-        return !stamp.isFinal || use != version_use::target_only || std::ranges::find(retired, version) == retired.end();
+        return version == target ? use != version_use::old_only : std::ranges::find(retired, version) == retired.end();
     }
 
     friend bool operator==(const version_rules&, const version_rules&) = default;
--- a/libs/placement/tests/version_rules_tests.cpp
+++ b/libs/placement/tests/version_rules_tests.cpp
@@ -26,7 +26,6 @@
     rules.stamp = { 1, false, term, 0 };
     rules.target = "v2";
     rules.use = use;
-    rules.retired = { "v1" };
     return rules;
 }
 
@@ -34,6 +33,8 @@
 {
     auto rules = rulesFor(use);
     rules.stamp.isFinal = true;
+    if (use == version_use::target_only)
+        rules.retired = { "v1" };
     return rules;
 }
 
--- a/libs/rollout/include/rollout/decider.h
+++ b/libs/rollout/include/rollout/decider.h
@@ -23,6 +23,8 @@
     std::size_t runningOld = 0;
     /// All old versions of the service.
     std::vector<std::string> oldVersions;
+    /// See status::excluded.
+    std::vector<std::string> excluded;
     /// Since this owner began, and of the last half second to second.
     evidence total;
     evidence recent;
--- a/libs/rollout/include/rollout/order.h
+++ b/libs/rollout/include/rollout/order.h
@@ -72,6 +72,8 @@
     double share = 0;
     /// Versions besides the target that had endpoints.
     std::vector<std::string> oldVersions;
+    /// Versions that are not used either: targets of earlier orders that were not completed, and what earlier ones replaced.
+    std::vector<std::string> excluded;
     evidence collected;
 };
 
--- a/libs/rollout/src/decider.cpp
+++ b/libs/rollout/src/decider.cpp
@@ -329,6 +329,7 @@
     record.reserved = m_inherited.reserved;
     record.share = plan(now).share;
     record.oldVersions = m_view.oldVersions.empty() ? m_inherited.oldVersions : m_view.oldVersions;
+    record.excluded = m_view.excluded.empty() ? m_inherited.excluded : m_view.excluded;
     record.collected = m_inherited.collected;
     record.collected.add(m_view.total);
     if (m_stage == stage::waiting || m_stage == stage::testing) {
