Carry out orders of roll-outs: statuses, rules, evidence

Cause: the operator's orders were read by nobody. Change: rollout_driver decides where the node owns pool 0 of the service, with conditional appends; after a conflict or an unknown result it reads the status before it decides anew. Without the contract nothing is read or sent.

--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/ids.h"
+#include "rollout/exposure.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,8 @@
     unsigned processorCapacity = 0;
     /// TTL of directory responses, at most the longest that callers honor.
     duration directoryTtl = std::chrono::seconds(2);
+    /// Set if orders of roll-outs are in force.
+    std::optional<rollout::exposure_bound> rollouts;
 };
 
 /// A node of the fleet that schedules requests to plain services and model engines: serves callers, directory queries and readiness
--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -3,8 +3,10 @@
 #include "base/enum_table.h"
 #include "discovery/endpoint_table.h"
 #include "http/message.h"
+#include "rollout/order.h"
 #include "routing/fleet_configuration.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,14 +89,36 @@
     nodes,
     /// Prompt parts that crash endpoints.
     quarantine,
+    /// What has been decided on the operator's orders.
+    status,
 };
 
 struct store_record {
     std::string key;
     /// Absent if the key was deleted.
     std::optional<std::string> value;
+    /// Position in the log.
+    std::uint64_t offset = 0;
 };
 
+/// Answer to an append at a given end of the log.
+struct append_result {
+    /// False if the log does not end there.
+    bool isAppended = false;
+    /// End of the log, as far as the answer tells.
+    std::optional<std::uint64_t> end;
+};
+
+/// A decision on the order to a service.
+struct service_status {
+    service_id service;
+    rollout::status status;
+    /// Position of the record in the log.
+    std::uint64_t offset = 0;
+};
+
+using route_name_source = std::function<std::string(rollout::route_hash)>;
+
 /// One page of the snapshot that holds the newest record of each key.
 struct snapshot_page {
     std::vector<store_record> records;
@@ -128,6 +152,10 @@
     virtual http_request readLog(store_topic topic, std::uint64_t from, duration wait) const = 0;
     /// An empty value deletes the key.
     virtual http_request publish(store_topic topic, const std::string& key, const std::string& value) const = 0;
+    /// Appends the record only if the log ends at this offset.
+    virtual http_request append(store_topic topic, const store_record& record, std::uint64_t at) const = 0;
+    /// Throws error(invalid_message) if the response tells neither that the record was appended nor that it was not.
+    virtual append_result decodeAppend(const http_response& response) const = 0;
     /// Both throw error(invalid_message) if the body is not a valid page.
     virtual snapshot_page decodeSnapshot(const http_response& response) const = 0;
     virtual log_page decodeLog(const http_response& response) const = 0;
@@ -139,6 +167,11 @@
 
     /// Returns nullopt for records of other keys; throws error(invalid_message) for an invalid configuration.
     virtual std::optional<routing::fleet_configuration> decodeConfiguration(const store_record& record) const = 0;
+    /// An operator's order with the record's offset plus one as its number, or with its fault. nullopt for records of other keys.
+    virtual std::optional<rollout::order> decodeOrder(const store_record& record) const = 0;
+    /// nullopt for records of other keys; throws error(invalid_message) for an invalid status.
+    virtual std::optional<service_status> decodeStatus(const store_record& record) const = 0;
+    virtual store_record encodeStatus(const service_status& status, const route_name_source& routeName) const = 0;
     /// Throws error(invalid_message) if the entry does not describe a usable endpoint.
     virtual discovery::registry_change decodeEndpoint(const store_record& record) const = 0;
 };
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -7,6 +7,7 @@
 #include "mesh/membership_transport.h"
 #include "peer_links.h"
 #include "request_dispatcher.h"
+#include "rollout_driver.h"
 #include "store_sync.h"
 
 #include <algorithm>
@@ -28,6 +29,8 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t maxDirectoryAddresses = 64;
+// Of the metrics address; the name of a service follows.
+constexpr std::string_view rolloutPath = "/rollout/";
 // Connections for readiness, the directory and metrics, each.
 constexpr std::size_t maxQueryConnections = 1000;
 constexpr std::size_t maxQueryBodyBytes = 65536;
@@ -79,16 +82,52 @@
         , directory(threads, queryLimits(),
               [this](http_request request, std::shared_ptr<http_responder> responder) { answerDirectory(request, *responder); })
         , metricsServer(threads, queryLimits(),
-              [this](const http_request&, std::shared_ptr<http_responder> responder) {
-                  responder->send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
-              })
+              [this](const http_request& request, std::shared_ptr<http_responder> responder) { answerMetrics(request, *responder); })
         , ticker(context)
         , random(randomSeed())
     {
+        if (settings.rollouts)
+            createRollouts();
         dispatcher.setMemoryBudget(&memory);
         memory.setOnExcess([this](const memory_budget::excess& excess) { logMemoryExcess(excess); });
     }
 
+    void createRollouts()
+    {
+        rollout_driver::handlers callbacks;
+        callbacks.send = [this](const node_id& node, peer::envelopeT message) { links.send(node, std::move(message)); };
+        callbacks.append = [this](const service_status& status, std::uint64_t at, auto onDone) {
+            store.appendStatus(
+                status, at, [this](rollout::route_hash route) { return routeName(route); }, std::move(onDone));
+        };
+        callbacks.statusPosition = [this] { return store.statusPosition(); };
+        callbacks.readStatus = [this] { store.readStatus(); };
+        callbacks.routeName = [this](rollout::route_hash route) { return routeName(route); };
+        callbacks.isServiceKnown = [this](const service_id& service) { return isServiceKnown(service); };
+        rollouts = std::make_unique<rollout_driver>(
+            node_id { settings.peerAddress }, *settings.rollouts, random(), log, metrics, dispatcher.slots(), std::move(callbacks));
+        dispatcher.slots().holdNewVersions();
+        dispatcher.setRouteMarker(
+            [this](const service_id& service, const std::string& route) { return rollouts->routeOf(service, route); });
+    }
+
+    std::string routeName(rollout::route_hash hash) const
+    {
+        if (!dispatcher.routes())
+            return {};
+        const auto& routes = dispatcher.routes()->configuration().routes;
+        const auto found = std::ranges::find(routes, hash, [](const routing::route& route) { return routeHash(route.name); });
+        return found == routes.end() ? std::string {} : found->name;
+    }
+
+    bool isServiceKnown(const service_id& service) const
+    {
+        if (!dispatcher.routes())
+            return true;
+        const auto& services = dispatcher.routes()->configuration().services;
+        return std::ranges::find(services, service, &routing::service_definition::name) != services.end();
+    }
+
     void logMemoryExcess(const memory_budget::excess& excess)
     {
         log.event("memory_exceeded", excess.kind)
@@ -122,6 +161,14 @@
         result.onQuarantineLost = [this](const std::vector<store_record>& records) { dispatcher.rewriteQuarantine(records); };
         result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
         result.version = [this] { return dispatcher.version(); };
+        if (!settings.rollouts)
+            return result;
+        result.onOrder = [this](const rollout::order& order) { rollouts->setOrder(order, std::chrono::steady_clock::now()); };
+        result.onStatus = [this](const service_status& status) { rollouts->setStatus(status, std::chrono::steady_clock::now()); };
+        result.onRules = [this](const peer::rollout_rulesT& rules) { rollouts->receive(rules, std::chrono::steady_clock::now()); };
+        result.rules = [this] { return rollouts->rulesToPassOn(std::chrono::steady_clock::now()); };
+        result.decides = [this] { return rollouts->decides(); };
+        result.hasOpenOrders = [this] { return rollouts->hasOpenOrders(); };
         return result;
     }
 
@@ -227,6 +274,10 @@
             store.receive(sender, *request);
         else if (const auto* copy = message.body.Asstore_copy())
             store.receive(sender, *copy);
+        else if (const auto* rules = message.body.Asrollout_rules(); rules && rollouts)
+            rollouts->receive(*rules, std::chrono::steady_clock::now());
+        else if (const auto* report = message.body.Asrollout_report(); report && rollouts)
+            rollouts->receive(*report, std::chrono::steady_clock::now());
     }
 
     bool isReady() const { return dispatcher.isConfigured() && store.isLoaded() && !isDraining; }
@@ -239,6 +290,29 @@
             responder.send({ isReady() ? statusOk : statusUnavailable, {}, {} });
     }
 
+    void answerMetrics(const http_request& request, http_responder& responder)
+    {
+        if (rollouts && request.target.starts_with(rolloutPath))
+            answerRollout(service_id { request.target.substr(rolloutPath.size()) }, responder);
+        else
+            responder.send({ statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() });
+    }
+
+    void answerRollout(const service_id& service, http_responder& responder)
+    {
+        const auto status = rollouts->statusOf(service, std::chrono::steady_clock::now());
+        if (!status) {
+            responder.send(jsonResponse(statusNotFound,
+                R"({"error":{"type":"not_found","message":"no order to this service is known","remedy":"check the name"}})"));
+            return;
+        }
+        const auto record = codec->encodeStatus(*status, [this](rollout::route_hash route) { return routeName(route); });
+        const auto decider = rollouts->deciderOf(service).value_or(node_id {});
+        responder.send(jsonResponse(statusOk,
+            R"({"answered_by":")" + settings.peerAddress + R"(","decides":")" + decider.value + R"(","status":)"
+                + record.value.value_or("null") + "}"));
+    }
+
     void answerDirectory(const http_request& request, http_responder& responder)
     {
         const auto query = codec->decodeDirectoryQuery(request);
@@ -268,6 +342,8 @@
         if (std::exchange(appliedMembers, members.version()) != members.version())
             dispatcher.setMembers(members);
         dispatcher.tick();
+        if (rollouts)
+            rollouts->tick(now);
         store.tick(now);
         if (now - lastFlushAt > std::chrono::seconds(1)) {
             lastFlushAt = now;
@@ -335,6 +411,8 @@
     http_server readiness;
     http_server directory;
     http_server metricsServer;
+    /// Set if orders of roll-outs are in force.
+    std::unique_ptr<rollout_driver> rollouts;
     boost::asio::steady_timer ticker;
     random_source random;
     /// Version of the members that the dispatcher knows.
--- a/libs/gateway/src/log_position.h
+++ b/libs/gateway/src/log_position.h
@@ -5,6 +5,9 @@
 
 namespace carawaylink::gateway {
 
+/// Where a position is a single number, the history stands above this many bits of the offset.
+inline constexpr unsigned orderOffsetBits = 40;
+
 /// Position in a log of the store. Offsets count within one history of the store only; a position in a later history is newer than any in
 /// an earlier one.
 struct log_position {
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -34,6 +34,10 @@
                            .Name("carawaylink_gateway_memory_exceeded_total")
                            .Help("Messages that were ended because all messages together held too much memory, by kind")
                            .Register(m_registry))
+    , m_rolloutSteps(prometheus::BuildCounter()
+                         .Name("carawaylink_gateway_rollout_steps_total")
+                         .Help("Stages of roll-outs that this node has decided to enter, by stage")
+                         .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
@@ -54,6 +58,7 @@
     , m_leavingEndpoints(m_gauges.Add({ { "kind", "leaving_endpoints" } }))
     , m_restingEndpoints(m_gauges.Add({ { "kind", "resting_endpoints" } }))
     , m_configuration(m_gauges.Add({ { "kind", "configuration_version" } }))
+    , m_openRollouts(m_gauges.Add({ { "kind", "open_rollouts" } }))
 {
 }
 
@@ -132,6 +137,16 @@
     m_configuration.Set(static_cast<double>(version.value));
 }
 
+void gateway_metrics::rolloutStep(std::string_view stage)
+{
+    m_rolloutSteps.Add({ { "stage", std::string(stage) } }).Increment();
+}
+
+void gateway_metrics::setOpenRollouts(std::size_t orders)
+{
+    m_openRollouts.Set(static_cast<double>(orders));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -37,6 +37,10 @@
     /// An endpoint asked for rest in a form that cannot be read.
     void unreadableRest();
     void setConfiguration(config_version version);
+    /// This node has decided on a step of a roll-out.
+    void rolloutStep(std::string_view stage);
+    /// Orders of roll-outs that are undecided, as known to this node.
+    void setOpenRollouts(std::size_t orders);
 
     /// Metrics in the Prometheus text format.
     std::string text() const;
@@ -47,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_unexpectedDecisions;
     prometheus::Family<prometheus::Counter>& m_memoryExceeded;
+    prometheus::Family<prometheus::Counter>& m_rolloutSteps;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
@@ -59,6 +64,7 @@
     prometheus::Gauge& m_leavingEndpoints;
     prometheus::Gauge& m_restingEndpoints;
     prometheus::Gauge& m_configuration;
+    prometheus::Gauge& m_openRollouts;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -59,6 +59,7 @@
     std::ranges::transform(request.excluded, std::back_inserter(result->excluded), replicaHash);
     result->was_admitted = request.wasAdmitted;
     result->response_started = request.responseStarted;
+    result->route = request.route;
     return result;
 }
 
@@ -80,6 +81,7 @@
     }
     request.wasAdmitted = message.was_admitted;
     request.responseStarted = message.response_started;
+    request.route = message.route;
     return request;
 }
 
@@ -256,6 +258,8 @@
             wait.unusable, wait.full, wait.prefillBusy, wait.tooSlow);
     }
     message.limits = encodeLimits(reply.limits);
+    if (reply.versions)
+        message.rollout = std::make_unique<peer::rollout_rulesT>(encodeRules(reply.pool.service, *reply.versions, 0));
     return message;
 }
 
@@ -279,6 +283,8 @@
             { wait.id(), decodeSpan(wait.waited_us()), wait.ahead(), wait.unusable(), wait.full(), wait.prefill_busy(), wait.too_slow() });
     }
     reply.limits = decodeLimits(message.limits, lookup);
+    if (message.rollout)
+        reply.versions = decodeRules(*message.rollout);
     return reply;
 }
 
--- a/libs/gateway/src/peer_codec.h
+++ b/libs/gateway/src/peer_codec.h
@@ -3,6 +3,7 @@
 #include "limits/usage_collector.h"
 #include "placement/slot_messages.h"
 #include "quarantine/prompt_part.h"
+#include "rollout/evidence.h"
 #include "wire/generated/peer_state_generated.h"
 
 #include <functional>
@@ -30,4 +31,12 @@
 peer::slot_replyT encodeReply(const placement::slot_reply& reply);
 placement::slot_reply decodeReply(const peer::slot_replyT& message, const replica_lookup& lookup);
 
+/// Rules on the versions of a service. share: see peer::rollout_rulesT.
+peer::rollout_rulesT encodeRules(const service_id& service, const placement::version_rules& rules, double share);
+placement::version_rules decodeRules(const peer::rollout_rulesT& message);
+std::vector<peer::route_evidence> encodeEvidence(const rollout::evidence& collected);
+rollout::evidence decodeEvidence(const std::vector<peer::route_evidence>& entries);
+/// Identifies a route in messages and records; never 0.
+rollout::route_hash routeHash(const std::string& name);
+
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -331,6 +331,8 @@
 
 void request_dispatcher::submit(const std::shared_ptr<exchange>& source, placement::waiting_request request)
 {
+    if (m_routeMarker)
+        request.route = m_routeMarker(source->service(), source->admitted().route.name);
     m_slots.submit(source->service(), std::move(request));
 }
 
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -48,6 +48,10 @@
     void restoreQuarantine(const std::vector<store_record>& records);
     /// Writes what the store has lost of the quarantine. records: what it holds.
     void rewriteQuarantine(const std::vector<store_record>& records);
+    slot_coordinator& slots() { return m_slots; }
+    /// Names the route of a request to the service in its call to the owner of a pool; 0 if it is not needed.
+    using route_marker = std::function<std::uint64_t(const service_id& service, const std::string& route)>;
+    void setRouteMarker(route_marker marker) { m_routeMarker = std::move(marker); }
     void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
@@ -122,6 +126,8 @@
     const fleet_members* m_members = &m_noMembers;
     std::map<service_id, limits::retry_budget> m_retryBudgets;
     std::function<void(const node_id&, peer::envelopeT)> m_send;
+    /// Not set where orders of roll-outs are not in force.
+    route_marker m_routeMarker;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     fleet_size m_fleet;
     std::uint64_t m_nextId = 1;
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -54,11 +54,59 @@
         m_endpointByHash.emplace(replicaHash(id), record);
     }
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& [name, list] : m_endpoints)
-        service(name).client.setEndpoints(list, now);
+    for (const auto& [name, list] : m_endpoints) {
+        auto& state = service(name);
+        if (m_holdsNewVersions)
+            applyVersionRules(name, state, now);
+        state.client.setEndpoints(list, now);
+    }
     updateOwners();
 }
 
+void slot_coordinator::setVersionRules(const service_id& name, const placement::version_rules& known, const placement::version_rules& owned,
+    const std::map<std::uint32_t, placement::version_split>& splits)
+{
+    auto& state = service(name);
+    state.known = known;
+    state.owned = owned;
+    state.splits = splits;
+    applyVersionRules(name, state, std::chrono::steady_clock::now());
+    schedule();
+}
+
+void slot_coordinator::applyVersionRules(const service_id& name, service_state& state, monotonic_time now)
+{
+    const auto before = state.known.held;
+    state.known.held = state.versions.update(endpointsOf(name), state.known.target, now);
+    state.owned.held = state.known.held;
+    if (state.known.held != before)
+        m_log.event("versions_held_back").field("service", name).field("versions", state.known.held.size());
+    state.client.setVersionRules(state.known);
+    m_owned.setVersionRules(name, state.owned, state.splits);
+}
+
+const std::vector<discovery::endpoint_record>& slot_coordinator::endpointsOf(const service_id& name) const
+{
+    static const std::vector<discovery::endpoint_record> none;
+    const auto found = m_endpoints.find(name);
+    return found == m_endpoints.end() ? none : found->second;
+}
+
+std::map<std::uint32_t, placement::slot_owner*> slot_coordinator::ownedPools(const service_id& name) const
+{
+    std::map<std::uint32_t, placement::slot_owner*> result;
+    for (const auto& [id, pool] : m_owned.pools()) {
+        if (id.service == name)
+            result.emplace(id.number, pool.get());
+    }
+    return result;
+}
+
+std::vector<std::optional<node_id>> slot_coordinator::ownersOf(const service_id& name) const
+{
+    return placement::ownersOf(name, placement::poolCount(endpointsOf(name).size()), m_nodes);
+}
+
 void slot_coordinator::setMembers(std::vector<placement::owner_candidate> nodes, std::size_t rank)
 {
     m_nodes = std::move(nodes);
@@ -164,6 +212,10 @@
 
 void slot_coordinator::tick()
 {
+    for (auto& [name, state] : m_services) {
+        if (state->versions.isHolding())
+            applyVersionRules(name, *state, std::chrono::steady_clock::now());
+    }
     decide(true);
 }
 
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -32,6 +32,19 @@
     /// nodes: those that accept callers. rank: index of this node among them.
     void setMembers(std::vector<placement::owner_candidate> nodes, std::size_t rank);
 
+    /// Holds back versions that appear without an order.
+    void holdNewVersions() { m_holdsNewVersions = true; }
+    /// Sets which versions of the service may be used: by this node, and by the pools that it owns, whose grants are divided by pool.
+    void setVersionRules(const service_id& service, const placement::version_rules& known, const placement::version_rules& owned,
+        const std::map<std::uint32_t, placement::version_split>& splits);
+    /// What this node, its owners and its own knowledge together allow.
+    const placement::version_rules& versionRules(const service_id& service) { return this->service(service).client.local().versionRules(); }
+    const std::vector<discovery::endpoint_record>& endpointsOf(const service_id& service) const;
+    /// The owned pools of the service; valid until the next change of endpoints or members.
+    std::map<std::uint32_t, placement::slot_owner*> ownedPools(const service_id& service) const;
+    /// Nodes that own the pools of the service, by pool; at least one entry unless there are no nodes.
+    std::vector<std::optional<node_id>> ownersOf(const service_id& service) const;
+
     void submit(const service_id& service, placement::waiting_request request);
     bool withdraw(const service_id& service, std::uint64_t id);
     void recordProgress(const service_id& service, std::uint64_t id, std::size_t events);
@@ -72,11 +85,17 @@
         placement::slot_client client;
         /// By pool, as last logged.
         std::vector<bool> silentOwners;
+        placement::version_history versions;
+        placement::version_rules known;
+        placement::version_rules owned;
+        std::map<std::uint32_t, placement::version_split> splits;
     };
 
     service_state& service(const service_id& name);
     const service_state* find(const service_id& name) const;
     void updateOwners();
+    /// Applies the rules on versions with those that are held back now.
+    void applyVersionRules(const service_id& name, service_state& state, monotonic_time now);
     void schedule();
     void decide(bool isTick);
     void deliverReplies(monotonic_time now);
@@ -98,6 +117,7 @@
     std::vector<placement::owner_candidate> m_nodes;
     std::size_t m_rank = 0;
     bool m_isScheduled = false;
+    bool m_holdsNewVersions = false;
     /// Expires with this object, before the work that the event loop still holds.
     std::shared_ptr<slot_coordinator*> m_alive;
 };
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -25,6 +25,7 @@
     { store_topic::endpoints, "endpoints" },
     { store_topic::nodes, "nodes" },
     { store_topic::quarantine, "quarantine" },
+    { store_topic::status, "status" },
 });
 
 } // namespace
@@ -209,6 +210,8 @@
         return;
     }
     auto page = m_codec.decodeLog(response);
+    for (std::size_t i = 0; i < page.records.size(); ++i)
+        page.records[i].offset = m_readFrom + i;
     onSuccess();
     // A copy from a peer may have advanced the offset during the read; older records would revert it.
     const auto known = std::min<std::uint64_t>(m_position.offset - m_readFrom, page.records.size());
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -32,6 +32,10 @@
 constexpr std::size_t copySources = 2;
 // A configuration that a peer mentions is usually about to arrive from the store.
 constexpr auto configurationGrace = std::chrono::milliseconds(150);
+// Of a node that neither decides nor reads for all; and of those, while an order is undecided.
+constexpr auto passiveStatusInterval = std::chrono::minutes(5);
+constexpr auto statusInterval = std::chrono::milliseconds(300);
+constexpr auto appendTimeout = std::chrono::milliseconds(800);
 constexpr auto publishTimeout = std::chrono::seconds(2);
 constexpr auto publishRetryDelay = std::chrono::milliseconds(500);
 constexpr std::size_t maxPublishResponseBytes = 65536;
@@ -82,7 +86,7 @@
         return created;
     };
     const auto applyRecords = [this](const std::vector<store_record>& records) {
-        std::ranges::for_each(records, [this](const store_record& record) { applyConfiguration(record); });
+        std::ranges::for_each(records, [this](const store_record& record) { onOperatorRecord(record); });
     };
     m_configurationFollower
         = follower({ store_topic::configuration, configurationWait, {} }, { applyRecords, applyRecords, [](duration) {} });
@@ -94,6 +98,71 @@
             [](duration) {} });
     m_quarantineFollower = follower({ store_topic::quarantine, {}, quarantineInterval },
         { [this](const auto& records) { onQuarantineSnapshot(records); }, m_handlers.onQuarantine, [](duration) {} });
+    if (!m_settings.rollouts)
+        return;
+    const auto applyStatuses = [this](const std::vector<store_record>& records) { onStatusRecords(records); };
+    m_statusFollower = follower({ store_topic::status, {}, passiveStatusInterval }, { applyStatuses, applyStatuses, [](duration) {} });
+}
+
+void store_sync::onOperatorRecord(const store_record& record)
+{
+    if (m_settings.rollouts) {
+        if (auto order = m_codec.decodeOrder(record)) {
+            order->number |= m_configurationFollower->position().history << orderOffsetBits;
+            m_handlers.onOrder(*order);
+            return;
+        }
+    }
+    applyConfiguration(record);
+}
+
+void store_sync::onStatusRecords(const std::vector<store_record>& records)
+{
+    for (const auto& record : records) {
+        try {
+            if (auto status = m_codec.decodeStatus(record)) {
+                status->offset |= m_statusFollower->position().history << orderOffsetBits;
+                m_handlers.onStatus(*status);
+            }
+        } catch (const error& failure) {
+            m_log.event("rollout_status_invalid").field("key", record.key).field("error", '"' + std::string(failure.what()) + '"');
+        }
+    }
+}
+
+store_sync::status_position store_sync::statusPosition() const
+{
+    if (!m_statusFollower)
+        return {};
+    const auto& position = m_statusFollower->position();
+    return { m_statusFollower->isLoaded(), position.history, position.offset, m_statusFollower->asOf() };
+}
+
+void store_sync::readStatus()
+{
+    if (m_statusFollower)
+        m_statusFollower->readNow();
+}
+
+void store_sync::appendStatus(const service_status& status, std::uint64_t at, const route_name_source& routeName,
+    std::function<void(std::optional<append_result>)> onDone)
+{
+    http_call_options options;
+    options.idleTimeout = appendTimeout;
+    options.totalTimeout = appendTimeout;
+    options.maxBodyBytes = maxPublishResponseBytes;
+    const auto record = m_codec.encodeStatus(status, routeName);
+    m_client.send(m_settings.storeAddress, m_codec.append(store_topic::status, record, at), options,
+        [this, onDone = std::move(onDone)](const http_result& result) {
+            std::optional<append_result> appended;
+            try {
+                if (result.ok())
+                    appended = m_codec.decodeAppend(result.response);
+            } catch (const error&) {
+                appended.reset();
+            }
+            onDone(appended);
+        });
 }
 
 // Each follower reads its topic anew, since what the store has lost may be in any of them.
@@ -104,7 +173,7 @@
     m_history = history;
     m_updateOffsets.clear();
     m_endpoints.onHistoryChanged();
-    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower }) {
+    for (const auto& follower : { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_statusFollower }) {
         if (follower)
             follower->enterHistory(history);
     }
@@ -231,6 +300,10 @@
     m_endpointFollower->setReadTiming({}, needsEndpointRead ? duration(endpointInterval) : duration(passiveEndpointInterval));
     if (needsEndpointRead && now - m_endpointFollower->asOf() > maxEndpointAge)
         m_endpointFollower->readNow();
+    if (m_statusFollower) {
+        const bool needsStatus = m_handlers.decides() || (m_isReader && m_handlers.hasOpenOrders());
+        m_statusFollower->setReadTiming({}, needsStatus ? duration(statusInterval) : duration(passiveStatusInterval));
+    }
     m_nodeFollower->setReadTiming({}, readsAtFullRate ? duration(nodesInterval) : duration(passiveNodesInterval));
 }
 
@@ -254,6 +327,8 @@
     update.base_offset = coversTime ? m_updateOffsets.front().second : 0;
     m_endpoints.forgetChangesUpTo(update.base_offset);
     m_endpoints.fillUpdate(update, now);
+    for (auto& rules : m_handlers.rules())
+        update.rollouts.push_back(std::make_unique<peer::rollout_rulesT>(std::move(rules)));
     m_updateOffsets.emplace_back(now, update.offset);
     relay(update);
 }
@@ -280,6 +355,7 @@
     if (!age)
         return;
     relay(update);
+    applyRules(update.rollouts);
     const config_version mentioned { update.configuration_version };
     if (mentioned > m_mentionedVersion) {
         m_mentionedVersion = mentioned;
@@ -320,6 +396,8 @@
     if (!hasConfiguration && !hasEndpoints)
         return;
     peer::store_copyT copy;
+    for (auto& rules : m_handlers.rules())
+        copy.rollouts.push_back(std::make_unique<peer::rollout_rulesT>(std::move(rules)));
     if (hasConfiguration) {
         copy.configuration_key = m_configurationRecord.key;
         copy.configuration.assign(m_configurationRecord.value->begin(), m_configurationRecord.value->end());
@@ -332,8 +410,17 @@
     m_handlers.send({ &sender, 1 }, std::move(message));
 }
 
+void store_sync::applyRules(const std::vector<std::unique_ptr<peer::rollout_rulesT>>& rules)
+{
+    for (const auto& entry : rules) {
+        if (entry && m_settings.rollouts)
+            m_handlers.onRules(*entry);
+    }
+}
+
 void store_sync::receive(const node_id&, const peer::store_copyT& copy)
 {
+    applyRules(copy.rollouts);
     if (!copy.configuration_key.empty())
         applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) });
     const log_position position { copy.history, copy.endpoints_offset };
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -34,6 +34,24 @@
         std::function<void(const std::vector<store_record>&)> onQuarantineLost;
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
+        /// An order of a roll-out, or its withdrawal; also older ones again.
+        std::function<void(const rollout::order&)> onOrder = [](const rollout::order&) {};
+        /// The newest status of a service as of a read that began then.
+        std::function<void(const service_status&)> onStatus = [](const service_status&) {};
+        /// Rules that another node passes on, and those to pass on.
+        std::function<void(const peer::rollout_rulesT&)> onRules = [](const peer::rollout_rulesT&) {};
+        std::function<std::vector<peer::rollout_rulesT>()> rules = [] { return std::vector<peer::rollout_rulesT> {}; };
+        /// Whether this node decides on an order, and whether any order is undecided.
+        std::function<bool()> decides = [] { return false; };
+        std::function<bool()> hasOpenOrders = [] { return false; };
+    };
+    /// How far the statuses of roll-outs are known.
+    struct status_position {
+        bool isLoaded = false;
+        std::uint64_t history = 0;
+        std::uint64_t end = 0;
+        /// Start of the last read that succeeded.
+        monotonic_time asOf {};
     };
 
     store_sync(boost::asio::io_context& context, const gateway_settings& settings, const protocol_codec& codec, decision_log& log,
@@ -42,6 +60,12 @@
     void start();
     /// Writes a record, until the store has accepted it.
     void publish(store_topic topic, const std::string& key, const std::string& value);
+    /// Appends a status if the log ends there. nullopt: the result is unknown.
+    void appendStatus(const service_status& status, std::uint64_t at, const route_name_source& routeName,
+        std::function<void(std::optional<append_result>)> onDone);
+    status_position statusPosition() const;
+    /// Reads the statuses now.
+    void readStatus();
     /// Adjusts the reads to what the peers deliver; call every few tens of milliseconds.
     void tick(monotonic_time now);
     void receive(const node_id& sender, const peer::store_updateT& update);
@@ -56,6 +80,8 @@
     bool applyConfiguration(const store_record& record);
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
+    void onOperatorRecord(const store_record& record);
+    void onStatusRecords(const std::vector<store_record>& records);
     void onNodeRecords(const std::vector<store_record>& records);
     void onNodeSnapshot(const std::vector<store_record>& records);
     void onQuarantineSnapshot(const std::vector<store_record>& records);
@@ -69,6 +95,7 @@
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
     void requestCopy(monotonic_time now);
+    void applyRules(const std::vector<std::unique_ptr<peer::rollout_rulesT>>& rules);
 
     boost::asio::io_context& m_context;
     const gateway_settings& m_settings;
@@ -85,6 +112,8 @@
     std::shared_ptr<store_follower> m_endpointFollower;
     std::shared_ptr<store_follower> m_nodeFollower;
     std::shared_ptr<store_follower> m_quarantineFollower;
+    /// Only where orders of roll-outs are in force.
+    std::shared_ptr<store_follower> m_statusFollower;
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -72,6 +72,11 @@
         return history ? std::optional<std::uint64_t>(std::stoull(std::string(*history))) : std::nullopt;
     }
     std::optional<routing::fleet_configuration> decodeConfiguration(const store_record&) const override { return std::nullopt; }
+    http_request append(store_topic, const store_record&, std::uint64_t) const override { return {}; }
+    append_result decodeAppend(const http_response&) const override { return {}; }
+    std::optional<rollout::order> decodeOrder(const store_record&) const override { return std::nullopt; }
+    std::optional<service_status> decodeStatus(const store_record&) const override { return std::nullopt; }
+    store_record encodeStatus(const service_status&, const route_name_source&) const override { return {}; }
     discovery::registry_change decodeEndpoint(const store_record&) const override { return {}; }
 };
 
