Show the order to a service: carawaylink rollout status

Cause: an operator could not see what a roll-out waits for. Change: the verb asks a node over its metrics address (GET /rollout/SERVICE), which needs no key, and shows stage, reason, share and evidence by route.

--- a/libs/cli/include/cli/command_line.h
+++ b/libs/cli/include/cli/command_line.h
@@ -24,6 +24,7 @@
     drain,
     usage,
     orders,
+    rollout_status,
 };
 
 enum class output_format {
@@ -47,6 +48,7 @@
     bool isReset = false; ///< config apply: publish whatever the version in force
     bool printDocument = false; ///< config status: print the YAML in force
     std::string requestId;
+    std::string service; ///< rollout status
     std::vector<std::string> logFiles; ///< explain: logs of nodes to read in place of asking one
     std::string author;
     duration limit = std::chrono::seconds(14); ///< for a change to be in force everywhere
--- a/libs/cli/include/cli/commands.h
+++ b/libs/cli/include/cli/commands.h
@@ -74,6 +74,8 @@
             return print(reportUsage(m_client.get("/admin/usage"), m_request.output));
         case cli_verb::orders:
             return print(reportOrders(m_client.get("/admin/orders"), m_request.output));
+        case cli_verb::rollout_status:
+            return print(reportRollout(m_client.get("/rollout/" + m_request.service), m_request.output));
         }
         throw error(error_kind::internal, "the verb has no command", "report this with the command line");
     }
--- a/libs/cli/include/cli/report.h
+++ b/libs/cli/include/cli/report.h
@@ -36,6 +36,7 @@
 std::string reportUsage(std::string_view body, output_format output);
 std::string reportOrders(std::string_view body, output_format output);
 std::string reportExplanation(std::string_view body, output_format output);
+std::string reportRollout(std::string_view body, output_format output);
 std::string reportDrain(const std::string& node, output_format output);
 
 } // namespace carawaylink
--- a/libs/cli/src/command_line.cpp
+++ b/libs/cli/src/command_line.cpp
@@ -41,6 +41,7 @@
         addConfigVerbs();
         addExceptionVerbs();
         addOtherVerbs();
+        addRolloutVerbs();
     }
 
     std::variant<cli_request, cli_early_exit> parse(std::vector<std::string> arguments)
@@ -159,6 +160,20 @@
         add(m_app, "orders", cli_verb::orders, "Shows the orders to engines and their state.", "--node 127.0.0.1:8701 orders");
     }
 
+    void addRolloutVerbs()
+    {
+        auto* rollout = m_app.add_subcommand("rollout", "Moves of services to another version, on the users' platform.");
+        rollout->require_subcommand(1);
+        rollout->fallthrough();
+        rollout->footer("Example: carawaylink --node 127.0.0.1:8705 rollout status huvo11a");
+        auto* status = add(*rollout, "status", cli_verb::rollout_status,
+            "Shows the order to a service as the node after --node knows it; --node takes the metrics address, and no key is needed.",
+            "--node 127.0.0.1:8705 rollout status huvo11a");
+        status->add_option("SERVICE", m_request.service, "name of the service")
+            ->required()
+            ->check(CLI::Validator(checkRequestId, "SERVICE"));
+    }
+
     std::variant<cli_request, cli_early_exit> complete()
     {
         const auto refuse = [](const std::string& text) {
@@ -171,7 +186,8 @@
         if (needsNode) {
             if (request.nodes.empty())
                 return refuse("--node is required: the HTTP address of a node");
-            if (request.key.empty())
+            // The metrics address of a node asks for none.
+            if (request.key.empty() && request.verb != cli_verb::rollout_status)
                 return refuse("--key or CARAWAYLINK_OPERATOR_KEY is required: the key of an operator");
         }
         // A drain that moved on to another address would stop a node that nobody named first.
--- a/libs/cli/src/report.cpp
+++ b/libs/cli/src/report.cpp
@@ -249,6 +249,34 @@
     return std::string(text->get_string().data(), text->get_string().size()) + "\n";
 }
 
+std::string reportRollout(std::string_view body, output_format output)
+{
+    const auto object = parseBody(body);
+    if (output == output_format::json)
+        return std::string(body) + "\n";
+    const auto* status = object.if_contains("status");
+    if (!status || !status->is_object())
+        throw error(error_kind::invalid_message, "the response of the node has no status", "use a carawaylink of the version of the node");
+    const auto& fields = status->get_object();
+    std::string text;
+    const auto add = [&text](std::string_view name, const json::object& from, std::string_view field) {
+        const auto* value = from.if_contains(json::string_view(field.data(), field.size()));
+        text += std::string(name) + ": " + (value ? cell(*value) : "-") + "\n";
+    };
+    add("state", fields, "state");
+    add("target", fields, "target");
+    add("stage", fields, "stage");
+    add("reason", fields, "reason");
+    add("share of the target", fields, "share");
+    add("elapsed ms", fields, "elapsed_ms");
+    add("time ms", fields, "time_ms");
+    add("requests", fields, "requests");
+    add("requests to the target", fields, "target_requests");
+    add("decided by", object, "decides");
+    add("answered by", object, "answered_by");
+    return text + "\n" + listTable(fields, "evidence", { "route_name", "is_target", "sent", "ended", "bad", "first_ms", "interval_ms" });
+}
+
 std::string reportDrain(const std::string& node, output_format output)
 {
     return output == output_format::text ? node + " drains: it refuses new requests, finishes its streams and exits\n"
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -330,5 +330,21 @@
     EXPECT_THAT(fleet.requests, IsEmpty());
 }
 
+// Guards against a status that needs an operator key, which the metrics address does not know.
+TEST_F(command_line, rolloutStatus_needsNoKey)
+{
+    environment.clear();
+    EXPECT_EQ(run({ "--node", "127.0.0.1:1", "rollout", "status", "desk" }), 1);
+    EXPECT_THAT(fleet.requests, ElementsAre("127.0.0.1:1 GET /rollout/desk"));
+}
+
+TEST_F(command_line, rolloutStatus_showsStateAndEvidence)
+{
+    fleet.pages["GET /rollout/desk"] = R"({"decides":"n1","answered_by":"n2","status":{"state":"in_progress","target":"v2","share":0.08,)"
+                                       R"("evidence":[{"route_name":"reads","is_target":true,"sent":40,"ended":38,"bad":2}]}})";
+    EXPECT_EQ(runAt({ "rollout", "status", "desk" }), 0);
+    EXPECT_THAT(out.str(), AllOf(HasSubstr("state: in_progress"), HasSubstr("decided by: n1"), HasSubstr("reads")));
+}
+
 } // namespace
 } // namespace carawaylink
