Leave the times at cold endpoints out of the comparison of versions

Cause: the entry of an endpoint that has just started says how long it stays slow. All endpoints of a target have just started, so a good version would look slow in its test. Change: endpoint_record::coldLeftMs (not compared, since it falls with each renewal of the entry); observations of requests to cold endpoints say so, and only their failures count.

--- a/libs/discovery/include/discovery/endpoint_table.h
+++ b/libs/discovery/include/discovery/endpoint_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace carawaylink::discovery {
@@ -26,8 +27,17 @@
     std::int64_t startedAtMs = 0;
     /// Version of the software that the endpoint runs; empty if it does not tell.
     std::string version {};
+    /// Milliseconds for which it is slower than later, when it registered. Falls with each renewal of the entry, so it is not compared.
+    std::int64_t coldLeftMs = 0;
 
-    friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
+    friend bool operator==(const endpoint_record& one, const endpoint_record& other)
+    {
+        const auto fields = [](const endpoint_record& record) {
+            return std::tie(record.id, record.service, record.address, record.domain, record.slots, record.draining, record.startedAtMs,
+                record.version);
+        };
+        return fields(one) == fields(other);
+    }
 };
 
 /// A change of the registry: a new record, or none if the entry was removed.
--- a/libs/gateway/src/rollout_driver.cpp
+++ b/libs/gateway/src/rollout_driver.cpp
@@ -51,7 +51,7 @@
     for (const auto& seen : observations) {
         switch (seen.event) {
         case placement::version_event::sent:
-            collector.sent(seen.id, seen.route, seen.replica.value, seen.isTarget, now);
+            collector.sent(seen.id, seen.route, seen.replica.value, seen.isTarget, now, seen.isCold);
             break;
         case placement::version_event::first_event:
             collector.firstEvent(seen.id, seen.time);
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -285,6 +285,8 @@
         monotonic_time stallTriedAt {};
         bool isListed = true;
         monotonic_time unlistedAt {};
+        /// When an endpoint that has just started is no longer slow.
+        monotonic_time warmAt {};
         bool isTarget = false;
         /// Requests may be granted here by the rules on versions.
         bool isVersionAllowed = true;
@@ -336,7 +338,7 @@
     void applyVersionRules(endpoint_state& endpoint) const;
     /// Whether the next request of the route goes to the target.
     bool isTargetDue(std::uint64_t route) const;
-    void countSent(const waiting_request& request, const endpoint_state& endpoint);
+    void countSent(const waiting_request& request, const endpoint_state& endpoint, monotonic_time now);
     void observe(version_event event, std::uint64_t id, const running_request& running, bool isTarget, duration time, outcome result);
     bool hasCapacity(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     bool hasFreeSlot(const endpoint_state& endpoint, monotonic_time now) const;
--- a/libs/placement/include/placement/version_rules.h
+++ b/libs/placement/include/placement/version_rules.h
@@ -101,6 +101,8 @@
     bool isTarget = false;
     duration time {};
     outcome result = outcome::completed;
+    /// The endpoint has just started and is still slow.
+    bool isCold = false;
 };
 
 /// Notices versions of a service that appear and that no order names. They are held back for a while, since their order may be read later
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -126,7 +126,7 @@
             tokens { request.prompt.value + request.output.value }, endpoint.load.pendingPrefill, now, std::nullopt,
             chosen.expectedFirstEvent, false, false, request.route },
         now);
-    countSent(request, endpoint);
+    countSent(request, endpoint, now);
     m_connections.use(request.sender, endpoint.record.id);
     m_recentGrants.push_back({ now, rankOf(request) });
     return { request.id, endpoint.record.id, endpoint.record.address, chosen.expectedFirstEvent, endpoint.load.running };
--- a/libs/placement/src/service_pool_endpoints.cpp
+++ b/libs/placement/src/service_pool_endpoints.cpp
@@ -30,6 +30,8 @@
             endpoint.health = {};
             endpoint.limit = {};
         }
+        if (inserted || restarted)
+            endpoint.warmAt = now + std::chrono::milliseconds(record.coldLeftMs);
         endpoint.record = record;
         endpoint.notice.registered(record.startedAtMs);
         endpoint.isListed = true;
--- a/libs/placement/src/service_pool_versions.cpp
+++ b/libs/placement/src/service_pool_versions.cpp
@@ -65,7 +65,7 @@
     return static_cast<double>(counts.target + 1) <= m_versionSplit->share * static_cast<double>(counts.all + 1) + firstRequestCredit;
 }
 
-void service_pool::countSent(const waiting_request& request, const endpoint_state& endpoint)
+void service_pool::countSent(const waiting_request& request, const endpoint_state& endpoint, monotonic_time now)
 {
     if (!m_versionRules.isInProgress() || !m_versionSplit)
         return;
@@ -73,7 +73,8 @@
     auto& counts = m_splitByRoute[request.route];
     ++counts.all;
     counts.target += endpoint.isTarget ? 1 : 0;
-    m_observations.push_back({ version_event::sent, request.id, request.route, endpoint.record.id, endpoint.isTarget, {}, {} });
+    m_observations.push_back(
+        { version_event::sent, request.id, request.route, endpoint.record.id, endpoint.isTarget, {}, {}, now < endpoint.warmAt });
 }
 
 void service_pool::observe(
--- a/libs/placement/tests/version_rules_tests.cpp
+++ b/libs/placement/tests/version_rules_tests.cpp
@@ -155,6 +155,23 @@
     EXPECT_EQ(seen[2].event, version_event::ended);
 }
 
+// Guards against good versions that are reverted because their endpoints have just started.
+TEST_F(version_split_test, observations_tellColdEndpoints)
+{
+    auto records = versionRecords(4, 4);
+    for (auto& record : records) {
+        record.coldLeftMs = 1000;
+        ++record.startedAtMs;
+    }
+    m_pool.setEndpoints(records, m_now);
+    m_pool.setVersionRules(rulesFor(version_use::target_only), version_split {});
+    targetGrants(1);
+    EXPECT_TRUE(m_pool.takeObservations().front().isCold);
+    m_now += 1s;
+    targetGrants(1);
+    EXPECT_FALSE(m_pool.takeObservations().front().isCold);
+}
+
 TEST_F(version_split_test, serviceWithoutOrder_isNotObserved)
 {
     targetGrants(20);
--- a/libs/rollout/include/rollout/evidence.h
+++ b/libs/rollout/include/rollout/evidence.h
@@ -65,7 +65,8 @@
 /// compared under the same load. Ids are unique while their requests run.
 class evidence_collector {
 public:
-    void sent(std::uint64_t id, route_hash route, const std::string& endpoint, bool isTarget, monotonic_time now);
+    /// isCold: the endpoint has just started, so that the times of the request do not count.
+    void sent(std::uint64_t id, route_hash route, const std::string& endpoint, bool isTarget, monotonic_time now, bool isCold = false);
     void firstEvent(std::uint64_t id, duration time);
     void interval(std::uint64_t id, duration mean);
     void ended(std::uint64_t id, request_end end, monotonic_time now);
@@ -106,6 +107,7 @@
         monotonic_time sentAt;
         bool isCompared = false;
         bool isFresh = false;
+        bool isCold = false;
         bool hasFirstEvent = false;
     };
 
--- a/libs/rollout/src/evidence.cpp
+++ b/libs/rollout/src/evidence.cpp
@@ -118,14 +118,15 @@
     m_sliceStartedAt = now;
 }
 
-void evidence_collector::sent(std::uint64_t id, route_hash route, const std::string& endpoint, bool isTarget, monotonic_time now)
+void evidence_collector::sent(
+    std::uint64_t id, route_hash route, const std::string& endpoint, bool isTarget, monotonic_time now, bool isCold)
 {
     startSlice(now);
     ++m_requests;
     m_targetRequests += isTarget ? 1 : 0;
     if (isTarget)
         m_targetSentAt = now;
-    const open_request request { { route, isTarget, endpoint }, now, now - m_targetSentAt < comparedTime, m_hasFresh, false };
+    const open_request request { { route, isTarget, endpoint }, now, now - m_targetSentAt < comparedTime, m_hasFresh, isCold, false };
     m_open.insert_or_assign(id, request);
     change(request, [](cell& counted) { ++counted.sent; });
 }
@@ -133,7 +134,7 @@
 void evidence_collector::firstEvent(std::uint64_t id, duration time)
 {
     const auto found = m_open.find(id);
-    if (found == m_open.end() || std::exchange(found->second.hasFirstEvent, true))
+    if (found == m_open.end() || std::exchange(found->second.hasFirstEvent, true) || found->second.isCold)
         return;
     const auto& key = found->second.key;
     change(found->second, [time](cell& counted) { counted.firstEvent.add(time); });
@@ -144,7 +145,7 @@
 void evidence_collector::interval(std::uint64_t id, duration mean)
 {
     const auto found = m_open.find(id);
-    if (found != m_open.end())
+    if (found != m_open.end() && !found->second.isCold)
         change(found->second, [mean](cell& counted) { counted.interval.add(mean); });
 }
 
@@ -157,7 +158,7 @@
     const auto request = found->second;
     m_open.erase(found);
     const auto waited = now - request.sentAt;
-    if (!request.hasFirstEvent && end != request_end::lost && isUnusual(std::get<route_hash>(request.key), waited))
+    if (!request.hasFirstEvent && !request.isCold && end != request_end::lost && isUnusual(std::get<route_hash>(request.key), waited))
         change(request, [waited](cell& counted) { counted.firstEvent.add(waited); });
     if (end == request_end::neutral)
         return;
@@ -214,7 +215,7 @@
 {
     for (const auto& [id, request] : m_open) {
         const auto waited = now - request.sentAt;
-        if (request.isCompared && (request.isFresh || !isFreshOnly) && !request.hasFirstEvent
+        if (request.isCompared && !request.isCold && (request.isFresh || !isFreshOnly) && !request.hasFirstEvent
             && isUnusual(std::get<route_hash>(request.key), waited))
             given[request.key].firstEvent.add(waited);
     }
--- a/libs/rollout/tests/decider_tests.cpp
+++ b/libs/rollout/tests/decider_tests.cpp
@@ -68,6 +68,11 @@
     play({}, { .slowness = 4, .until = 1200ms }, expectCompleted);
 }
 
+TEST_F(decider_test, goodVersion_onEndpointsThatAreColdForLong_isCompleted)
+{
+    play({ .coldTime = 4s }, {}, expectCompleted);
+}
+
 TEST_F(decider_test, goodVersion_withFewRequests_isCompleted)
 {
     play({ .oldEndpoints = 2, .targetEndpoints = 2, .requestsPerSecond = 3 }, {}, expectCompleted);
