--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -46,6 +46,10 @@
     void setReuse(const placement::reuse_totals& totals);
     void setMarkedTeams(std::size_t teams);
     void setConfiguration(config_version version);
+    /// This node has decided on a step of a roll-out.
+    void rolloutStep(std::string_view stage);
+    /// Orders of roll-outs that are undecided, as known to this node.
+    void setOpenRollouts(std::size_t orders);
 
     /// Metrics in the Prometheus text format.
     std::string text() const;
@@ -58,6 +62,7 @@
     prometheus::Family<prometheus::Counter>& m_memoryExceeded;
     prometheus::Family<prometheus::Counter>& m_admissions;
     prometheus::Family<prometheus::Counter>& m_promptProbes;
+    prometheus::Family<prometheus::Counter>& m_rolloutSteps;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
@@ -75,6 +80,7 @@
     prometheus::Gauge& m_restingEndpoints;
     prometheus::Gauge& m_markedTeams;
     prometheus::Gauge& m_configuration;
+    prometheus::Gauge& m_openRollouts;
 };
 
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -77,6 +77,7 @@
     result->was_admitted = request.wasAdmitted;
     result->response_started = request.responseStarted;
     result->prompt_parts = encodeParts(request.promptParts);
+    result->route = request.route;
     return result;
 }
 
@@ -99,6 +100,7 @@
     request.wasAdmitted = message.was_admitted;
     request.responseStarted = message.response_started;
     request.promptParts = decodeParts(message.prompt_parts);
+    request.route = message.route;
     return request;
 }
 
@@ -351,6 +353,8 @@
     }
     message.limits = encodeLimits(reply.limits);
     message.reuse = encodeReuse(reply.grants);
+    if (reply.versions)
+        message.rollout = std::make_unique<peer::rollout_rulesT>(encodeRules(reply.pool.service, *reply.versions, 0));
     return message;
 }
 
@@ -375,6 +379,8 @@
             { wait.id(), decodeSpan(wait.waited_us()), wait.ahead(), wait.unusable(), wait.full(), wait.prefill_busy(), wait.too_slow() });
     }
     reply.limits = decodeLimits(message.limits, lookup);
+    if (message.rollout)
+        reply.versions = decodeRules(*message.rollout);
     return reply;
 }
 
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -50,6 +50,10 @@
     void rewriteQuarantine(const std::vector<store_record>& records);
     void restoreQuotaMarks(const std::vector<store_record>& records);
     void setQuotaStore(team_quotas::mark_writer writer) { m_quotas.setMarkWriter(std::move(writer)); }
+    slot_coordinator& slots() { return m_slots; }
+    /// Names the route of a request to the service in its call to the owner of a pool; 0 if it is not needed.
+    using route_marker = std::function<std::uint64_t(const service_id& service, const std::string& route)>;
+    void setRouteMarker(route_marker marker) { m_routeMarker = std::move(marker); }
     void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
@@ -144,6 +148,8 @@
     const fleet_members* m_members = &m_noMembers;
     std::map<service_id, limits::retry_budget> m_retryBudgets;
     std::function<void(const node_id&, peer::envelopeT)> m_send;
+    /// Not set where orders of roll-outs are not in force.
+    route_marker m_routeMarker;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::map<std::uint64_t, probe_candidate> m_waitingForProbe;
     fleet_size m_fleet;
