--- a/libs/gateway/src/rollout_driver.cpp
+++ b/libs/gateway/src/rollout_driver.cpp
@@ -129,13 +129,13 @@
     fresh.changedAt = now;
     fresh.generation = state.generation + 1;
     fresh.excluded = excludedAfter(state, order.target);
+    if (!order.fault.empty())
+        fresh.rulesBefore = knownRules(order.service, state);
     fresh.status = std::move(state.status);
     fresh.statusAt = state.statusAt;
     fresh.statusOffset = state.statusOffset;
     if (state.received.stamp.order >= order.number)
         fresh.received = state.received;
-    if (!order.fault.empty())
-        fresh.rulesBefore = knownRules(order.service, state);
     if (fresh.status && concerns(*fresh.status, order))
         fresh.order->number = fresh.status->order;
     state = std::move(fresh);
@@ -263,8 +263,7 @@
     for (auto& [name, state] : m_services) {
         if (!state.order && state.status)
             takeOrderFromStatus(name, state, now);
-        if (isOpen(state))
-            collect(name, state, now);
+        collect(name, state, now);
         if (now < state.nextStepAt)
             continue;
         state.nextStepAt = now + stepInterval;
@@ -280,10 +279,14 @@
         static_cast<std::size_t>(std::ranges::count_if(m_services, [this](const auto& entry) { return isOpen(entry.second); })));
 }
 
+// Pools record observations while they have rules in progress, also where no order is open; those are dropped.
 void rollout_driver::collect(const service_id& name, service_state& state, monotonic_time now)
 {
-    for (const auto& [number, pool] : m_slots.ownedPools(name))
-        feed(state.collectors[number], pool->takeObservations(), now);
+    for (const auto& [number, pool] : m_slots.ownedPools(name)) {
+        const auto observations = pool->takeObservations();
+        if (isOpen(state))
+            feed(state.collectors[number], observations, now);
+    }
 }
 
 void rollout_driver::decide(const service_id& name, service_state& state, monotonic_time now)
@@ -432,11 +435,14 @@
         m_handlers.readStatus();
         return;
     }
+    // A later record may have been read before the answer arrived.
+    if (at < state.statusOffset)
+        return;
     const bool isStep = !state.status || state.status->stage != record.stage || state.status->decider != record.decider;
     state.status = record;
     // The record was true when it was sent.
     state.statusAt = state.writeStartedAt;
-    state.statusOffset = std::max(state.statusOffset, at);
+    state.statusOffset = at;
     if (rollout::isFinal(record.stage))
         state.changedAt = now;
     if (isStep) {
--- a/libs/gateway/src/rollout_rules.cpp
+++ b/libs/gateway/src/rollout_rules.cpp
@@ -45,13 +45,21 @@
 std::vector<std::string> rollout_driver::excludedAfter(const service_state& state, const std::string& target)
 {
     auto excluded = state.excluded;
+    const auto& received = state.received;
     const bool isKnown = state.order && state.order->fault.empty();
     const bool isCompleted
         = state.status && isKnown && concerns(*state.status, *state.order) && state.status->stage == rollout::stage::completed;
-    if (isCompleted)
+    // Most nodes know from their peers alone how an order ended.
+    const bool isEndedByPeers = isKnown && received.stamp.isFinal && received.stamp.order == state.order->number;
+    if (isEndedByPeers) {
+        excluded = received.retired;
+        if (received.use != placement::version_use::target_only)
+            excluded.push_back(state.order->target);
+    } else if (isCompleted) {
         excluded.insert(excluded.end(), state.status->oldVersions.begin(), state.status->oldVersions.end());
-    else if (isKnown)
+    } else if (isKnown) {
         excluded.push_back(state.order->target);
+    }
     std::erase(excluded, target);
     return excluded;
 }
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -74,7 +74,9 @@
     const std::map<std::uint32_t, placement::version_split>& splits)
 {
     auto& state = service(name);
+    auto held = std::move(state.known.held);
     state.known = known;
+    state.known.held = std::move(held);
     state.owned = owned;
     state.splits = splits;
     applyVersionRules(name, state, std::chrono::steady_clock::now());
--- a/libs/placement/src/prefix_belief.cpp
+++ b/libs/placement/src/prefix_belief.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Weight of a new comparison in the exponential moving average; six wrong beliefs in a row take the belief its say.
+// Weight of a new comparison in the exponential moving average; after six wrong predictions in a row the estimate is ignored.
 constexpr double smoothingFactor = 0.2;
 constexpr double minAverage = 0.3;
 // Differences between the two predictions that are smaller than this are within the variation of measured times.
--- a/libs/placement/src/service_pool_placement.cpp
+++ b/libs/placement/src/service_pool_placement.cpp
@@ -23,9 +23,8 @@
 constexpr double utilizationPenaltyMs = 60;
 // Weight of the streaming time in the score, relative to the time to the first event.
 constexpr double streamingWeight = 0.3;
-// Prefill takes steps of decoding from every response that runs on the endpoint. In carawaylink-prefixbench, half of this weight saves 4 to
-// 5 % of the possible prefill less; with twice of it requests pile up on slow holders, and the 99th percentile of the total time grows by
-// up to a quarter.
+// Prefill delays every running response of the endpoint once. A lower weight saves less prefill; a higher one overloads slow endpoints
+// that hold the prefix.
 constexpr double disturbanceWeight = 1;
 // 95 % of responses are at most this many times longer than expected.
 constexpr double lengthMargin = 1.7;
--- a/libs/rollout/src/comparison.cpp
+++ b/libs/rollout/src/comparison.cpp
@@ -12,7 +12,7 @@
 constexpr double failureFactor = 1.5;
 constexpr double acceptedFailures = 0.015;
 constexpr std::uint32_t minFailures = 3;
-// The comparison is repeated some 100 times per order on each of some 20 routes, so that one in 10^4 by chance is still much.
+// About 2,000 comparisons are made per order; this keeps the chance of a false revert near 2 %.
 constexpr double maxFailureChance = 1e-5;
 // Without this many ended requests of the other versions on a route, all routes stand for it; without any, this share.
 constexpr std::uint32_t minOldRequests = 20;
@@ -30,9 +30,14 @@
 constexpr double assumedDeviation = 0.5;
 constexpr double assumedDeviationWeight = 5;
 
+// The sum below underflows for large expectations, where the normal distribution is close enough.
+constexpr double maxExactExpectation = 500;
+
 // Probability of at least this many events where this many are expected.
 double poissonTail(std::uint32_t count, double expected)
 {
+    if (expected > maxExactExpectation)
+        return std::erfc((count - 0.5 - expected) / std::sqrt(2 * expected)) / 2;
     double term = std::exp(-expected);
     double below = 0;
     for (std::uint32_t i = 0; i < count; ++i) {
@@ -100,12 +105,17 @@
     const auto allOld = given.total(false);
     if (const auto found = findFailures(0, given.total(true), allOld, allOld))
         return found;
+    // Failures count at once, so slowness of one route must not hide those of another.
     for (const auto& [key, target] : given.counts) {
         if (!key.second)
             continue;
-        const auto old = given.of(key.first, false);
-        if (const auto found = findFailures(key.first, target, old, allOld))
+        if (const auto found = findFailures(key.first, target, given.of(key.first, false), allOld))
             return found;
+    }
+    for (const auto& [key, target] : given.counts) {
+        if (!key.second)
+            continue;
+        const auto old = given.of(key.first, false);
         if (const auto found = findSlowness(fault_kind::slow_first_event, key.first, target.firstEvent, old.firstEvent))
             return found;
         if (const auto found = findSlowness(fault_kind::slow_events, key.first, target.interval, old.interval))
--- a/libs/rollout/src/decider.cpp
+++ b/libs/rollout/src/decider.cpp
@@ -86,6 +86,8 @@
     m_stage = next;
     m_reason = std::move(reason);
     m_stageSince = now;
+    // A suspicion of one stage is judged by the rules of that stage.
+    m_suspicion.reset();
 }
 
 void decider::step(const fleet_view& view, monotonic_time now)
@@ -128,7 +130,8 @@
     return total;
 }
 
-// An endpoint that has just started may be slow for a moment, and a machine may stand still for one.
+// An endpoint that has just started may be slow for a moment, and a machine may be paused for one. The totals include the first seconds of
+// the target, so only a test, which asks for fresh times, may judge slowness by them.
 std::optional<fault> decider::checkFault(const fleet_view& view, monotonic_time now)
 {
     const auto total = allEvidence();
@@ -138,7 +141,8 @@
         if (found && found->kind == fault_kind::failures)
             return found;
     }
-    return checkSlowness(inRecent || m_isCleared ? inRecent : inTotal, view, now);
+    const bool usesTotal = m_stage == stage::testing && !inRecent && !m_isCleared;
+    return checkSlowness(usesTotal ? inTotal : inRecent, view, now);
 }
 
 std::optional<fault> decider::checkSlowness(const std::optional<fault>& found, const fleet_view& view, monotonic_time now)
