--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -45,8 +45,6 @@
     /// Sets which versions of the service may be used: by this node, and by the pools that it owns, whose grants are divided by pool.
     void setVersionRules(const service_id& service, const placement::version_rules& known, const placement::version_rules& owned,
         const std::map<std::uint32_t, placement::version_split>& splits);
-    /// What this node, its owners and its own knowledge together allow.
-    const placement::version_rules& versionRules(const service_id& service) { return this->service(service).client.local().versionRules(); }
     const std::vector<discovery::endpoint_record>& endpointsOf(const service_id& service) const;
     /// The owned pools of the service; valid until the next change of endpoints or members.
     std::map<std::uint32_t, placement::slot_owner*> ownedPools(const service_id& service) const;
--- a/libs/placement/include/placement/owned_pools.h
+++ b/libs/placement/include/placement/owned_pools.h
@@ -35,11 +35,6 @@
     std::map<pool_id, admission_counts> takeAdmissionCounts();
 
     const std::map<pool_id, std::unique_ptr<slot_owner>>& pools() const { return m_pools; }
-    slot_owner* find(const pool_id& pool)
-    {
-        const auto found = m_pools.find(pool);
-        return found == m_pools.end() ? nullptr : found->second.get();
-    }
 
 private:
     node_id m_self;
