--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -19,6 +19,8 @@
     request_metadata metadata;
     /// A copy, because the configuration may change while the request is active.
     routing::route route;
+    /// Version of the configuration that the route is from.
+    config_version configuration;
     service_id service;
     std::optional<team_id> team;
     tier teamTier { 0 };
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -170,6 +170,7 @@
     admitted.id = probe ? *probe : m_nextId++;
     admitted.isProbe = probe.has_value();
     admitted.route = *route;
+    admitted.configuration = version();
     admitted.arrived = now;
     auto timeLeft = metadata.timeLeft.value_or(defaultTimeLeft);
     if (route->timeout > duration {})
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -55,6 +55,8 @@
     bool isLoaded() const { return m_isLoaded; }
     /// Start time of the last successful read.
     monotonic_time asOf() const { return m_asOf; }
+    /// Start time of the latest read, which may be in progress.
+    monotonic_time readStartedAt() const { return m_readStartedAt; }
     /// Starts the next read now if one is scheduled.
     void readNow();
     /// Repeats a read that failed now, because the store answers others.
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -120,7 +120,7 @@
             return;
         }
     }
-    applyConfiguration(record);
+    applyConfiguration(record, configuration_source::read, m_self);
 }
 
 void store_sync::onStatusRecords(const std::vector<store_record>& records)
@@ -221,15 +221,36 @@
     return m_configurationFollower->isReachable() && m_endpointFollower->isReachable();
 }
 
-bool store_sync::applyConfiguration(const store_record& record)
-{
+bool store_sync::applyConfiguration(const store_record& record, configuration_source source, const node_id& peer)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto log = [&](std::string_view outcome, config_version version) {
+        const auto now = std::chrono::steady_clock::now();
+        m_log.event("configuration_received", outcome)
+            .field("outcome", outcome)
+            .field("source", configurationSourceNames.name(source))
+            .field("peer", peer)
+            .field("version", version)
+            .field("bytes", record.value ? record.value->size() : 0)
+            .field("decode_us", std::chrono::duration_cast<std::chrono::microseconds>(now - begin).count())
+            .field("read_ms", wholeMilliseconds(begin - m_configurationFollower->readStartedAt()))
+            .field("mentioned", m_mentionedVersion)
+            .field("mentioned_ms", m_mentionedAt == monotonic_time {} ? -1 : wholeMilliseconds(begin - m_mentionedAt));
+    };
     try {
         auto routes = m_codec.decodeConfiguration(record);
-        if (!routes || !m_handlers.onConfiguration(std::move(*routes)))
+        if (!routes)
+            return false;
+        const auto version = routes->version;
+        if (!m_handlers.onConfiguration(std::move(*routes))) {
+            log("not_newer", version);
             return false;
+        }
+        log("in_force", version);
         m_configurationRecord = record;
         return true;
     } catch (const error& failure) {
+        log("invalid", {});
         m_log.event("configuration_invalid").field("key", record.key).field("error", '"' + std::string(failure.what()) + '"');
         return false;
     }
@@ -385,6 +406,11 @@
     if (mentioned > m_mentionedVersion) {
         m_mentionedVersion = mentioned;
         m_mentionedAt = now;
+        m_log.event("configuration_mentioned")
+            .field("version", mentioned)
+            .field("known", m_handlers.version())
+            .field("origin", stamp.origin)
+            .field("peer", sender);
     }
     onHistoryChanged(update.history);
     // Without the changes before the base, or all of the history, this node reads the store itself.
@@ -408,7 +434,7 @@
         return;
     m_lastFirstCopyRequestAt = now;
     m_log.event("first_copy_requested").field("peer", sender);
-    requestCopy({ &sender, 1 }, now);
+    requestCopy({ &sender, 1 }, "no_endpoints", now);
 }
 
 void store_sync::requestCopyFromAny(monotonic_time now)
@@ -417,12 +443,19 @@
     std::erase(nodes, m_self);
     std::ranges::shuffle(nodes, m_random);
     nodes.resize(std::min(nodes.size(), copySources));
-    requestCopy(nodes, now);
+    requestCopy(nodes, reachesStore() ? "configuration_missing" : "store_unreachable", now);
 }
 
-void store_sync::requestCopy(std::span<const node_id> sources, monotonic_time now)
+void store_sync::requestCopy(std::span<const node_id> sources, std::string_view reason, monotonic_time now)
 {
     m_lastCopyRequestAt = now;
+    for (const auto& source : sources) {
+        m_log.event("copy_requested", reason)
+            .field("peer", source)
+            .field("reason", reason)
+            .field("known", m_handlers.version())
+            .field("mentioned", m_mentionedVersion);
+    }
     peer::copy_requestT request;
     request.history = endpointPosition().history;
     request.endpoints_offset = endpointPosition().offset;
@@ -471,6 +504,11 @@
     copy.history = endpointPosition().history;
     if (sendsEndpoints)
         m_endpoints.fillCopy(copy, endpointPosition().offset, now);
+    m_log.event("copy_sent")
+        .field("peer", sender)
+        .field("version", sendsConfiguration ? m_handlers.version() : config_version {})
+        .field("bytes", copy.configuration.size())
+        .field("endpoints", copy.endpoints.size());
     peer::envelopeT message;
     message.body.Set(std::move(copy));
     m_handlers.send({ &sender, 1 }, std::move(message));
@@ -484,11 +522,12 @@
     }
 }
 
-void store_sync::receive(const node_id&, const peer::store_copyT& copy)
+void store_sync::receive(const node_id& sender, const peer::store_copyT& copy)
 {
     applyRules(copy.rollouts);
     if (!copy.configuration_key.empty())
-        applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) });
+        applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) },
+            configuration_source::copy, sender);
     const log_position position { copy.history, copy.endpoints_offset };
     if (copy.endpoints.empty() || position <= endpointPosition())
         return;
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -87,7 +87,14 @@
     {
         return { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_quotaFollower, m_statusFollower };
     }
-    bool applyConfiguration(const store_record& record);
+    /// Where a record of the configuration came from.
+    enum class configuration_source { read, copy };
+    static constexpr auto configurationSourceNames = enumTable<configuration_source>({
+        { configuration_source::read, "read" },
+        { configuration_source::copy, "copy" },
+    });
+    /// peer: the sender of a copy, or this node.
+    bool applyConfiguration(const store_record& record, configuration_source source, const node_id& peer);
     void onEndpointSnapshot(const std::vector<store_record>& records);
     void onEndpointRecords(const std::vector<store_record>& records);
     void onOperatorRecord(const store_record& record);
@@ -106,7 +113,7 @@
     void adjustReadTiming(monotonic_time now);
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
-    void requestCopy(std::span<const node_id> sources, monotonic_time now);
+    void requestCopy(std::span<const node_id> sources, std::string_view reason, monotonic_time now);
     /// Asks random peers for what this node cannot read from the store.
     void requestCopyFromAny(monotonic_time now);
     /// Called for an update before this node has the endpoints: asks its sender for them.
