Replace a read of the store that nobody will answer

Cause: a node that does not read for all waits up to 30 s in one read; if its connection falls silent meanwhile, nothing notices. A node that becomes a reader went on waiting in that read and told all others the old version. Class: a wait whose end only the peer decides, on a connection that may be dead.

A shorter long-poll time now replaces a read that waits for longer, on a new connection, and its old connection is closed; so does a version that a peer mentions and that the read in progress has not begun to bring. A node that gets no updates for 2 s no longer relies on them. Readers mention a new version at once.

--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -49,12 +49,41 @@
 {
     m_options.wait = wait;
     m_options.interval = interval;
+    const auto now = std::chrono::steady_clock::now();
+    if (wait < m_waitOfRequest && awaitsAnswerSince(now, now))
+        replaceRead();
     // A pause that started with a longer interval must not delay the next read.
     const bool isPausing = m_isReachable && m_isScheduled;
-    if (isPausing && m_timer.expiry() > std::chrono::steady_clock::now() + interval)
+    if (isPausing && m_timer.expiry() > now + interval)
         schedule(interval, &store_follower::readLog);
 }
 
+bool store_follower::isReceiving(monotonic_time now) const
+{
+    if (m_isScheduled || !m_call)
+        return false;
+    const auto last = m_call->lastReceivedAt();
+    return last && now - *last < responseTimeout;
+}
+
+bool store_follower::awaitsAnswerSince(monotonic_time since, monotonic_time now) const
+{
+    return !m_isScheduled && m_call && m_readStartedAt <= since && !isReceiving(now);
+}
+
+void store_follower::replaceRead()
+{
+    if (m_isScheduled || !m_call)
+        return;
+    m_log.event("store_read_replaced")
+        .field("topic", topicNames.name(m_options.topic))
+        .field("waited_ms", wholeMilliseconds(std::chrono::steady_clock::now() - m_readStartedAt))
+        .field("offset", m_position.offset);
+    abandonRead();
+    m_needsNewConnection = true;
+    (this->*nextStep())();
+}
+
 void store_follower::setRetriesFirstReadOften(bool value)
 {
     m_retriesFirstReadOften = value;
@@ -76,16 +105,17 @@
         schedule({}, nextStep());
 }
 
-void store_follower::sendRequest(http_request request, std::function<void(const http_response&)> onResponse)
+void store_follower::sendRequest(http_request request, duration wait, std::function<void(const http_response&)> onResponse)
 {
+    m_waitOfRequest = wait;
     http_call_options options;
     options.connectTimeout = storeConnectTimeout;
-    options.idleTimeout = m_options.wait + responseTimeout;
-    options.totalTimeout = m_options.wait + totalResponseTimeout;
+    options.idleTimeout = wait + responseTimeout;
+    options.totalTimeout = wait + totalResponseTimeout;
     options.maxBodyBytes = maxStoreResponseBytes;
     // The connection of a failed request may never respond again.
-    options.reuseConnection = m_isReachable;
-    m_client.send(m_address, std::move(request), options,
+    options.reuseConnection = m_isReachable && !std::exchange(m_needsNewConnection, false);
+    m_call = m_client.send(m_address, std::move(request), options,
         [self = shared_from_this(), number = ++m_requestNumber, onResponse = std::move(onResponse)](const http_result& result) {
             if (number != self->m_requestNumber)
                 return;
@@ -134,6 +164,8 @@
     ++m_requestNumber;
     m_timer.cancel();
     m_isScheduled = false;
+    if (const auto call = std::exchange(m_call, nullptr))
+        call->cancel();
 }
 
 void store_follower::enterHistory(std::uint64_t history)
@@ -163,7 +195,7 @@
         m_snapshotRecords.clear();
         m_snapshotEnd.reset();
     }
-    sendRequest(m_codec.readSnapshot(m_options.topic, afterKey), [this](const http_response& response) { onSnapshotPage(response); });
+    sendRequest(m_codec.readSnapshot(m_options.topic, afterKey), {}, [this](const http_response& response) { onSnapshotPage(response); });
 }
 
 void store_follower::onSnapshotPage(const http_response& response)
@@ -204,7 +236,7 @@
 {
     m_readFrom = m_position.offset;
     m_readStartedAt = std::chrono::steady_clock::now();
-    sendRequest(m_codec.readLog(m_options.topic, m_position.offset, m_options.wait),
+    sendRequest(m_codec.readLog(m_options.topic, m_position.offset, m_options.wait), m_options.wait,
         [this](const http_response& response) { onLogPage(response); });
 }
 
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -45,7 +45,7 @@
     /// Spaces the retries together with those of other followers.
     void shareRetryPace(std::shared_ptr<store_retry_pace> pace) { m_retryPace = std::move(pace); }
     bool isReachable() const { return m_isReachable; }
-    /// Sets the long-poll time and the interval between reads, effective from the next read.
+    /// Sets the long-poll time and the interval between reads. A read that waits at the store for longer than the new time is replaced.
     void setReadTiming(duration wait, duration interval);
     /// Sets whether a topic that was never loaded is read again after the shortest delay instead of a growing one.
     void setRetriesFirstReadOften(bool value);
@@ -57,6 +57,12 @@
     monotonic_time asOf() const { return m_asOf; }
     /// Start time of the latest read, which may be in progress.
     monotonic_time readStartedAt() const { return m_readStartedAt; }
+    /// Whether a read is in progress whose answer arrives.
+    bool isReceiving(monotonic_time now) const;
+    /// Whether a read is in progress that began before this time and whose answer does not arrive.
+    bool awaitsAnswerSince(monotonic_time since, monotonic_time now) const;
+    /// Repeats the read in progress on a new connection, because its own may never answer.
+    void replaceRead();
     /// Starts the next read now if one is scheduled.
     void readNow();
     /// Repeats a read that failed now, because the store answers others.
@@ -67,7 +73,8 @@
     void enterHistory(std::uint64_t history);
 
 private:
-    void sendRequest(http_request request, std::function<void(const http_response&)> onResponse);
+    /// wait: time for which the store may hold the response back.
+    void sendRequest(http_request request, duration wait, std::function<void(const http_response&)> onResponse);
     /// Follows the history from its start; returns false if it is not later than the one followed.
     bool changeHistory(std::uint64_t history);
     /// Whether the response belongs to an earlier history and arrived late.
@@ -83,7 +90,7 @@
     auto nextStep() const { return m_isLoaded ? &store_follower::readLog : &store_follower::restart; }
     /// Reads a snapshot because the store does not have the offset; at once the first time, later each time with a longer delay.
     void restartAfterGone();
-    /// Ignores the response to the request in progress.
+    /// Cancels the request in progress.
     void abandonRead();
     bool retriesOften() const { return m_retriesFirstReadOften && !m_isLoaded && m_lastSuccess == monotonic_time {}; }
     void onFailure(const std::string& reason);
@@ -102,6 +109,12 @@
     std::uint64_t m_readFrom = 0;
     /// Number of the request or pause in progress; what earlier ones lead to is ignored.
     std::uint64_t m_requestNumber = 0;
+    /// The latest request; done while a pause is scheduled.
+    std::shared_ptr<http_call> m_call;
+    /// Long-poll time of the latest request.
+    duration m_waitOfRequest {};
+    /// The next request may not use a connection that was open before.
+    bool m_needsNewConnection = false;
     /// Delay before the next snapshot if the store does not have the offset again.
     duration m_goneDelay {};
     std::shared_ptr<store_retry_pace> m_retryPace = std::make_shared<store_retry_pace>();
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -27,6 +27,8 @@
 // A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint must
 // stop receiving requests.
 constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
+// A node that hears of nothing for this long no longer relies on updates to tell it of a new configuration.
+constexpr auto maxUpdateSilence = std::chrono::seconds(2);
 constexpr auto updateInterval = std::chrono::milliseconds(400);
 // An update repeats the changes of this time, so that a receiver may miss some.
 constexpr auto repeatedChangesTime = std::chrono::milliseconds(2500);
@@ -34,6 +36,8 @@
 constexpr std::size_t copySources = 2;
 // A configuration that a peer mentions is usually about to arrive from the store.
 constexpr auto configurationGrace = std::chrono::milliseconds(150);
+// Time in which the store begins to answer a read of a configuration that exists.
+constexpr auto configurationReadTime = std::chrono::milliseconds(900);
 // Of a node that neither decides nor reads for all; and of those, while an order is undecided.
 constexpr auto passiveStatusInterval = std::chrono::minutes(5);
 constexpr auto statusInterval = std::chrono::milliseconds(300);
@@ -248,6 +252,8 @@
         }
         log("in_force", version);
         m_configurationRecord = record;
+        if (m_isReader)
+            sendUpdate(std::chrono::steady_clock::now());
         return true;
     } catch (const error& failure) {
         log("invalid", {});
@@ -329,15 +335,31 @@
     }
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
-    const bool missesConfiguration = m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationGrace;
-    if ((!reachesStore() || missesConfiguration) && now - m_lastCopyRequestAt >= copyRequestInterval)
+    readMissingConfiguration(now);
+    if ((!reachesStore() || missesConfiguration(now)) && now - m_lastCopyRequestAt >= copyRequestInterval)
         requestCopyFromAny(now);
 }
 
+bool store_sync::missesConfiguration(monotonic_time now) const
+{
+    return m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationGrace;
+}
+
+// A version that a reader has is in the store, so that a read which began before is on a connection that does not answer any more.
+void store_sync::readMissingConfiguration(monotonic_time now)
+{
+    if (!missesConfiguration(now))
+        return;
+    const auto presumedDead = std::max(m_mentionedAt, now - configurationReadTime);
+    if (m_configurationFollower->awaitsAnswerSince(presumedDead, now))
+        m_configurationFollower->replaceRead();
+}
+
 void store_sync::adjustReadTiming(monotonic_time now)
 {
     const bool readsAtFullRate = m_isReader || !reachesStore();
-    m_configurationFollower->setReadTiming(readsAtFullRate ? duration(configurationWait) : duration(passiveConfigurationWait), {});
+    const bool isTold = !readsAtFullRate && now - m_updateReceivedAt < maxUpdateSilence;
+    m_configurationFollower->setReadTiming(isTold ? duration(passiveConfigurationWait) : duration(configurationWait), {});
     const bool isUpdated = now - m_updatedAsOf < maxEndpointAge;
     const bool needsEndpointRead = readsAtFullRate || !isUpdated;
     m_endpointFollower->setReadTiming({}, needsEndpointRead ? duration(endpointInterval) : duration(passiveEndpointInterval));
@@ -400,6 +422,7 @@
     const auto age = m_readers.receive(stamp, std::chrono::milliseconds(update.age_ms), now);
     if (!age)
         return;
+    m_updateReceivedAt = now;
     relay(update);
     applyRules(update.rollouts);
     const config_version mentioned { update.configuration_version };
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -111,6 +111,9 @@
     void onEndpointsChanged();
     void applyEndpoints();
     void adjustReadTiming(monotonic_time now);
+    /// Reads a configuration anew that a peer has mentioned and the read in progress does not bring.
+    void readMissingConfiguration(monotonic_time now);
+    bool missesConfiguration(monotonic_time now) const;
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
     void requestCopy(std::span<const node_id> sources, std::string_view reason, monotonic_time now);
@@ -159,6 +162,8 @@
     monotonic_time m_lastUpdateAt {};
     monotonic_time m_lastCopyRequestAt {};
     monotonic_time m_lastFirstCopyRequestAt {};
+    /// When the last update of a reader arrived.
+    monotonic_time m_updateReceivedAt {};
     /// Time as of which the endpoints are known through updates.
     monotonic_time m_updatedAsOf {};
     /// Position of the last update that arrived before this node had the endpoints, and the time as of which it was read.
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -121,6 +121,31 @@
         return m_changed.wait_for(guard, 10s, [&] { return std::ranges::find(m_received, text) != m_received.end(); });
     }
 
+    bool waitUntil(const std::function<bool()>& condition)
+    {
+        for (const auto end = std::chrono::steady_clock::now() + 10s; std::chrono::steady_clock::now() < end;) {
+            {
+                const std::lock_guard guard(m_mutex);
+                if (condition())
+                    return true;
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+        return false;
+    }
+
+    bool waitUntilHeld(std::size_t count)
+    {
+        return waitUntil([&] { return m_held.size() >= count; });
+    }
+
+    void awaitFurtherRequests(std::size_t count)
+    {
+        std::size_t before = 0;
+        set([&] { before = m_requests; });
+        ASSERT_TRUE(waitUntil([&] { return m_requests >= before + count; }));
+    }
+
     void set(std::function<void()> change)
     {
         const std::lock_guard guard(m_mutex);
@@ -241,6 +266,38 @@
     EXPECT_EQ(m_received.size(), 11U);
 }
 
+TEST_F(store_follower_test, shorterWait_replacesTheReadThatWaitsLonger)
+{
+    // A node that began to read for all others went on waiting for half a minute on a connection that had fallen silent.
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    m_threads.post(0, [this] { m_follower->setReadTiming(30s, 5ms); });
+    awaitFurtherRequests(3);
+    set([this] { m_isHolding = true; });
+    ASSERT_TRUE(waitUntilHeld(1));
+    set([this] { m_logByOffset[2] = "3 b=2"; });
+    m_threads.post(0, [this] { m_follower->setReadTiming(1500ms, 5ms); });
+    ASSERT_TRUE(waitUntilHeld(2));
+    set([this] { m_isHolding = false; });
+    // The first read stays without an answer.
+    m_threads.post(0, [this] { std::exchange(m_held, {}).at(1)(); });
+    EXPECT_TRUE(waitFor("log:b=2"));
+}
+
+TEST_F(store_follower_test, longerWait_leavesTheReadInProgressAlone)
+{
+    // Guards against calls of all nodes whenever the readers change.
+    start();
+    ASSERT_TRUE(waitFor("newest:a=1"));
+    m_threads.post(0, [this] { m_follower->setReadTiming(1500ms, 5ms); });
+    awaitFurtherRequests(3);
+    set([this] { m_isHolding = true; });
+    ASSERT_TRUE(waitUntilHeld(1));
+    m_threads.post(0, [this] { m_follower->setReadTiming(30s, 5ms); });
+    std::this_thread::sleep_for(100ms);
+    set([this] { EXPECT_EQ(m_held.size(), 1U); });
+}
+
 TEST_F(store_follower_test, logRecordsOlderThanCopyReceivedDuringRead_areNotDelivered)
 {
     // A copy from a peer says that an endpoint leaves; the older record of a read in progress would make it usable again.
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -90,6 +90,8 @@
     virtual void pause() = 0;
     virtual void resume() = 0;
     virtual http_connection connection() const = 0;
+    /// When the latest part of the response arrived; nullopt before its head.
+    virtual std::optional<monotonic_time> lastReceivedAt() const = 0;
 };
 
 /// HTTP/1.1 client with persistent connections, bound to one event loop. Call it only from the thread of that loop; callbacks run
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -232,6 +232,10 @@
         asio::post(m_cache->context, [self = shared_from_this()] { self->parse(); });
     }
     http_connection connection() const override { return m_connectionInfo; }
+    std::optional<monotonic_time> lastReceivedAt() const override
+    {
+        return m_isHeadReceived ? std::optional(m_lastActivity) : std::nullopt;
+    }
 
 private:
     void recordActivity() { m_lastActivity = std::chrono::steady_clock::now(); }
@@ -332,6 +336,7 @@
                 return;
             case response_parser::step::head:
                 recordActivity();
+                m_isHeadReceived = true;
                 if (handlers->onHead)
                     handlers->onHead(m_parser.head());
                 break;
@@ -415,6 +420,7 @@
     monotonic_time m_lastActivity;
     bool m_connecting = false;
     bool m_sent = false;
+    bool m_isHeadReceived = false;
     bool m_paused = false;
     bool m_readDeferred = false;
     bool m_done = false;
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -426,12 +426,15 @@
 
 void store::serve(connection& caller)
 {
+    const unsigned silences = m_silences;
     while (const auto request = caller.read(milliseconds(60000))) {
         pauseFor(storeLatency);
         if (m_isAway)
             return;
         ++m_calls;
         auto text = answer(*request);
+        if (silences != m_silences)
+            continue;
         if (request->target.starts_with("/log-append") && m_lostAnswers > 0) {
             --m_lostAnswers;
             return;
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -131,6 +131,8 @@
     void restore(const contents& older);
     /// While it is away, it closes each connection without an answer.
     void setAway(bool isAway) { m_isAway = isAway; }
+    /// All open connections fall silent for good: nothing more arrives on them, and they stay open. New ones work.
+    void silenceConnections() { ++m_silences; }
     /// Of the next appends, this many are executed without an answer.
     void loseAppendAnswers(unsigned count) { m_lostAnswers = count; }
     /// Newest value of a key; nullopt without one.
@@ -152,6 +154,7 @@
     contents m_topics;
     std::atomic<unsigned> m_history = 1;
     std::atomic<bool> m_isAway = false;
+    std::atomic<unsigned> m_silences = 0;
     std::atomic<unsigned> m_lostAnswers = 0;
     std::atomic<std::size_t> m_calls = 0;
     std::unique_ptr<listener> m_listener;
