Get a configuration from the store once, and from peers in parts

Cause: a node that heard of a version before its own read brought it asked two peers for whole copies every 400 ms, whether or not its read or a copy was on its way. With 2,000 to 3,000 routes a copy is 0.4 to 0.6 MB, half a second of a 10 Mbit/s link: late nodes got and sent copies of what they had by then, which made them later. Class: a retry that does not know what is in flight, paced by time instead of by bytes.

A copy of a known version is dropped before it is decoded.

--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -26,6 +26,8 @@
     /// Peer addresses of other nodes; may be stale.
     std::vector<std::string> seeds;
     std::string storeAddress;
+    /// Rate at which the store answers the reads of all nodes together; 0 if unknown.
+    double storeReadBytesPerSecond = 0;
     /// The whole fleet starts for the first time, so that all quotas are unused.
     bool isFirstStart = false;
     /// Retry budget of the fleet per service and window: retryRatio retries per request plus retrySlack.
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -36,8 +36,7 @@
 constexpr std::size_t copySources = 2;
 // A configuration that a peer mentions is usually about to arrive from the store.
 constexpr auto configurationGrace = std::chrono::milliseconds(150);
-// Time in which the store begins to answer a read of a configuration that exists.
-constexpr auto configurationReadTime = std::chrono::milliseconds(900);
+constexpr auto maxConfigurationGrace = std::chrono::milliseconds(900);
 // Of a node that neither decides nor reads for all; and of those, while an order is undecided.
 constexpr auto passiveStatusInterval = std::chrono::minutes(5);
 constexpr auto statusInterval = std::chrono::milliseconds(300);
@@ -252,6 +251,7 @@
         }
         log("in_force", version);
         m_configurationRecord = record;
+        m_transfer.abandon();
         if (m_isReader)
             sendUpdate(std::chrono::steady_clock::now());
         return true;
@@ -336,13 +336,26 @@
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
     readMissingConfiguration(now);
-    if ((!reachesStore() || missesConfiguration(now)) && now - m_lastCopyRequestAt >= copyRequestInterval)
+    if ((!reachesStore() || needsConfigurationFromPeers(now)) && now - m_lastCopyRequestAt >= copyRequestInterval)
         requestCopyFromAny(now);
 }
 
+bool store_sync::needsConfigurationFromPeers(monotonic_time now) const
+{
+    return missesConfiguration(now) && m_configurationFollower->awaitsAnswerSince(now - copyRequestInterval, now);
+}
+
 bool store_sync::missesConfiguration(monotonic_time now) const
 {
-    return m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationGrace;
+    return m_mentionedVersion > m_handlers.version() && now - m_mentionedAt > configurationReadTime(m_mentionedBytes);
+}
+
+duration store_sync::configurationReadTime(std::size_t bytes) const
+{
+    const auto all = static_cast<double>(bytes) * static_cast<double>(m_members.reachable().size());
+    const auto transfer = m_settings.storeReadBytesPerSecond > 0 ? all / m_settings.storeReadBytesPerSecond : 0;
+    const auto expected = configurationGrace + std::chrono::duration_cast<duration>(std::chrono::duration<double>(transfer));
+    return std::min<duration>(expected, maxConfigurationGrace);
 }
 
 // A version that a reader has is in the store, so that a read which began before is on a connection that does not answer any more.
@@ -350,7 +363,7 @@
 {
     if (!missesConfiguration(now))
         return;
-    const auto presumedDead = std::max(m_mentionedAt, now - configurationReadTime);
+    const auto presumedDead = std::max<monotonic_time>(m_mentionedAt, now - maxConfigurationGrace);
     if (m_configurationFollower->awaitsAnswerSince(presumedDead, now))
         m_configurationFollower->replaceRead();
 }
@@ -383,6 +396,7 @@
     update.sent_us = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
     update.sequence = ++m_updateSequence;
     update.configuration_version = m_handlers.version().value;
+    update.configuration_bytes = m_configurationRecord.value ? static_cast<std::uint32_t>(m_configurationRecord.value->size()) : 0;
     update.history = endpointPosition().history;
     update.offset = endpointPosition().offset;
     update.age_ms = ageInMilliseconds(m_endpointFollower->asOf(), now);
@@ -429,6 +443,7 @@
     if (mentioned > m_mentionedVersion) {
         m_mentionedVersion = mentioned;
         m_mentionedAt = now;
+        m_mentionedBytes = update.configuration_bytes;
         m_log.event("configuration_mentioned")
             .field("version", mentioned)
             .field("known", m_handlers.version())
@@ -457,19 +472,21 @@
         return;
     m_lastFirstCopyRequestAt = now;
     m_log.event("first_copy_requested").field("peer", sender);
-    requestCopy({ &sender, 1 }, "no_endpoints", now);
+    requestCopy({ &sender, 1 }, "no_endpoints", configuration_transfer::firstPartBytes, now);
 }
 
 void store_sync::requestCopyFromAny(monotonic_time now)
 {
+    if (m_transfer.isActive(now))
+        return;
     auto nodes = m_members.reachable();
     std::erase(nodes, m_self);
     std::ranges::shuffle(nodes, m_random);
     nodes.resize(std::min(nodes.size(), copySources));
-    requestCopy(nodes, reachesStore() ? "configuration_missing" : "store_unreachable", now);
+    requestCopy(nodes, reachesStore() ? "configuration_missing" : "store_unreachable", configuration_transfer::firstPartBytes, now);
 }
 
-void store_sync::requestCopy(std::span<const node_id> sources, std::string_view reason, monotonic_time now)
+void store_sync::requestCopy(std::span<const node_id> sources, std::string_view reason, std::uint32_t partBytes, monotonic_time now)
 {
     m_lastCopyRequestAt = now;
     for (const auto& source : sources) {
@@ -477,12 +494,17 @@
             .field("peer", source)
             .field("reason", reason)
             .field("known", m_handlers.version())
-            .field("mentioned", m_mentionedVersion);
+            .field("mentioned", m_mentionedVersion)
+            .field("part_version", m_transfer.version())
+            .field("part_offset", m_transfer.offset());
     }
     peer::copy_requestT request;
     request.history = endpointPosition().history;
     request.endpoints_offset = endpointPosition().offset;
     request.configuration_version = m_handlers.version().value;
+    request.part_bytes = partBytes;
+    request.part_version = m_transfer.version().value;
+    request.part_offset = m_transfer.offset();
     peer::envelopeT message;
     message.body.Set(std::move(request));
     m_handlers.send(sources, std::move(message));
@@ -513,23 +535,26 @@
 
 void store_sync::answer(const node_id& sender, const peer::copy_requestT& request, monotonic_time now)
 {
+    const bool isFurtherPart = request.part_offset > 0;
     const bool sendsConfiguration = m_handlers.version().value > request.configuration_version && m_configurationRecord.value;
-    const bool sendsEndpoints = hasCurrentEndpoints(now) && endpointPosition() > log_position { request.history, request.endpoints_offset };
+    const bool sendsEndpoints
+        = !isFurtherPart && hasCurrentEndpoints(now) && endpointPosition() > log_position { request.history, request.endpoints_offset };
     if (!sendsConfiguration && !sendsEndpoints)
         return;
     peer::store_copyT copy;
-    for (auto& rules : m_handlers.rules())
-        copy.rollouts.push_back(std::make_unique<peer::rollout_rulesT>(std::move(rules)));
-    if (sendsConfiguration) {
-        copy.configuration_key = m_configurationRecord.key;
-        copy.configuration.assign(m_configurationRecord.value->begin(), m_configurationRecord.value->end());
+    if (!isFurtherPart) {
+        for (auto& rules : m_handlers.rules())
+            copy.rollouts.push_back(std::make_unique<peer::rollout_rulesT>(std::move(rules)));
     }
+    if (sendsConfiguration)
+        fillConfiguration(copy, request);
     copy.history = endpointPosition().history;
     if (sendsEndpoints)
         m_endpoints.fillCopy(copy, endpointPosition().offset, now);
     m_log.event("copy_sent")
         .field("peer", sender)
-        .field("version", sendsConfiguration ? m_handlers.version() : config_version {})
+        .field("version", copy.configuration_version)
+        .field("offset", copy.configuration_offset)
         .field("bytes", copy.configuration.size())
         .field("endpoints", copy.endpoints.size());
     peer::envelopeT message;
@@ -537,6 +562,22 @@
     m_handlers.send({ &sender, 1 }, std::move(message));
 }
 
+void store_sync::fillConfiguration(peer::store_copyT& copy, const peer::copy_requestT& request) const
+{
+    const std::string_view whole = *m_configurationRecord.value;
+    copy.configuration_key = m_configurationRecord.key;
+    copy.configuration_version = m_handlers.version().value;
+    if (request.part_bytes == 0) {
+        copy.configuration.assign(whole.begin(), whole.end());
+        return;
+    }
+    copy.configuration_size = static_cast<std::uint32_t>(whole.size());
+    if (request.part_version == copy.configuration_version && request.part_offset < whole.size())
+        copy.configuration_offset = request.part_offset;
+    const auto part = whole.substr(copy.configuration_offset, request.part_bytes);
+    copy.configuration.assign(part.begin(), part.end());
+}
+
 void store_sync::applyRules(const std::vector<std::unique_ptr<peer::rollout_rulesT>>& rules)
 {
     for (const auto& entry : rules) {
@@ -545,12 +586,34 @@
     }
 }
 
+void store_sync::receiveConfiguration(const node_id& sender, const peer::store_copyT& copy, monotonic_time now)
+{
+    // A node of an older version sends the whole.
+    if (copy.configuration_size == 0) {
+        applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) },
+            configuration_source::copy, sender);
+        return;
+    }
+    const configuration_transfer::part part { config_version { copy.configuration_version }, copy.configuration_size,
+        copy.configuration_offset, copy.configuration };
+    switch (m_transfer.receive(sender, part, m_handlers.version(), now)) {
+    case configuration_transfer::step::ignored:
+        break;
+    case configuration_transfer::step::incomplete:
+        if (!m_configurationFollower->isReceiving(now))
+            requestCopy({ &sender, 1 }, "next_part", configuration_transfer::partBytes, now);
+        break;
+    case configuration_transfer::step::complete:
+        applyConfiguration({ copy.configuration_key, m_transfer.take() }, configuration_source::copy, sender);
+        break;
+    }
+}
+
 void store_sync::receive(const node_id& sender, const peer::store_copyT& copy)
 {
     applyRules(copy.rollouts);
     if (!copy.configuration_key.empty())
-        applyConfiguration({ copy.configuration_key, std::string(copy.configuration.begin(), copy.configuration.end()) },
-            configuration_source::copy, sender);
+        receiveConfiguration(sender, copy, std::chrono::steady_clock::now());
     const log_position position { copy.history, copy.endpoints_offset };
     if (copy.endpoints.empty() || position <= endpointPosition())
         return;
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration_transfer.h"
 #include "decision_log.h"
 #include "endpoint_registry.h"
 #include "fleet_members.h"
@@ -114,9 +115,16 @@
     /// Reads a configuration anew that a peer has mentioned and the read in progress does not bring.
     void readMissingConfiguration(monotonic_time now);
     bool missesConfiguration(monotonic_time now) const;
+    /// Time within which the store answers the reads of all nodes that wait for a configuration of this size.
+    duration configurationReadTime(std::size_t bytes) const;
     void sendUpdate(monotonic_time now);
     void relay(peer::store_updateT update);
-    void requestCopy(std::span<const node_id> sources, std::string_view reason, monotonic_time now);
+    /// partBytes: of a configuration that may be sent at once.
+    void requestCopy(std::span<const node_id> sources, std::string_view reason, std::uint32_t partBytes, monotonic_time now);
+    /// Whether peers have to be asked for a configuration that the store does not bring.
+    bool needsConfigurationFromPeers(monotonic_time now) const;
+    void receiveConfiguration(const node_id& sender, const peer::store_copyT& copy, monotonic_time now);
+    void fillConfiguration(peer::store_copyT& copy, const peer::copy_requestT& request) const;
     /// Asks random peers for what this node cannot read from the store.
     void requestCopyFromAny(monotonic_time now);
     /// Called for an update before this node has the endpoints: asks its sender for them.
@@ -150,6 +158,7 @@
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
+    configuration_transfer m_transfer;
     std::set<node_id> m_listed;
     bool m_isReader = false;
     bool m_hasNodeSnapshot = false;
@@ -175,6 +184,7 @@
     /// Newest configuration that a peer mentioned, and when it was first mentioned.
     config_version m_mentionedVersion;
     monotonic_time m_mentionedAt {};
+    std::size_t m_mentionedBytes = 0;
 };
 
 } // namespace carawaylink::gateway
