End held responders of store_follower_test before its server

shorterWait_* and longerWait_* keep answers back when they end; the responders were destroyed after the server and the event loop that they use, and the test program hung once.

--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -57,7 +57,12 @@
     {
     }
 
-    ~store_follower_test() override { m_threads.stop(); }
+    ~store_follower_test() override
+    {
+        m_threads.stop();
+        // Responders must not outlive the server and its threads.
+        m_held.clear();
+    }
 
     void start()
     {
