Keep a request that crashes its endpoints away from them

Cause: crashes were related only by shared parts of a prompt; a request without a prompt, or whose parts are all shared with sound requests, has none. Class: evidence tied to one kind of request's name in place of the request.

A shared part that nobody answers explains crashes before a request does. Each crash with a request that was never answered counts; for one answered before, only crashes at separate moments do, so that requests which many callers send survive the loss of a failure domain. A request that is quarantined is not retried, also after its answer began.

--- a/libs/gateway/src/crash_detector.cpp
+++ b/libs/gateway/src/crash_detector.cpp
@@ -2,6 +2,9 @@
 
 #include "endpoint_probe.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <utility>
 
 namespace carawaylink::gateway {
@@ -14,11 +17,12 @@
 }
 
 void crash_detector::recordLoss(
-    const discovery::replica_id& replica, const endpoint_id& address, const service_id& service, const prompt_quarantine::parts& unanswered)
+    const discovery::replica_id& replica, const endpoint_id& address, const service_id& service, const lost_requests& lost)
 {
     const auto [suspected, isNew] = m_suspected.try_emplace(replica, suspected_crash { service, {} });
-    auto& parts = suspected->second.unanswered;
-    parts.insert(parts.end(), unanswered.begin(), unanswered.end());
+    auto& all = suspected->second.lost;
+    std::ranges::copy(lost.unansweredParts, std::back_inserter(all.unansweredParts));
+    std::ranges::copy(lost.requests, std::back_inserter(all.requests));
     if (!isNew)
         return;
     probeEndpoint(m_context, address, [this, replica, alive = std::weak_ptr(m_alive)](bool hasEnded) {
@@ -26,7 +30,7 @@
             return;
         const auto probed = m_suspected.extract(replica);
         if (hasEnded)
-            m_onCrash(replica, probed.mapped().service, probed.mapped().unanswered);
+            m_onCrash(replica, probed.mapped().service, probed.mapped().lost);
     });
 }
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -79,6 +79,13 @@
 
 } // namespace
 
+prompt_quarantine::parts admitted_request::guardedParts() const
+{
+    auto result = sharedParts;
+    result.push_back(identity);
+    return result;
+}
+
 exchange::exchange(request_dispatcher& dispatcher, admitted_request admitted, std::shared_ptr<http_responder> responder)
     : m_dispatcher(dispatcher)
     , m_admitted(std::move(admitted))
@@ -362,6 +369,7 @@
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
     recordOutcome(placement::outcome::completed);
+    m_dispatcher.recordCompletion(*this);
     end("served", [this] { m_responder->finish(); });
 }
 
@@ -373,6 +381,7 @@
         return;
     }
     recordAnswer();
+    m_dispatcher.recordCompletion(*this);
     // The endpoint does not say that it did not execute the request, so its status must not say so to the caller.
     if (promisesNotExecuted(m_head.status) && !m_admitted.route.isSafeToRetry()) {
         attemptFailed(placement::outcome::failed, "status " + std::to_string(m_head.status) + " of a request that may have been executed");
@@ -401,8 +410,8 @@
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
     recordProof(result);
-    if (result == placement::outcome::broken && eventsOfAttempt() == 0)
-        m_dispatcher.recordUnansweredLoss(*this, m_grant);
+    if (result == placement::outcome::broken)
+        m_dispatcher.recordLoss(*this, m_grant, eventsOfAttempt() > 0);
     // An unreachable endpoint did no work, so its retry needs no budget. A replaced one does: another process answered the request.
     const bool willRetry = canRetry(result, now) && (result == placement::outcome::unreachable || tryTakeRetry());
     endAttempt(result, detail, willRetry);
@@ -455,7 +464,7 @@
     if (m_responder->closed() || m_admitted.responseDeadline - now < minRetryTime || m_sends.undelivered() >= maxUndeliveredSends)
         return false;
     const bool isUnsafe = m_sends.mayHaveExecuted() && !m_admitted.route.isSafeToRetry();
-    if (isUnsafe || (m_admitted.isProbe && m_sends.delivered() > 0))
+    if (isUnsafe || (m_admitted.isProbe && m_sends.delivered() > 0) || m_dispatcher.isQuarantined(*this))
         return false;
     if (result == placement::outcome::unreachable)
         return true;
@@ -550,7 +559,8 @@
 
 void exchange::endUnanswered(std::string_view reason, duration retryAfter)
 {
-    if (m_state != state::done && !m_isAnswered)
+    const bool isBeingAnswered = m_isAnswered && m_state != state::waiting;
+    if (m_state != state::done && !isBeingAnswered)
         endNow(reason, retryAfter);
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -31,9 +31,14 @@
     tokens expectedOutput { 0 };
     tokens prompt { 0 };
     prompt_quarantine::parts sharedParts;
+    /// Stands for the request itself: the same in each that a caller sends again.
+    quarantine::part_hash identity;
     placement::prompt_parts promptParts;
     /// Probes quarantined parts: reaches one endpoint at most.
     bool isProbe = false;
+
+    /// What a quarantine may keep from endpoints.
+    prompt_quarantine::parts guardedParts() const;
 };
 
 /// One request from admission to its final response: sends it to the granted endpoints, relays the response, retries where that is
@@ -48,7 +53,7 @@
     void onRefused(const placement::refusal& refusal);
     /// Enforces the deadline and requests a replacement for an unresponsive endpoint.
     void tick(monotonic_time now);
-    /// Refuses the request unless an endpoint has begun to answer it; cancels its attempt.
+    /// Ends the request unless an endpoint is answering it; cancels its attempt.
     void endUnanswered(std::string_view reason, duration retryAfter);
     /// Ends the request because its messages hold the most memory while the node holds too much.
     void endForMemory();
--- a/libs/gateway/src/prompt_quarantine.cpp
+++ b/libs/gateway/src/prompt_quarantine.cpp
@@ -2,6 +2,8 @@
 
 #include "peer_codec.h"
 
+#include "crypto/digest.h"
+
 #include <algorithm>
 #include <charconv>
 #include <iomanip>
@@ -72,6 +74,13 @@
     return result;
 }
 
+quarantine::part_hash prompt_quarantine::identityOf(const service_id& service, const http_request& request, const std::string& caller)
+{
+    // No field contains the separator but the body, which comes last.
+    const auto text = request.method + '\n' + request.target + '\n' + caller + '\n' + request.body;
+    return partHash(serviceHash(service), "request " + sha256Hex(text));
+}
+
 std::string prompt_quarantine::logName(part_hash part)
 {
     std::ostringstream text;
@@ -144,14 +153,15 @@
 }
 
 void prompt_quarantine::recordCrash(
-    const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now)
+    const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now, const parts& requests)
 {
     if (m_crashes.size() >= maxRepeatedCrashes)
         m_crashes.pop_front();
-    m_crashes.push_back({ { serviceHash(service), quarantine::replica_hash { replicaHash(replica) }, unanswered }, now, {} });
+    m_crashes.push_back({ { serviceHash(service), quarantine::replica_hash { replicaHash(replica) }, unanswered, requests }, now, {} });
     auto line = m_log.event("endpoint_crashed");
     line.field("service", service).field("replica", replica);
     std::ranges::for_each(unanswered, [&line](part_hash part) { line.field("part", logName(part)); });
+    std::ranges::for_each(requests, [&line](part_hash request) { line.field("identity", logName(request)); });
 }
 
 void prompt_quarantine::tick(const fleet_members& members, monotonic_time now)
@@ -204,6 +214,7 @@
         report.replica = reported.crash.replica.value;
         report.age_ms = encodeMilliseconds(now - reported.time);
         std::ranges::transform(reported.crash.parts, std::back_inserter(report.parts), &part_hash::value);
+        std::ranges::transform(reported.crash.requests, std::back_inserter(report.requests), &part_hash::value);
         auto collectors = collectorsOf(reported.crash.service, members);
         for (const auto& collector : collectors) {
             if (std::ranges::find(reported.collectors, collector) == reported.collectors.end())
@@ -333,7 +344,9 @@
 void prompt_quarantine::receive(const peer::crash_reportT& report, monotonic_time now)
 {
     quarantine::endpoint_crash crash { quarantine::service_hash { report.service }, quarantine::replica_hash { report.replica }, {} };
-    std::ranges::transform(report.parts, std::back_inserter(crash.parts), [](std::uint64_t part) { return part_hash { part }; });
+    const auto toHash = [](std::uint64_t part) { return part_hash { part }; };
+    std::ranges::transform(report.parts, std::back_inserter(crash.parts), toHash);
+    std::ranges::transform(report.requests, std::back_inserter(crash.requests), toHash);
     m_correlator.addCrash(crash, now - std::chrono::milliseconds(report.age_ms), m_list, now);
 }
 
--- a/libs/gateway/src/prompt_quarantine.h
+++ b/libs/gateway/src/prompt_quarantine.h
@@ -34,6 +34,8 @@
     prompt_quarantine(node_id self, decision_log& log, sender send);
 
     static parts partsOf(const service_id& service, std::span<const std::string> sharedParts);
+    /// The same for each request of the caller with this method, target and body. Digests the body, of which it tells nothing.
+    static quarantine::part_hash identityOf(const service_id& service, const http_request& request, const std::string& caller);
 
     /// Names a part in log lines.
     static std::string logName(quarantine::part_hash part);
@@ -62,10 +64,11 @@
     void endProbe(std::uint64_t request) { m_probes.end(request); }
     /// An endpoint began to answer the request; returns whether it was a probe.
     bool recordProbeAnswer(std::uint64_t request, monotonic_time now);
-    /// An endpoint began to answer a request with these parts.
+    /// An endpoint began to answer a request with these parts, or has answered these requests.
     void recordAnswer(const parts& answered, monotonic_time now);
-    /// An endpoint's process ended while it had not begun to answer requests with these parts.
-    void recordCrash(const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now);
+    /// An endpoint's process ended while it had not begun to answer requests with these parts, nor completed the answers to these requests.
+    void recordCrash(const service_id& service, const discovery::replica_id& replica, const parts& unanswered, monotonic_time now,
+        const parts& requests = {});
 
     /// Sends what is due; call every few tens of milliseconds.
     void tick(const fleet_members& members, monotonic_time now);
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -78,8 +78,8 @@
           [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_quarantine(m_self, log, [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_crashes(context,
-          [this](const discovery::replica_id& replica, const service_id& service, const prompt_quarantine::parts& unanswered) {
-              m_quarantine.recordCrash(service, replica, unanswered, std::chrono::steady_clock::now());
+          [this](const discovery::replica_id& replica, const service_id& service, const lost_requests& lost) {
+              m_quarantine.recordCrash(service, replica, lost.unansweredParts, std::chrono::steady_clock::now(), lost.requests);
           })
     , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
 {
@@ -186,13 +186,15 @@
     }
     admitted.promptParts = placement::significantParts(metadata.promptParts);
     admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
-    if (const auto remaining = m_quarantine.remaining(admitted.sharedParts, now)) {
-        logQuarantined(metadata, admitted.sharedParts, now);
+    admitted.identity = prompt_quarantine::identityOf(admitted.service, request, team ? team->name.value : metadata.key);
+    const auto guarded = admitted.guardedParts();
+    if (const auto remaining = m_quarantine.remaining(guarded, now)) {
+        logQuarantined(metadata, guarded, now);
         refuse(statusUnavailable, "quarantined_prompt", *remaining);
         return;
     }
-    if (const auto probed = m_quarantine.onProbation(admitted.sharedParts, now); !probed.empty() && !probe) {
-        logQuarantined(metadata, admitted.sharedParts, now);
+    if (const auto probed = m_quarantine.onProbation(guarded, now); !probed.empty() && !probe) {
+        logQuarantined(metadata, guarded, now);
         askForProbe(std::move(request), std::move(responder), metadata.attempt, probed, now);
         return;
     }
@@ -224,7 +226,7 @@
             continue;
         m_log.event("prompt_quarantined")
             .field("request", metadata.attempt)
-            .field("shared_part", metadata.sharedParts[i])
+            .field("shared_part", i < metadata.sharedParts.size() ? metadata.sharedParts[i] : "none")
             .field("part", prompt_quarantine::logName(parts[i]))
             .field("remaining_ms", wholeMilliseconds(remaining.value_or(duration {})));
     }
@@ -525,10 +527,23 @@
         m_metrics.promptProbe("answered");
 }
 
-void request_dispatcher::recordUnansweredLoss(const exchange& source, const placement::grant& grant)
+bool request_dispatcher::isQuarantined(const exchange& source) const
 {
-    if (!source.admitted().sharedParts.empty())
-        m_crashes.recordLoss(grant.replica, grant.address, source.service(), source.admitted().sharedParts);
+    return m_quarantine.remaining(source.admitted().guardedParts(), std::chrono::steady_clock::now()).has_value();
+}
+
+// An answer that has begun says that its endpoint survived the prompt, not that it survives the request.
+void request_dispatcher::recordCompletion(const exchange& source)
+{
+    m_quarantine.recordAnswer({ source.admitted().identity }, std::chrono::steady_clock::now());
+}
+
+void request_dispatcher::recordLoss(const exchange& source, const placement::grant& grant, bool hasBegunToAnswer)
+{
+    lost_requests lost { {}, { source.admitted().identity } };
+    if (!hasBegunToAnswer)
+        lost.unansweredParts = source.admitted().sharedParts;
+    m_crashes.recordLoss(grant.replica, grant.address, source.service(), lost);
 }
 
 void request_dispatcher::endQuarantined()
@@ -536,7 +551,7 @@
     const auto now = std::chrono::steady_clock::now();
     std::vector<std::pair<std::shared_ptr<exchange>, duration>> ended;
     for (const auto& [id, entry] : m_exchanges) {
-        if (const auto remaining = m_quarantine.remaining(entry->admitted().sharedParts, now))
+        if (const auto remaining = m_quarantine.remaining(entry->admitted().guardedParts(), now))
             ended.emplace_back(entry, *remaining);
     }
     for (const auto& [entry, remaining] : ended)
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -86,8 +86,12 @@
     bool tryTakeRetry(const service_id& service);
     /// An endpoint began to answer.
     void recordAnswer(const exchange& source);
-    /// The connection to the endpoint was lost before it began to answer.
-    void recordUnansweredLoss(const exchange& source, const placement::grant& grant);
+    /// Whether the request must not reach another endpoint.
+    bool isQuarantined(const exchange& source) const;
+    /// An endpoint answered completely.
+    void recordCompletion(const exchange& source);
+    /// The connection to the endpoint was lost before its answer was complete.
+    void recordLoss(const exchange& source, const placement::grant& grant, bool hasBegunToAnswer);
     /// Converts the reserved units of a request that was sent into usage.
     void commitQuota(const team_id& team, double units);
     /// Releases the reserved units of a request that was not sent.
--- a/libs/gateway/tests/prompt_quarantine_tests.cpp
+++ b/libs/gateway/tests/prompt_quarantine_tests.cpp
@@ -482,5 +482,21 @@
     EXPECT_EQ(m_messages, 0U);
 }
 
+TEST(request_identity_test, requestsThatDifferInAnything_differ)
+{
+    // Another caller's request with the same body is sound, and must not be refused.
+    const auto identity = [](const http_request& request, const std::string& caller) {
+        return prompt_quarantine::identityOf(service_id { "s" }, request, caller);
+    };
+    const http_request request { "POST", "/a/b", {}, "body" };
+    const auto known = identity(request, "team");
+    EXPECT_EQ(identity({ "POST", "/a/b", { { "attempt", "2" } }, "body" }, "team"), known);
+    EXPECT_NE(identity(request, "other"), known);
+    EXPECT_NE(identity({ "PUT", "/a/b", {}, "body" }, "team"), known);
+    EXPECT_NE(identity({ "POST", "/a/c", {}, "body" }, "team"), known);
+    EXPECT_NE(identity({ "POST", "/a/b", {}, "bodz" }, "team"), known);
+    EXPECT_NE(identity({ "POST", "/a/b", {}, "" }, "team\nbody"), known);
+}
+
 } // namespace
 } // namespace carawaylink::gateway
--- a/libs/quarantine/include/quarantine/crash_correlator.h
+++ b/libs/quarantine/include/quarantine/crash_correlator.h
@@ -8,11 +8,14 @@
 
 namespace carawaylink::quarantine {
 
-/// An endpoint that ended, and the shared prompt parts of the requests that it had not begun to answer; of each request in order.
+/// An endpoint that ended.
 struct endpoint_crash {
     service_hash service;
     replica_hash replica;
+    /// Shared prompt parts of the requests that it had not begun to answer; of each request in order.
     std::vector<part_hash> parts;
+    /// The requests that it had not answered completely.
+    std::vector<part_hash> requests {};
 };
 
 struct suspected_part {
@@ -30,8 +33,10 @@
     duration elapsed {};
 };
 
-/// Finds the prompt parts that crash endpoints, from the crashes and answers that all nodes report. A part is suspected once it stands in
-/// crashes at two separate moments without an answer since the first, and quarantined by the third. Crashes that a quarantined part
+/// Finds the requests and prompt parts that crash endpoints, from the crashes and answers that all nodes report. A request counts as a part
+/// of its own, which explains crashes that no shared part does. A part is suspected once it stands in
+/// crashes at two separate moments without an answer since the first, and quarantined by the third; of a request that was never answered
+/// each crash counts. Crashes that a quarantined part
 /// explains no longer count against others. Does no I/O and reads no clock.
 class crash_correlator {
 public:
@@ -58,8 +63,11 @@
     struct part_state {
         std::optional<monotonic_time> lastAnswer;
         std::optional<monotonic_time> suspectedAt;
-        /// Position in the prompt.
+        /// Position in the prompt, from 1; 0 for a request.
         std::size_t depth = 0;
+
+        /// Time between crashes that count as separate.
+        duration separation() const;
     };
     struct service_state {
         std::deque<crash_record> crashes;
@@ -72,7 +80,7 @@
         monotonic_time first {};
         monotonic_time last {};
 
-        void add(monotonic_time time);
+        void add(monotonic_time time, duration separation);
     };
     struct candidate {
         part_hash part;
@@ -83,6 +91,7 @@
         bool isLikelierThan(const candidate& other) const;
     };
 
+    static void addPart(service_state& service, crash_record& record, part_hash part, std::size_t depth);
     static void expire(service_state& service, monotonic_time now);
     /// Crashes since the last answer, by part.
     static std::map<part_hash, crash_count> countCrashes(const service_state& service);
--- a/libs/quarantine/include/quarantine/prompt_part.h
+++ b/libs/quarantine/include/quarantine/prompt_part.h
@@ -4,7 +4,7 @@
 
 namespace carawaylink::quarantine {
 
-/// Identifies a shared part of prompts of one service.
+/// Identifies a shared part of prompts of one service, or a request to it.
 using part_hash = strong_value<struct part_hash_tag, std::uint64_t>;
 using service_hash = strong_value<struct service_hash_tag, std::uint64_t>;
 using replica_hash = strong_value<struct replica_hash_tag, std::uint64_t>;
--- a/libs/quarantine/src/crash_correlator.cpp
+++ b/libs/quarantine/src/crash_correlator.cpp
@@ -40,7 +40,8 @@
 
 void crash_correlator::addCrash(const endpoint_crash& crash, monotonic_time endedAt, const quarantine_list& known, monotonic_time now)
 {
-    if (std::ranges::any_of(crash.parts, [&](part_hash part) { return known.remaining(part, now).has_value(); }))
+    const auto isInForce = [&](part_hash part) { return known.remaining(part, now).has_value(); };
+    if (std::ranges::any_of(crash.parts, isInForce) || std::ranges::any_of(crash.requests, isInForce))
         return;
     auto& service = m_services[crash.service];
     const auto isSame = [&](const crash_record& entry) {
@@ -53,15 +54,23 @@
         const auto position = std::ranges::upper_bound(service.crashes, endedAt, {}, &crash_record::time);
         record = service.crashes.insert(position, { crash.replica, endedAt, {} });
     }
-    for (std::size_t i = 0; i < crash.parts.size() && record->parts.size() < maxPartsPerCrash; ++i) {
-        auto& part = service.parts[crash.parts[i]];
-        part.depth = std::max(part.depth, i);
-        if (!contains(record->parts, crash.parts[i]))
-            record->parts.push_back(crash.parts[i]);
-    }
+    for (std::size_t i = 0; i < crash.parts.size(); ++i)
+        addPart(service, *record, crash.parts[i], i + 1);
+    for (const auto request : crash.requests)
+        addPart(service, *record, request, 0);
     service.hasChanged = true;
 }
 
+void crash_correlator::addPart(service_state& service, crash_record& record, part_hash part, std::size_t depth)
+{
+    if (record.parts.size() >= maxPartsPerCrash)
+        return;
+    auto& state = service.parts[part];
+    state.depth = std::max(state.depth, depth);
+    if (!contains(record.parts, part))
+        record.parts.push_back(part);
+}
+
 void crash_correlator::addAnswer(const suspected_part& answered, monotonic_time answeredAt)
 {
     const auto service = m_services.find(answered.service);
@@ -122,7 +131,8 @@
 }
 
 // Of several candidates, the part whose last answer is oldest. Among parts without any, the one that stands later in the prompt: the other
-// requests with the parts before it go on to tell whether those crash endpoints as well.
+// requests with the parts before it go on to tell whether those crash endpoints as well. A request comes last, since a part that explains
+// its crashes would crash endpoints in other requests too.
 std::optional<crash_correlator::candidate> crash_correlator::findCause(
     const service_state& service, const quarantine_list& known, monotonic_time now)
 {
@@ -155,9 +165,9 @@
     std::map<part_hash, crash_count> result;
     for (const auto& crash : service.crashes) {
         for (const auto part : crash.parts) {
-            const auto& lastAnswer = service.parts.at(part).lastAnswer;
-            if (!lastAnswer || crash.time > *lastAnswer)
-                result[part].add(crash.time);
+            const auto& state = service.parts.at(part);
+            if (!state.lastAnswer || crash.time > *state.lastAnswer)
+                result[part].add(crash.time, state.separation());
         }
     }
     return result;
@@ -168,14 +178,20 @@
     crash_count all;
     for (const auto& crash : service.crashes) {
         if (crash.time >= since)
-            all.add(crash.time);
+            all.add(crash.time, separateCrashTime);
     }
     return all.count;
 }
 
-void crash_correlator::crash_count::add(monotonic_time time)
+// Endpoints that end together may have ended with any request that many callers send, but such a request was answered before.
+duration crash_correlator::part_state::separation() const
+{
+    return depth == 0 && !lastAnswer ? duration {} : duration(separateCrashTime);
+}
+
+void crash_correlator::crash_count::add(monotonic_time time, duration separation)
 {
-    if (count > 0 && time - last < separateCrashTime)
+    if (count > 0 && time - last < separation)
         return;
     if (count == 0)
         first = time;
--- a/libs/quarantine/tests/crash_correlator_tests.cpp
+++ b/libs/quarantine/tests/crash_correlator_tests.cpp
@@ -15,10 +15,10 @@
 class crash_correlator_test : public testing::Test {
 protected:
     // An endpoint of its own ends with these parts, after the pause.
-    void crash(std::vector<part_hash> parts, duration pause = 300ms)
+    void crash(std::vector<part_hash> parts, duration pause = 300ms, std::vector<part_hash> requests = {})
     {
         m_now += pause;
-        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, std::move(parts) }, m_now, m_known, m_now);
+        m_correlator.addCrash({ service, replica_hash { ++m_replicas }, std::move(parts), std::move(requests) }, m_now, m_known, m_now);
     }
 
     void answer(part_hash part) { m_correlator.addAnswer({ service, part }, m_now); }
@@ -172,5 +172,62 @@
     EXPECT_EQ(quarantined(), std::vector { deadly });
 }
 
+TEST_F(crash_correlator_test, requestWithoutPartsInThreeCrashes_isQuarantined)
+{
+    // Nothing related the crashes of endpoints whose requests have no prompt.
+    for (int i = 0; i < 3; ++i)
+        crash({}, 300ms, { deadly });
+    EXPECT_EQ(quarantined(), (std::vector { deadly }));
+}
+
+TEST_F(crash_correlator_test, requestThatWasAnsweredBetweenCrashes_isNotQuarantined)
+{
+    // Guards a request that many callers send, and that stands on every endpoint that ends.
+    for (int i = 0; i < 6; ++i) {
+        crash({}, 300ms, { common });
+        m_correlator.takeSuspects(m_known, m_now);
+        answer(common);
+    }
+    EXPECT_TRUE(quarantined().empty());
+}
+
+TEST_F(crash_correlator_test, requestThatWasNeverAnswered_isQuarantinedByThreeCrashesAtOnce)
+{
+    // All endpoints of a small service end within a moment, and would again each time they are back.
+    for (int i = 0; i < 3; ++i)
+        crash({}, 10ms, { deadly });
+    EXPECT_EQ(quarantined(), (std::vector { deadly }));
+}
+
+TEST_F(crash_correlator_test, requestThatWasAnsweredBefore_isNotQuarantinedByCrashesAtOnce)
+{
+    // A failure domain ends with a request on each of its endpoints that many callers send.
+    crash({}, 10ms, { common });
+    crash({}, 10ms, { common });
+    m_correlator.takeSuspects(m_known, m_now);
+    m_correlator.addAnswer({ service, common }, m_now - 5s);
+    crash({}, 10ms, { common });
+    EXPECT_TRUE(quarantined().empty());
+}
+
+TEST_F(crash_correlator_test, unansweredPartThatExplainsTheCrashes_isQuarantinedInsteadOfTheRequest)
+{
+    // The retries of one request crash three endpoints by themselves; the others with the part would crash further ones.
+    for (int i = 0; i < 3; ++i)
+        crash({ common }, 300ms, { deadly });
+    EXPECT_EQ(quarantined(), (std::vector { common }));
+}
+
+TEST_F(crash_correlator_test, requestWhosePartsAreAnswered_isQuarantined)
+{
+    // All parts of its prompt are shared with sound requests.
+    for (int i = 0; i < 3; ++i) {
+        crash({ common }, 300ms, { deadly });
+        m_correlator.takeSuspects(m_known, m_now);
+        answer(common);
+    }
+    EXPECT_EQ(quarantined(), (std::vector { deadly }));
+}
+
 } // namespace
 } // namespace carawaylink::quarantine
