--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -82,6 +82,11 @@
     bool reachesStore() const;
 
 private:
+    /// A node whose endpoints are known as of longer ago than this reads them itself. Well below the time within which a leaving endpoint
+    /// must stop receiving requests.
+    static constexpr auto maxEndpointAge = std::chrono::milliseconds(1000);
+    static constexpr auto copyRequestInterval = std::chrono::milliseconds(400);
+
     void follow();
     /// The followers of all topics; those that do not exist yet are null.
     std::array<std::shared_ptr<store_follower>, 6> followers() const
