Give a class and some time-outs names that need no explaining

node_lives is node_runs, with what it holds; callLimit, agreeLimit and patience of two tests are time-outs.

--- a/libs/bench/src/cluster.cpp
+++ b/libs/bench/src/cluster.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr auto startLimit = std::chrono::seconds(20);
-constexpr auto callLimit = std::chrono::seconds(5);
+constexpr auto callTimeout = std::chrono::seconds(5);
 constexpr std::string_view operatorKey = "operator-key";
 
 std::string text(const json::value& value)
@@ -96,14 +96,14 @@
 
 void cluster::setVms(const std::string& body)
 {
-    const auto response = blocking_http_client().send(m_vmListAddress, { "POST", "/vms", {}, body }, callLimit);
+    const auto response = blocking_http_client().send(m_vmListAddress, { "POST", "/vms", {}, body }, callTimeout);
     if (response.status != 200)
         throw error(error_kind::internal, "list of vms answered " + std::to_string(response.status), "check the entries");
 }
 
 void cluster::setFaults(const std::string& address, const std::string& body)
 {
-    const auto response = blocking_http_client().send(address, { "POST", "/faults", {}, body }, callLimit);
+    const auto response = blocking_http_client().send(address, { "POST", "/faults", {}, body }, callTimeout);
     if (response.status != 200)
         throw error(
             error_kind::internal, "stand-in answered " + std::to_string(response.status) + ": " + response.body, "check the switches");
@@ -160,7 +160,7 @@
 {
     auto authorized = request;
     authorized.headers.push_back({ "Authorization", "Bearer " + std::string(operatorKey) });
-    return blocking_http_client().send(node.httpAddress, authorized, callLimit);
+    return blocking_http_client().send(node.httpAddress, authorized, callTimeout);
 }
 
 json::value cluster::status(const running_node& node)
--- a/libs/bench/src/control_bench.cpp
+++ b/libs/bench/src/control_bench.cpp
@@ -37,7 +37,7 @@
 // The largest number of nodes whose processes and stand-ins stay below the limits of the machine.
 constexpr std::size_t maxNodes = 290;
 constexpr std::uint64_t maxResidentBytes = 12ULL << 30;
-constexpr auto agreeLimit = std::chrono::seconds(60);
+constexpr auto agreementTimeout = std::chrono::seconds(60);
 
 /// Counters of a node since its start.
 struct node_counters {
@@ -94,7 +94,8 @@
 class control_stage {
 public:
     control_stage(const bench_options& options, const std::string& folder, std::size_t nodes)
-        : m_fleet(options, folder, { .nodes = nodes, .enginesPerSpeed = 1, .services = 1, .relayed = false, .readyLimit = agreeLimit })
+        : m_fleet(
+            options, folder, { .nodes = nodes, .enginesPerSpeed = 1, .services = 1, .relayed = false, .readyLimit = agreementTimeout })
     {
         if (nodes > fullMeshNodes)
             std::this_thread::sleep_for(closeIdleTime);
--- a/libs/gateway/tests/peer_links_tests.cpp
+++ b/libs/gateway/tests/peer_links_tests.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 using tcp = boost::asio::ip::tcp;
 
-constexpr auto patience = 10s;
+constexpr auto waitTimeout = 10s;
 
 class peer_links_test : public testing::Test {
 protected:
@@ -99,7 +99,7 @@
     bool waitUntil(const std::function<bool()>& condition)
     {
         std::unique_lock guard(m_mutex);
-        return m_changed.wait_for(guard, patience, condition);
+        return m_changed.wait_for(guard, waitTimeout, condition);
     }
 
     std::mutex m_mutex;
--- a/libs/gateway/tests/slot_coordinator_tests.cpp
+++ b/libs/gateway/tests/slot_coordinator_tests.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 const service_id service { "engine" };
-constexpr auto patience = 5s;
+constexpr auto waitTimeout = 5s;
 
 // Coordinators of several nodes on one event loop; messages pass through the encoder and back.
 class slot_coordinator_test : public testing::Test {
@@ -82,7 +82,7 @@
     // Runs the event loop and the ticks of all nodes until the condition holds.
     bool runUntil(const std::function<bool()>& condition)
     {
-        const auto end = std::chrono::steady_clock::now() + patience;
+        const auto end = std::chrono::steady_clock::now() + waitTimeout;
         while (!condition() && std::chrono::steady_clock::now() < end) {
             for (auto& node : m_nodes)
                 node->slots.tick();
--- a/libs/load/src/checker.cpp
+++ b/libs/load/src/checker.cpp
@@ -188,10 +188,10 @@
 std::array<promise_result, 8> checkPromises(const history& merged, const checker_settings& settings)
 {
     const record_index index(merged);
-    const node_lives lives(merged);
-    return { checkSingleDispatch(index), checkTierOrder(merged, lives, settings), checkWholeAnswers(index), checkNotRun(index),
-        checkSingleExecution(index), checkLeaving(merged, settings), checkDrains(merged, lives),
-        checkConfiguration(merged, lives, settings) };
+    const node_runs runs(merged);
+    return { checkSingleDispatch(index), checkTierOrder(merged, runs, settings), checkWholeAnswers(index), checkNotRun(index),
+        checkSingleExecution(index), checkLeaving(merged, settings), checkDrains(merged, runs),
+        checkConfiguration(merged, runs, settings) };
 }
 
 std::string promiseText(const promise_result& result)
--- a/libs/load/src/checker_fleet.cpp
+++ b/libs/load/src/checker_fleet.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-node_lives::node_lives(const history& merged)
+node_runs::node_runs(const history& merged)
 {
     for (const auto& record : merged.records()) {
         if (record.node.empty())
@@ -48,10 +48,10 @@
         if (!record.address.empty())
             m_nodeByAddress[record.address] = record.node;
         if (record.event == "started") {
-            auto& lives = m_lives[record.node];
-            if (!lives.empty())
-                lives.back().end = std::min(lives.back().end, record.timeUs);
-            lives.push_back({ record.timeUs });
+            auto& runs = m_runs[record.node];
+            if (!runs.empty())
+                runs.back().end = std::min(runs.back().end, record.timeUs);
+            runs.push_back({ record.timeUs });
         } else if (record.event == "drain_begin") {
             current(record).drainBegin = record.timeUs;
             current(record).drainRecord = &record;
@@ -64,22 +64,22 @@
     }
 }
 
-node_lives::life& node_lives::current(const history_record& record)
+node_runs::run& node_runs::current(const history_record& record)
 {
-    auto& lives = m_lives[record.node];
-    if (lives.empty())
-        lives.push_back({ record.timeUs });
-    return lives.back();
+    auto& runs = m_runs[record.node];
+    if (runs.empty())
+        runs.push_back({ record.timeUs });
+    return runs.back();
 }
 
-std::string node_lives::nodeOfAddress(const std::string& address) const
+std::string node_runs::nodeOfAddress(const std::string& address) const
 {
     if (const auto found = m_nodeByAddress.find(address); found != m_nodeByAddress.end())
         return found->second;
-    if (m_lives.contains(address))
+    if (m_runs.contains(address))
         return address;
     std::string result;
-    for (const auto& [node, lives] : m_lives) {
+    for (const auto& [node, runs] : m_runs) {
         if (ipOf(node) != ipOf(address))
             continue;
         if (!result.empty())
@@ -116,7 +116,7 @@
     return result.result();
 }
 
-promise_result checkDrains(const history& merged, const node_lives& lives)
+promise_result checkDrains(const history& merged, const node_runs& runs)
 {
     verdict result(7);
     std::map<std::pair<std::string_view, std::int64_t>, const history_record*> sent;
@@ -137,22 +137,22 @@
             continue;
         auto [node, added] = nodes.try_emplace(record.address);
         if (added)
-            node->second = lives.nodeOfAddress(record.address);
-        const auto home = lives.all().find(node->second);
+            node->second = runs.nodeOfAddress(record.address);
+        const auto home = runs.all().find(node->second);
         const auto begin = sent.find({ record.call, record.attempt });
-        if (home == lives.all().end() || begin == sent.end())
+        if (home == runs.all().end() || begin == sent.end())
             continue;
-        for (const auto& life : home->second) {
-            // Attempts that were in flight at some moment of the drain; without a drain_end it lasts as long as the life.
-            const auto drainEnd = std::min(life.drainEnd, life.end);
-            if (life.drainBegin == INT64_MAX || begin->second->timeUs >= drainEnd || record.timeUs < life.drainBegin)
+        for (const auto& run : home->second) {
+            // Attempts that were in flight at some moment of the drain; without a drain_end it lasts as long as the run.
+            const auto drainEnd = std::min(run.drainEnd, run.end);
+            if (run.drainBegin == INT64_MAX || begin->second->timeUs >= drainEnd || record.timeUs < run.drainBegin)
                 continue;
             result.check();
             const bool interrupted = record.event == "broken" && record.sent && !preempted.contains(record.request);
             const bool during = drainEnd == INT64_MAX || record.timeUs <= drainEnd + exitNoticeUs;
-            if (interrupted && during && !life.killed) {
+            if (interrupted && during && !run.killed) {
                 result.breach("node=" + node->second + " call=" + record.call + " reason=" + record.reason,
-                    { life.drainRecord, begin->second, &record });
+                    { run.drainRecord, begin->second, &record });
             }
         }
     }
@@ -175,7 +175,7 @@
 
 } // namespace
 
-promise_result checkConfiguration(const history& merged, const node_lives& lives, const checker_settings& settings)
+promise_result checkConfiguration(const history& merged, const node_runs& runs, const checker_settings& settings)
 {
     verdict result(8);
     const auto limit = microseconds(settings.configLimit);
@@ -205,21 +205,21 @@
             result.breach("version=" + std::to_string(number) + " fault=two_digests", { one, other });
         }
         const auto accepted = version.first->timeUs;
-        for (const auto& [node, nodeLives] : lives.all()) {
-            for (const auto& life : nodeLives) {
+        for (const auto& [node, runsOfNode] : runs.all()) {
+            for (const auto& run : runsOfNode) {
                 // Only a node that ran during the whole time allowed can be late. Time stopped by a pause does not count.
                 auto until = accepted + limit;
-                for (const auto& [pause, resume] : life.pauses) {
+                for (const auto& [pause, resume] : run.pauses) {
                     if (pause <= until && resume >= accepted)
                         until = resume == INT64_MAX ? INT64_MAX : std::max(until, resume + limit);
                 }
-                if (life.begin > accepted || until > std::min({ life.end, life.drainBegin, historyEnd }))
+                if (run.begin > accepted || until > std::min({ run.end, run.drainBegin, historyEnd }))
                     continue;
-                if (reachesInTime(reports[node], number, life.begin, until))
+                if (reachesInTime(reports[node], number, run.begin, until))
                     continue;
                 record_list trace { version.first };
                 for (const auto* record : reports[node]) {
-                    if (record->timeUs >= life.begin && (record->timeUs <= until || trace.size() < 3))
+                    if (record->timeUs >= run.begin && (record->timeUs <= until || trace.size() < 3))
                         trace.push_back(record);
                 }
                 result.breach("version=" + std::to_string(number) + " fault=not_in_force node=" + node
--- a/libs/load/src/checker_parts.h
+++ b/libs/load/src/checker_parts.h
@@ -34,9 +34,9 @@
 };
 
 /// Times at which a node ran, from its started events and from faults that name it.
-class node_lives {
+class node_runs {
 public:
-    struct life {
+    struct run {
         std::int64_t begin = 0;
         /// INT64_MAX where no end is known.
         std::int64_t end = INT64_MAX;
@@ -48,26 +48,26 @@
         std::vector<std::pair<std::int64_t, std::int64_t>> pauses;
     };
 
-    explicit node_lives(const history& merged);
+    explicit node_runs(const history& merged);
 
-    const std::map<std::string, std::vector<life>>& all() const { return m_lives; }
+    const std::map<std::string, std::vector<run>>& all() const { return m_runs; }
     /// Node whose callers connect to that address: the address that a node event names, else the only node with the same ip.
     std::string nodeOfAddress(const std::string& address) const;
 
 private:
-    life& current(const history_record& record);
+    run& current(const history_record& record);
 
-    std::map<std::string, std::vector<life>> m_lives;
+    std::map<std::string, std::vector<run>> m_runs;
     std::map<std::string, std::string> m_nodeByAddress;
 };
 
 promise_result checkSingleDispatch(const record_index& index);
-promise_result checkTierOrder(const history& merged, const node_lives& lives, const checker_settings& settings);
+promise_result checkTierOrder(const history& merged, const node_runs& runs, const checker_settings& settings);
 promise_result checkWholeAnswers(const record_index& index);
 promise_result checkNotRun(const record_index& index);
 promise_result checkSingleExecution(const record_index& index);
 promise_result checkLeaving(const history& merged, const checker_settings& settings);
-promise_result checkDrains(const history& merged, const node_lives& lives);
-promise_result checkConfiguration(const history& merged, const node_lives& lives, const checker_settings& settings);
+promise_result checkDrains(const history& merged, const node_runs& runs);
+promise_result checkConfiguration(const history& merged, const node_runs& runs, const checker_settings& settings);
 
 } // namespace carawaylink::load
--- a/libs/load/src/checker_tiers.cpp
+++ b/libs/load/src/checker_tiers.cpp
@@ -34,7 +34,7 @@
 
 class stay_reader {
 public:
-    stay_reader(const history& merged, const node_lives& lives)
+    stay_reader(const history& merged, const node_runs& runs)
     {
         std::unordered_map<std::string_view, std::size_t> open;
         std::unordered_map<std::string, std::int64_t> lastLine;
@@ -69,7 +69,7 @@
             }
         }
         for (const auto& [request, position] : open)
-            m_stays[position].end = endOfNode(*m_stays[position].lines.back(), lives, lastLine);
+            m_stays[position].end = endOfNode(*m_stays[position].lines.back(), runs, lastLine);
     }
 
     const std::vector<stay>& stays() const { return m_stays; }
@@ -82,13 +82,13 @@
 private:
     /// Last time at which a request without an end was certainly still known to the node that wrote its last line.
     static std::int64_t endOfNode(
-        const history_record& last, const node_lives& lives, const std::unordered_map<std::string, std::int64_t>& lastLine)
+        const history_record& last, const node_runs& runs, const std::unordered_map<std::string, std::int64_t>& lastLine)
     {
-        const auto node = lives.all().find(last.node);
-        if (node != lives.all().end()) {
-            for (const auto& life : node->second) {
-                if (life.begin <= last.timeUs && last.timeUs <= life.end && life.end != INT64_MAX)
-                    return life.end;
+        const auto node = runs.all().find(last.node);
+        if (node != runs.all().end()) {
+            for (const auto& run : node->second) {
+                if (run.begin <= last.timeUs && last.timeUs <= run.end && run.end != INT64_MAX)
+                    return run.end;
             }
         }
         return std::max(last.timeUs, lastLine.at(last.node));
@@ -100,11 +100,11 @@
 
 } // namespace
 
-promise_result checkTierOrder(const history& merged, const node_lives& lives, const checker_settings& settings)
+promise_result checkTierOrder(const history& merged, const node_runs& runs, const checker_settings& settings)
 {
     verdict result(2);
     const auto tolerance = std::chrono::duration_cast<std::chrono::microseconds>(settings.inversionTolerance).count();
-    const stay_reader reader(merged, lives);
+    const stay_reader reader(merged, runs);
     const auto& stays = reader.stays();
 
     // Sweep over the refusals in order of time; a stay enters when it begins and is dropped once it has ended.
