--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -53,7 +53,7 @@
     if (wait < m_waitOfRequest && awaitsAnswerSince(now, now))
         replaceRead();
     // A pause that started with a longer interval must not delay the next read.
-    const bool isPausing = m_isReachable && m_isScheduled;
+    const bool isPausing = m_isReachable && m_isScheduled && !m_needsSnapshot;
     if (isPausing && m_timer.expiry() > now + interval)
         schedule(interval, &store_follower::readLog);
 }
@@ -96,7 +96,7 @@
 
 void store_follower::readNow()
 {
-    if (m_isReachable && m_isScheduled)
+    if (m_isReachable && m_isScheduled && !m_needsSnapshot)
         schedule({}, &store_follower::readLog);
 }
 
@@ -192,6 +192,7 @@
 
 void store_follower::readSnapshot(const std::string& afterKey)
 {
+    m_needsSnapshot = false;
     if (afterKey.empty()) {
         m_readStartedAt = std::chrono::steady_clock::now();
         m_snapshotRecords.clear();
@@ -283,6 +284,7 @@
         .field("offset", m_position.offset)
         .field("delay_ms", wholeMilliseconds(m_goneDelay));
     m_position.offset = 0;
+    m_needsSnapshot = true;
     const auto next = std::clamp<duration>(2 * m_goneDelay, minRepeatDelay, maxRepeatDelay);
     schedule(std::exchange(m_goneDelay, next), &store_follower::restart);
 }
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -123,6 +123,8 @@
     /// The log has a line for the current outage.
     bool m_isLossLogged = false;
     bool m_isScheduled = false;
+    /// The store does not have the offset, and the next read has to be a snapshot.
+    bool m_needsSnapshot = false;
     bool m_retriesFirstReadOften = false;
     monotonic_time m_lastSuccess {};
     monotonic_time m_readStartedAt {};
--- a/libs/gateway/tests/store_follower_tests.cpp
+++ b/libs/gateway/tests/store_follower_tests.cpp
@@ -439,6 +439,28 @@
     set([this] { EXPECT_LE(m_requests, 14U); });
 }
 
+TEST_F(store_follower_test, readDemandedWhileASnapshotIsDue_doesNotReplaceIt)
+{
+    // A node read an offset that the store did not have every 25 ms and never the snapshot, which kept the owner of a pool busy.
+    m_snapshot = "0";
+    m_firstOffset = 1;
+    start();
+    ASSERT_TRUE(waitUntil([this] { return m_requests >= 4; }));
+    set([this] { m_requests = 0; });
+    for (int i = 0; i < 100; ++i) {
+        m_threads.post(0, [this] {
+            m_follower->setReadTiming({}, 20ms);
+            m_follower->readNow();
+        });
+        std::this_thread::sleep_for(10ms);
+    }
+    set([this] {
+        EXPECT_LE(m_requests, 8U);
+        m_snapshot = "2 a=1";
+    });
+    EXPECT_TRUE(waitFor("newest:a=1"));
+}
+
 TEST_F(store_follower_test, storeOutage_isReportedBeforeNextRecords)
 {
     // Removals after an outage must be distinguishable from ordinary ones.
