--- a/libs/gateway/src/crash_detector.cpp
+++ b/libs/gateway/src/crash_detector.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-
 #include <utility>
 
 namespace carawaylink::gateway {
