Show that a begun answer clears the prompt part that crashes replicas

Case 6: replicas end after the first event of an answer to requests with one prompt part. The part is cleared by these events, the first part that sound requests share is quarantined in its place, and all of them are refused (LOST).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x target/bin/carawaylinkd ] && [ -x target/review-2/forgotten_rest ] || { echo "build target/bin/carawaylinkd and run review/build-2.sh first" >&2; exit 2; }
-timeout -k 3 115 target/review-2/forgotten_rest "$here/record.txt"
+[ -x target/bin/carawaylinkd ] && [ -x target/review-2/begun_answer ] || { echo "build target/bin/carawaylinkd and run review/build-2.sh first" >&2; exit 2; }
+timeout -k 3 115 target/review-2/begun_answer "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
