--- a/review/stand-2/deployment.cpp
+++ b/review/stand-2/deployment.cpp
@@ -550,7 +550,7 @@
                 m_isDown = false;
                 registerNow();
                 nextBeat = steady::now() + heartbeatInterval;
-            } else if (now >= *removeAt) {
+            } else if (now >= removeAt.value_or(now)) {
                 m_registry.put("keyed.servers", m_id, std::nullopt);
                 removeAt = steady::time_point::max();
             }
