Log the version of each send and the stream that it takes up

Without them the three hypotheses on streams joined from two versions look the same: a request_sent line names the replica only. The line now has the version of the endpoint as this node knows it, the attempt that the caller names as the one that began its stream (Resumes, which was read nowhere), and the last event that it has.

--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -27,6 +27,8 @@
     std::optional<tokens> outputHint;
     /// Id of the last event that the caller received from this stream.
     std::optional<std::uint64_t> lastEventId;
+    /// Attempt that brought the first event of the stream that the caller takes up; empty if it names none.
+    std::string resumedAttempt;
     std::string key;
     /// Ids of the prompt's parts that other requests may share, in order; the last part, which is the request's own, is left out.
     std::vector<std::string> sharedParts;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -193,10 +193,13 @@
     auto line = m_dispatcher.log().event("request_sent");
     line.field("request", m_admitted.metadata.attempt)
         .field("replica", m_grant.replica)
+        .field("version", m_dispatcher.slots().versionOf(m_grant.replica))
         .field("attempt", m_triedReplicas.size())
         .field("waited_ms", wholeMilliseconds(m_sentAt - m_admitted.arrived))
         .field("expected_first_ms", wholeMilliseconds(m_grant.expectedFirstEvent))
         .field("running", m_grant.running)
+        .field("resumes", m_admitted.metadata.resumedAttempt)
+        .field("after_event", m_splitter.lastId().value_or(0))
         .field("connection", m_connection.number)
         .field("earlier_requests", m_connection.earlierRequests);
     if (m_admitted.promptParts.empty())
--- a/libs/gateway/src/slot_coordinator.cpp
+++ b/libs/gateway/src/slot_coordinator.cpp
@@ -101,6 +101,12 @@
     return found == m_endpoints.end() ? none : found->second;
 }
 
+std::string slot_coordinator::versionOf(const discovery::replica_id& replica) const
+{
+    const auto record = lookUp(replicaHash(replica));
+    return record ? record->version : std::string {};
+}
+
 std::map<std::uint32_t, placement::slot_owner*> slot_coordinator::ownedPools(const service_id& name) const
 {
     std::map<std::uint32_t, placement::slot_owner*> result;
--- a/libs/gateway/src/slot_coordinator.h
+++ b/libs/gateway/src/slot_coordinator.h
@@ -46,6 +46,8 @@
     void setVersionRules(const service_id& service, const placement::version_rules& known, const placement::version_rules& owned,
         const std::map<std::uint32_t, placement::version_split>& splits);
     const std::vector<discovery::endpoint_record>& endpointsOf(const service_id& service) const;
+    /// Software version of the endpoint as this node knows it; empty if it is unknown or tells none.
+    std::string versionOf(const discovery::replica_id& replica) const;
     /// The owned pools of the service; valid until the next change of endpoints or members.
     std::map<std::uint32_t, placement::slot_owner*> ownedPools(const service_id& service) const;
     /// Nodes that own the pools of the service, by pool; at least one entry unless there are no nodes.
