--- a/libs/gateway/include/gateway/protocol_codec.h
+++ b/libs/gateway/include/gateway/protocol_codec.h
@@ -98,6 +98,10 @@
     quotas,
     /// What has been decided on the operator's orders.
     status,
+    /// Base version of each service.
+    stream_bases,
+    /// Starts of streams at other versions; old records expire.
+    stream_starts,
 };
 
 struct store_record {
@@ -168,6 +172,8 @@
     virtual log_page decodeLog(const http_response& response) const = 0;
     /// Whether the store does not have the requested offset: it no longer retains it, or its log ends before it.
     virtual bool isOffsetExpired(const http_response& response) const = 0;
+    /// First offset that the log retains, if the response says that it does not have the requested one.
+    virtual std::optional<std::uint64_t> firstOffset(const http_response& response) const = 0;
     /// Number of the history that the store's log belongs to: it rises when the store comes back from an older copy, and offsets of
     /// different histories cannot be compared. nullopt if the response does not tell.
     virtual std::optional<std::uint64_t> storeHistory(const http_response& response) const = 0;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -34,6 +34,8 @@
 // A retry with less time left than this is unlikely to succeed.
 constexpr auto minRetryTime = std::chrono::milliseconds(60);
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
+// Events wait no longer than this for the record of their stream's start.
+constexpr auto startRecordTimeout = std::chrono::milliseconds(700);
 
 bool wasNotExecuted(placement::outcome result)
 {
@@ -90,6 +92,7 @@
     : m_dispatcher(dispatcher)
     , m_admitted(std::move(admitted))
     , m_responder(std::move(responder))
+    , m_streamVersion(m_admitted.streamVersion)
     , m_splitter(m_admitted.metadata.lastEventId)
     , m_memory(dispatcher.memory(), "exchange", [this] { endForMemory(); })
 {
@@ -108,7 +111,14 @@
 void exchange::enqueue(monotonic_time now, bool wasAdmitted)
 {
     m_state = state::waiting;
-    submit(now, wasAdmitted);
+    // A stream that the caller has nothing of can begin anew.
+    const bool canBeginAnew = !m_headForwarded && !m_admitted.streamVersion;
+    if (isVersionGone() && canBeginAnew)
+        forgetStream();
+    if (isVersionGone())
+        endVersionGone();
+    else
+        submit(now, wasAdmitted);
 }
 
 void exchange::submit(monotonic_time now, bool wasAdmitted)
@@ -129,7 +139,9 @@
         request.target = std::max(request.target, now + m_admitted.route.latencyTarget);
     request.maxEventGap = m_admitted.route.maxEventGap;
     request.excluded = m_triedReplicas;
-    request.wasAdmitted = wasAdmitted;
+    // A stream that is taken up was admitted before.
+    request.wasAdmitted = wasAdmitted || m_admitted.streamVersion.has_value();
+    request.version = requiredVersion();
     request.responseStarted = m_headForwarded;
     request.promptParts = m_admitted.promptParts;
     m_dispatcher.submit(shared_from_this(), std::move(request));
@@ -182,6 +194,8 @@
         if (self->m_callNumber == number)
             self->onCallDone(result);
     };
+    m_sendVersion = m_dispatcher.slots().versionOf(grant.replica);
+    recordStart();
     m_sends.begin();
     m_call = m_dispatcher.client().stream(grant.address.value, std::move(request), options, std::move(handlers));
     m_connection = m_call->connection();
@@ -193,7 +207,7 @@
     auto line = m_dispatcher.log().event("request_sent");
     line.field("request", m_admitted.metadata.attempt)
         .field("replica", m_grant.replica)
-        .field("version", m_dispatcher.slots().versionOf(m_grant.replica))
+        .field("version", m_sendVersion)
         .field("attempt", m_triedReplicas.size())
         .field("waited_ms", wholeMilliseconds(m_sentAt - m_admitted.arrived))
         .field("expected_first_ms", wholeMilliseconds(m_grant.expectedFirstEvent))
@@ -248,6 +262,10 @@
         abortResponse("broken_off");
         return;
     }
+    if (refusal.cause == placement::refusal_cause::version_gone) {
+        endVersionGone();
+        return;
+    }
     if (m_endpointFailure) {
         respond(std::move(*m_endpointFailure), "endpoint_failure");
         return;
@@ -283,7 +301,7 @@
 
 void exchange::countMemory()
 {
-    m_memory.set(m_admitted.request.body.size() + m_body.size() + m_splitter.partialBytes());
+    m_memory.set(m_admitted.request.body.size() + m_body.size() + m_splitter.partialBytes() + m_waitingEvents.size());
 }
 
 void exchange::onResponseData(std::string_view bytes)
@@ -306,7 +324,7 @@
     if (!events.empty()) {
         m_lastProgressAt = now;
         cancelReplacement();
-        forward(std::move(events));
+        forward(events);
     }
     if (m_splitter.hasGap())
         attemptFailed(placement::outcome::invalid, "event id missing in the stream");
@@ -314,22 +332,37 @@
         attemptFailed(placement::outcome::invalid, "event exceeds the size limit");
 }
 
-void exchange::forward(std::string events)
+void exchange::forward(const std::string& events)
 {
     m_dispatcher.recordProgress(*this, eventsOfAttempt());
     recordAnswer();
+    if (m_admitted.route.mayGoOnElsewhere() && !m_streamVersion)
+        m_streamVersion = m_sendVersion;
+    if (m_waitingEvents.empty())
+        m_eventsWaitSince = m_lastProgressAt;
+    m_waitingEvents += events;
+    if (m_isStartRecorded)
+        deliver();
+    else
+        countMemory();
+}
+
+void exchange::deliver()
+{
+    const auto now = std::chrono::steady_clock::now();
     if (!m_firstEventAt)
-        m_firstEventAt = m_lastProgressAt;
+        m_firstEventAt = now;
     else
-        m_longestEventGap = std::max(m_longestEventGap, m_lastProgressAt - m_lastForwardedAt);
-    m_lastForwardedAt = m_lastProgressAt;
+        m_longestEventGap = std::max(m_longestEventGap, now - m_lastForwardedAt);
+    m_lastForwardedAt = now;
     if (!m_headForwarded) {
         m_headForwarded = true;
-        m_dispatcher.metrics().firstEvent(m_lastProgressAt - m_admitted.arrived);
+        m_dispatcher.metrics().firstEvent(now - m_admitted.arrived);
         m_callerStatus = m_head.status;
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
-    m_responder->write(events);
+    m_responder->write(std::exchange(m_waitingEvents, {}));
+    countMemory();
     if (m_responder->pendingBytes() <= maxPendingBytes || !m_call)
         return;
     m_call->pause();
@@ -366,16 +399,116 @@
         attemptFailed(placement::outcome::broken, "stream without length ended before its first event");
         return;
     }
+    recordOutcome(placement::outcome::completed);
+    m_dispatcher.recordCompletion(*this);
+    m_isStreamComplete = true;
+    if (m_waitingEvents.empty())
+        finishStream();
+}
+
+void exchange::finishStream()
+{
     if (!m_headForwarded) {
         m_headForwarded = true;
         m_callerStatus = m_head.status;
         m_responder->start(m_head.status, m_dispatcher.codec().callerHeaders(m_head));
     }
-    recordOutcome(placement::outcome::completed);
-    m_dispatcher.recordCompletion(*this);
     end("served", [this] { m_responder->finish(); });
 }
 
+void exchange::recordStart()
+{
+    const auto& attempt = m_admitted.metadata.attempt;
+    // A caller names the attempt that brought the first event, so that only that one needs a record.
+    if (!m_admitted.route.mayGoOnElsewhere() || m_streamVersion || attempt.empty())
+        return;
+    const auto number = ++m_startNumber;
+    m_isStartRecorded = m_dispatcher.streams().begin(
+        { stream_versions::idOf(attempt), number, sendSoftware() },
+        [self = weak_from_this(), number] {
+            if (const auto alive = self.lock(); alive && alive->m_startNumber == number)
+                alive->onStartRecorded();
+        },
+        m_sentAt);
+}
+
+void exchange::onStartRecorded()
+{
+    m_isStartRecorded = true;
+    if (m_state == state::done || m_waitingEvents.empty())
+        return;
+    deliver();
+    if (m_isStreamComplete)
+        finishStream();
+}
+
+void exchange::onStartUnrecorded(monotonic_time now)
+{
+    const auto base = m_dispatcher.streams().baseOf(m_admitted.service);
+    const bool hasBase = base && m_dispatcher.streams().endpointsOf({ m_admitted.service, *base }) > 0;
+    const bool beginsAnew = hasBase && !m_isStreamComplete && canRetry(placement::outcome::cancelled, now) && tryTakeRetry();
+    m_dispatcher.log()
+        .event("stream_start_unrecorded")
+        .field("request", m_admitted.metadata.attempt)
+        .field("version", m_sendVersion)
+        .field("base", base.value_or(""))
+        .field("waited_ms", wholeMilliseconds(now - m_eventsWaitSince))
+        .field("begins_anew", beginsAnew);
+    m_dispatcher.metrics().streamStart(beginsAnew ? "begun_anew" : hasBase ? "given_up" : "unrecorded");
+    if (!hasBase) {
+        onStartRecorded();
+        return;
+    }
+    recordOutcome(placement::outcome::cancelled);
+    endAttempt(placement::outcome::cancelled, "the start of the stream could not be recorded", beginsAnew);
+    forgetStream();
+    if (beginsAnew)
+        enqueue(now, true);
+    else
+        sendFailure(placement::outcome::cancelled);
+}
+
+void exchange::forgetStream()
+{
+    m_streamVersion.reset();
+    m_waitingEvents.clear();
+    m_splitter = event_splitter(m_admitted.metadata.lastEventId);
+    m_eventsBeforeAttempt = 0;
+    countMemory();
+}
+
+streams::software_version exchange::sendSoftware() const
+{
+    return { m_admitted.service, m_sendVersion };
+}
+
+std::optional<std::string> exchange::requiredVersion() const
+{
+    if (m_streamVersion || !m_admitted.route.mayGoOnElsewhere())
+        return m_streamVersion;
+    // While the store takes no records, streams can begin only where none is needed.
+    auto& known = m_dispatcher.streams();
+    const auto base = known.baseOf(m_admitted.service);
+    const bool needsBase = base && known.isDelayed() && known.endpointsOf({ m_admitted.service, *base }) > 0;
+    return needsBase ? base : std::nullopt;
+}
+
+bool exchange::isVersionGone() const
+{
+    return m_streamVersion && m_dispatcher.streams().endpointsOf({ m_admitted.service, *m_streamVersion }) == 0;
+}
+
+void exchange::endVersionGone()
+{
+    constexpr std::string_view reason = "stream_version_gone";
+    if (m_headForwarded)
+        abortResponse(reason);
+    else if (m_sends.mayHaveExecuted())
+        respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), reason);
+    else
+        respond(refusalResponse(statusUnavailable, reason, std::nullopt), reason);
+}
+
 void exchange::onBodyComplete()
 {
     if (m_headMetadata.notExecuted) {
@@ -525,7 +658,11 @@
         attemptFailed(isUnresponsive ? placement::outcome::timed_out : placement::outcome::cancelled, "deadline exceeded");
         return;
     }
-    if (m_state == state::waiting || m_isReplacementPending || !m_admitted.route.isSafeToRetry())
+    if (m_state == state::streaming && !m_waitingEvents.empty() && now - m_eventsWaitSince > startRecordTimeout) {
+        onStartUnrecorded(now);
+        return;
+    }
+    if (m_state == state::waiting || m_isReplacementPending || m_isStreamComplete || !m_admitted.route.isSafeToRetry())
         return;
     const auto limit = eventsOfAttempt() > 0 ? duration(streamIdleTimeout) : m_dispatcher.firstEventTimeout(*this);
     if (now - m_lastProgressAt > limit)
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -36,6 +36,8 @@
     placement::prompt_parts promptParts;
     /// Probes quarantined parts: reaches one endpoint at most.
     bool isProbe = false;
+    /// Version of the software that began the stream which the caller takes up.
+    std::optional<std::string> streamVersion;
 
     /// What a quarantine may keep from endpoints.
     prompt_quarantine::parts guardedParts() const;
@@ -93,7 +95,8 @@
     void onCallDone(const http_result& result);
     void onBodyComplete();
     void onStreamComplete();
-    void forward(std::string events);
+    void finishStream();
+    void forward(const std::string& events);
     void attemptFailed(placement::outcome result, const std::string& detail);
     /// Complete events that the current attempt has delivered.
     std::size_t eventsOfAttempt() const { return m_splitter.eventCount() - m_eventsBeforeAttempt; }
@@ -108,6 +111,21 @@
     void recordProof(placement::outcome result);
     bool canRetry(placement::outcome result, monotonic_time now) const;
     bool tryTakeRetry();
+    /// Has the start of the stream recorded, if the present send may begin one.
+    void recordStart();
+    void onStartRecorded();
+    /// The store does not take the record: begins anew at the base version, or goes on without a record where no endpoint of it is left.
+    void onStartUnrecorded(monotonic_time now);
+    /// Version of the software that the request must go to; nullopt for any.
+    std::optional<std::string> requiredVersion() const;
+    streams::software_version sendSoftware() const;
+    /// The version that began the stream has no endpoint any more.
+    bool isVersionGone() const;
+    void endVersionGone();
+    /// Forgets the events of the stream, of which the caller has none.
+    void forgetStream();
+    /// Passes on the events that have waited for the record of their start.
+    void deliver();
     void sendFailure(placement::outcome result);
     void respond(http_response response, std::string_view reason);
     void recordOutcome(placement::outcome result);
@@ -145,6 +163,18 @@
     response_metadata m_headMetadata;
     std::string m_body;
     std::optional<http_response> m_endpointFailure;
+    /// Version of the endpoint of the latest send.
+    std::string m_sendVersion;
+    /// Version of the software that began the stream. All of its events come from endpoints of it.
+    std::optional<std::string> m_streamVersion;
+    /// Number of the send whose start is to be recorded.
+    std::uint32_t m_startNumber = 0;
+    bool m_isStartRecorded = true;
+    /// Events that wait for the record.
+    std::string m_waitingEvents;
+    monotonic_time m_eventsWaitSince {};
+    /// The endpoint has ended the stream.
+    bool m_isStreamComplete = false;
     event_splitter m_splitter;
     std::size_t m_eventsBeforeAttempt = 0;
     monotonic_time m_sentAt;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -10,6 +10,7 @@
 #include "request_dispatcher.h"
 #include "rollout_driver.h"
 #include "store_sync.h"
+#include "stream_store.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -71,6 +72,7 @@
         , members(node_id { settings.peerAddress }, settings.processorCapacity, std::chrono::steady_clock::now())
         , membership(context, membershipCluster, { membershipKey }, [this](const member_changed& change) { onMemberChanged(change); })
         , store(context, settings, *codec, log, members, storeHandlers())
+        , streamStore(context, settings.storeAddress, *codec, log)
         , links(context, node_id { settings.peerAddress }, log, linkHandlers(), &memory)
         , frontend(
               threads, frontendLimits(),
@@ -161,6 +163,9 @@
         result.onQuarantine = [this](const std::vector<store_record>& records) { dispatcher.restoreQuarantine(records); };
         result.onQuarantineLost = [this](const std::vector<store_record>& records) { dispatcher.rewriteQuarantine(records); };
         result.onQuotaMarks = [this](const std::vector<store_record>& records) { dispatcher.restoreQuotaMarks(records); };
+        result.onStreamBases
+            = [this](const std::map<service_id, std::string>& bases, monotonic_time asOf) { dispatcher.streams().setBases(bases, asOf); };
+        result.onHistoryChanged = [this] { dispatcher.streams().onHistoryChanged(std::chrono::steady_clock::now()); };
         result.send = [this](std::span<const node_id> nodes, peer::envelopeT message) { links.send(nodes, std::move(message)); };
         result.version = [this] { return dispatcher.version(); };
         if (!settings.rollouts)
@@ -218,11 +223,25 @@
             log.event("quota_mark").field("team", team).field("marked", isMarked ? 1 : 0);
             store.publish(store_topic::quotas, team.value, isMarked ? "ahead" : "");
         });
+        dispatcher.streams().setStore(streamStoreAccess());
         startMembership();
         store.start();
         tick();
     }
 
+    stream_versions::store_access streamStoreAccess()
+    {
+        stream_versions::store_access result;
+        result.append
+            = [this](const std::string& record, std::function<void(bool)> onDone) { streamStore.append(record, std::move(onDone)); };
+        result.read = [this](std::function<void(const start_records&)> onDone) { streamStore.read(std::move(onDone)); };
+        result.writeBase = [this](const streams::software_version& base, std::function<void(bool)> onDone) {
+            store.writeStreamBase(base.service, base.version, std::move(onDone));
+        };
+        result.readBases = [this] { store.readStreamBases(); };
+        return result;
+    }
+
     void startMembership()
     {
         member_update self;
@@ -417,6 +436,7 @@
     fleet_members members;
     membership_transport membership;
     store_sync store;
+    stream_store streamStore;
     peer_links links;
     http_server frontend;
     http_server readiness;
--- a/libs/gateway/src/metrics.cpp
+++ b/libs/gateway/src/metrics.cpp
@@ -46,6 +46,14 @@
                          .Name("carawaylink_gateway_rollout_steps_total")
                          .Help("Stages of roll-outs that this node has decided to enter, by stage")
                          .Register(m_registry))
+    , m_streamStarts(prometheus::BuildCounter()
+                         .Name("carawaylink_gateway_stream_starts_total")
+                         .Help("Streams that began at another version than the base of their service, by what became of the record")
+                         .Register(m_registry))
+    , m_takenUpStreams(prometheus::BuildCounter()
+                           .Name("carawaylink_gateway_streams_taken_up_total")
+                           .Help("Streams that callers took up, by how the version was known that began them")
+                           .Register(m_registry))
     , m_gauges(gauges(m_registry))
     , m_firstEvent(prometheus::BuildHistogram()
                        .Name("carawaylink_gateway_first_event_seconds")
@@ -123,6 +131,16 @@
     m_liveNodes.Set(static_cast<double>(nodes));
 }
 
+void gateway_metrics::streamStart(std::string_view kind)
+{
+    m_streamStarts.Add({ { "kind", std::string(kind) } }).Increment();
+}
+
+void gateway_metrics::streamTakenUp(std::string_view source)
+{
+    m_takenUpStreams.Add({ { "source", std::string(source) } }).Increment();
+}
+
 void gateway_metrics::promptProbe(std::string_view result)
 {
     m_promptProbes.Add({ { "result", std::string(result) } }).Increment();
--- a/libs/gateway/src/metrics.h
+++ b/libs/gateway/src/metrics.h
@@ -34,6 +34,9 @@
     void setQuarantinedParts(std::size_t inForce, std::size_t onProbation);
     /// A request that asked for a probe was granted or refused it, or a probe was answered.
     void promptProbe(std::string_view result);
+    /// A stream began whose start had to be recorded, or a caller took one up, with what is known of its version.
+    void streamStart(std::string_view kind);
+    void streamTakenUp(std::string_view source);
     void setLimitedEndpoints(std::size_t endpoints);
     /// Endpoints whose answers say that they leave, and those that asked this node for rest.
     void setLeavingEndpoints(std::size_t endpoints);
@@ -63,6 +66,8 @@
     prometheus::Family<prometheus::Counter>& m_admissions;
     prometheus::Family<prometheus::Counter>& m_promptProbes;
     prometheus::Family<prometheus::Counter>& m_rolloutSteps;
+    prometheus::Family<prometheus::Counter>& m_streamStarts;
+    prometheus::Family<prometheus::Counter>& m_takenUpStreams;
     prometheus::Family<prometheus::Gauge>& m_gauges;
     prometheus::Histogram& m_firstEvent;
     prometheus::Counter& m_unreadableRests;
--- a/libs/gateway/src/peer_codec.cpp
+++ b/libs/gateway/src/peer_codec.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <memory>
 #include <ranges>
 #include <xxhash.h>
 
@@ -78,6 +80,8 @@
     result->response_started = request.responseStarted;
     result->prompt_parts = encodeParts(request.promptParts);
     result->route = request.route;
+    result->is_bound = request.version.has_value();
+    result->version = request.version.value_or("");
     return result;
 }
 
@@ -101,6 +105,8 @@
     request.responseStarted = message.response_started;
     request.promptParts = decodeParts(message.prompt_parts);
     request.route = message.route;
+    if (message.is_bound)
+        request.version = message.version;
     return request;
 }
 
@@ -371,7 +377,7 @@
         reply.grants.push_back(decodeGrant(entry, lookup));
     decodeReuse(message.reuse, reply.grants);
     for (const auto& refused : message.refusals) {
-        reply.refusals.push_back({ refused.id(), decodeEnum(refused.cause(), placement::refusal_cause::no_endpoint),
+        reply.refusals.push_back({ refused.id(), decodeEnum(refused.cause(), placement::refusal_cause::version_gone),
             decodeSpan(refused.retry_after_us()), refused.ahead() });
     }
     for (const auto& wait : message.waits) {
@@ -384,4 +390,54 @@
     return reply;
 }
 
+peer::stream_startsT encodeStarts(const std::vector<streams::stream_start>& starts)
+{
+    std::map<streams::software_version, std::unique_ptr<peer::stream_start_groupT>> groups;
+    for (const auto& start : starts) {
+        auto& group = groups[start.software];
+        if (!group) {
+            group = std::make_unique<peer::stream_start_groupT>();
+            group->service = start.software.service.value;
+            group->version = start.software.version;
+        }
+        group->sends.emplace_back(start.stream.value, start.send);
+    }
+    peer::stream_startsT message;
+    for (auto& [software, group] : groups)
+        message.groups.push_back(std::move(group));
+    return message;
+}
+
+std::vector<streams::stream_start> decodeStarts(const peer::stream_startsT& message)
+{
+    std::vector<streams::stream_start> result;
+    for (const auto& group : message.groups) {
+        if (!group)
+            continue;
+        const streams::software_version software { service_id { group->service }, group->version };
+        for (const auto& send : group->sends)
+            result.push_back({ streams::stream_id { send.stream() }, send.send(), software });
+    }
+    return result;
+}
+
+std::string encodeStartRecord(const std::vector<streams::stream_start>& starts)
+{
+    const auto message = encodeStarts(starts);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(peer::stream_starts::Pack(builder, &message));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+std::vector<streams::stream_start> decodeStartRecord(const std::string& record)
+{
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(record.data());
+    flatbuffers::Verifier verifier(bytes, record.size());
+    if (!verifier.VerifyBuffer<peer::stream_starts>(nullptr))
+        return {};
+    peer::stream_startsT message;
+    flatbuffers::GetRoot<peer::stream_starts>(bytes)->UnPackTo(&message);
+    return decodeStarts(message);
+}
+
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/peer_codec.h
+++ b/libs/gateway/src/peer_codec.h
@@ -4,10 +4,13 @@
 #include "placement/slot_messages.h"
 #include "quarantine/prompt_part.h"
 #include "rollout/evidence.h"
+#include "streams/stream_start.h"
 #include "wire/generated/peer_state_generated.h"
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace carawaylink::gateway {
 
@@ -36,6 +39,11 @@
 placement::version_rules decodeRules(const peer::rollout_rulesT& message);
 std::vector<peer::route_evidence> encodeEvidence(const rollout::evidence& collected);
 rollout::evidence decodeEvidence(const std::vector<peer::route_evidence>& entries);
+/// Starts of streams, in messages and as a record of the store. A record that cannot be read has none.
+peer::stream_startsT encodeStarts(const std::vector<streams::stream_start>& starts);
+std::vector<streams::stream_start> decodeStarts(const peer::stream_startsT& message);
+std::string encodeStartRecord(const std::vector<streams::stream_start>& starts);
+std::vector<streams::stream_start> decodeStartRecord(const std::string& record);
 /// Identifies a route in messages and records; never 0.
 rollout::route_hash routeHash(const std::string& name);
 
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusUnavailable = 503;
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(500);
+// Of a stream whose version the store does not tell now.
+constexpr auto unknownVersionRetryAfter = std::chrono::milliseconds(700);
 constexpr auto maxQuotaRetryAfter = std::chrono::seconds(5);
 // Retry-After of requests refused while the node drains, and lower bound of the Retry-After of an exceeded quota.
 constexpr auto minRetryAfter = std::chrono::milliseconds(50);
@@ -74,6 +76,7 @@
     , m_random(randomSeed())
     , m_self(settings.peerAddress)
     , m_slots(context, m_self, settings.domain, log, m_random())
+    , m_streams(m_self, log, metrics, [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_quotas(m_self, m_random(), settings.isFirstStart, settings.quotaWindow, std::chrono::steady_clock::now(),
           [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_quarantine(m_self, log, [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
@@ -92,7 +95,7 @@
 
 void request_dispatcher::handle(http_request request, std::shared_ptr<http_responder> responder)
 {
-    admit(std::move(request), std::move(responder), std::nullopt);
+    admit(std::move(request), std::move(responder), {});
 }
 
 void request_dispatcher::reject(
@@ -107,22 +110,69 @@
     responder.send(refusalResponse(status, reason, retryAfter));
 }
 
-request_dispatcher::probe_candidate::probe_candidate(
-    http_request asked, std::shared_ptr<http_responder> caller, std::string id, memory_budget* memory, std::function<void()> endForMemory)
+request_dispatcher::held_request::held_request(http_request asked, std::shared_ptr<http_responder> caller, std::string id,
+    preliminary_decisions decided, memory_budget* memory, std::function<void()> endForMemory)
     : request(std::move(asked))
     , responder(std::move(caller))
     , attempt(std::move(id))
-    , held(memory, "probe_candidate", std::move(endForMemory))
+    , decisions(std::move(decided))
+    , held(memory, "held_request", std::move(endForMemory))
 {
     held.set(request.body.size());
 }
 
+void request_dispatcher::bindStream(http_request request, std::shared_ptr<http_responder> responder, const request_metadata& metadata,
+    const routing::route& route, monotonic_time now)
+{
+    const auto id = m_nextId++;
+    m_waitingForVersion.try_emplace(id, std::move(request), std::move(responder), metadata.attempt, preliminary_decisions {}, m_memory,
+        [this, id, resumed = metadata.resumedAttempt] { onStreamFound(id, resumed, 0, {}); });
+    const auto stream = stream_versions::idOf(metadata.resumedAttempt);
+    m_streams.find(
+        stream, routing::chooseService(route, m_random()),
+        [this, id, resumed = metadata.resumedAttempt, last = metadata.lastEventId.value_or(0)](
+            const stream_binding& binding) { onStreamFound(id, resumed, last, binding); },
+        now);
+}
+
+void request_dispatcher::onStreamFound(
+    std::uint64_t id, const std::string& resumedAttempt, std::uint64_t lastEvent, const stream_binding& binding)
+{
+    auto decided = m_waitingForVersion.extract(id);
+    if (!decided)
+        return;
+    auto& held = decided.mapped();
+    const auto software = binding.software.value_or(streams::software_version {});
+    m_log.event("stream_taken_up", versionSourceNames.name(binding.source))
+        .field("request", held.attempt)
+        .field("resumes", resumedAttempt)
+        .field("after_event", lastEvent)
+        .field("service", software.service)
+        .field("version", software.version)
+        .field("known_from", versionSourceNames.name(binding.source))
+        .field("age_ms", wholeMilliseconds(binding.age))
+        .field("endpoints", m_streams.endpointsOf(software));
+    m_metrics.streamTakenUp(versionSourceNames.name(binding.source));
+    if (held.responder->closed())
+        return;
+    if (!binding.software) {
+        reject(*held.responder, held.attempt, statusUnavailable, "stream_version_unknown", unknownVersionRetryAfter);
+        return;
+    }
+    if (m_streams.endpointsOf(software) == 0) {
+        reject(*held.responder, held.attempt, statusUnavailable, "stream_version_gone", std::nullopt);
+        return;
+    }
+    held.decisions.software = software;
+    admit(std::move(held.request), std::move(held.responder), std::move(held.decisions));
+}
+
 void request_dispatcher::askForProbe(http_request request, std::shared_ptr<http_responder> responder, const std::string& attempt,
-    const prompt_quarantine::parts& probed, monotonic_time now)
+    preliminary_decisions decisions, const prompt_quarantine::parts& probed, monotonic_time now)
 {
     const auto id = m_nextId++;
     m_waitingForProbe.try_emplace(
-        id, std::move(request), std::move(responder), attempt, m_memory, [this, id] { onProbeDecided(id, false); });
+        id, std::move(request), std::move(responder), attempt, std::move(decisions), m_memory, [this, id] { onProbeDecided(id, false); });
     if (!m_quarantine.askForProbe(id, probed, now))
         onProbeDecided(id, false);
 }
@@ -132,8 +182,9 @@
     if (auto decided = m_waitingForProbe.extract(id)) {
         auto& candidate = decided.mapped();
         m_metrics.promptProbe(isGranted ? "granted" : "refused");
+        candidate.decisions.probe = id;
         if (isGranted && !candidate.responder->closed())
-            admit(std::move(candidate.request), std::move(candidate.responder), id);
+            admit(std::move(candidate.request), std::move(candidate.responder), std::move(candidate.decisions));
         else
             reject(*candidate.responder, candidate.attempt, statusUnavailable, "quarantined_prompt", m_quarantine.probeInterval());
     }
@@ -142,7 +193,7 @@
         m_quarantine.endProbe(id);
 }
 
-void request_dispatcher::admit(http_request request, std::shared_ptr<http_responder> responder, std::optional<std::uint64_t> probe)
+void request_dispatcher::admit(http_request request, std::shared_ptr<http_responder> responder, preliminary_decisions decisions)
 {
     const auto now = std::chrono::steady_clock::now();
     auto metadata = m_codec.decodeRequest(request);
@@ -166,9 +217,20 @@
             return;
         }
     }
+    // A caller without any event has no stream to take up.
+    const bool hasEvents = metadata.lastEventId.value_or(0) > 0 || !metadata.resumedAttempt.empty();
+    const bool takesUp = hasEvents && route->mayGoOnElsewhere();
+    if (takesUp && !decisions.software) {
+        bindStream(std::move(request), std::move(responder), metadata, *route, now);
+        return;
+    }
+    if (takesUp && !routing::usesService(*route, decisions.software->service)) {
+        refuse(statusUnavailable, "stream_version_gone", std::nullopt);
+        return;
+    }
     admitted_request admitted;
-    admitted.id = probe ? *probe : m_nextId++;
-    admitted.isProbe = probe.has_value();
+    admitted.id = decisions.probe ? *decisions.probe : m_nextId++;
+    admitted.isProbe = decisions.probe.has_value();
     admitted.route = *route;
     admitted.configuration = version();
     admitted.arrived = now;
@@ -178,7 +240,9 @@
     admitted.responseDeadline = now + timeLeft;
     admitted.prompt = metadata.prompt.value_or(tokens { 0 });
     admitted.expectedOutput = expectedOutput(metadata, route->streaming);
-    admitted.service = routing::chooseService(*route, m_random());
+    admitted.service = takesUp ? decisions.software->service : routing::chooseService(*route, m_random());
+    if (takesUp)
+        admitted.streamVersion = decisions.software->version;
     if (m_drainDeadline
         && (route->streaming ? now > m_drainStartedAt + streamAdmissionTime : admitted.responseDeadline + drainMargin > *m_drainDeadline)) {
         refuse(statusUnavailable, "stopping", minRetryAfter);
@@ -193,9 +257,9 @@
         refuse(statusUnavailable, "quarantined_prompt", *remaining);
         return;
     }
-    if (const auto probed = m_quarantine.onProbation(guarded, now); !probed.empty() && !probe) {
+    if (const auto probed = m_quarantine.onProbation(guarded, now); !probed.empty() && !decisions.probe) {
         logQuarantined(metadata, guarded, now);
-        askForProbe(std::move(request), std::move(responder), metadata.attempt, probed, now);
+        askForProbe(std::move(request), std::move(responder), metadata.attempt, std::move(decisions), probed, now);
         return;
     }
     if (team) {
@@ -267,6 +331,7 @@
         }
         m_slots.setLimits(defined.name, limits);
     }
+    m_streams.setServices(routing::resumableServices(current));
     m_log.event("configuration_in_force")
         .field("version", current.version)
         .field("routes", current.routes.size())
@@ -282,6 +347,10 @@
 
 void request_dispatcher::setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records)
 {
+    streams::base_versions::endpoints_by_service byService;
+    for (const auto& [id, record] : records)
+        byService[record.service].push_back(record);
+    m_streams.setEndpoints(byService, std::chrono::steady_clock::now());
     m_slots.setEndpoints(records);
 }
 
@@ -346,7 +415,7 @@
         m_quotas.receive(sender, *report, now);
     else if (const auto* totals = message.body.Asquota_totals())
         m_quotas.receive(sender, *totals, now);
-    else
+    else if (!m_streams.receive(sender, message, now))
         return m_quarantine.receive(sender, message, now);
     return true;
 }
@@ -373,6 +442,7 @@
     m_fleet = m_members->size(now);
     m_quotas.tick(*m_members, now);
     m_quarantine.tick(*m_members, now);
+    m_streams.tick(*m_members, now);
     m_metrics.setWaiting(m_slots.waitingCount());
     m_slots.tick();
     m_metrics.setActive(m_exchanges.size());
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -11,6 +11,7 @@
 #include "prompt_quarantine.h"
 #include "routing/route_table.h"
 #include "slot_coordinator.h"
+#include "stream_versions.h"
 #include "team_quotas.h"
 
 #include <boost/asio/io_context.hpp>
@@ -51,6 +52,7 @@
     void restoreQuotaMarks(const std::vector<store_record>& records);
     void setQuotaStore(team_quotas::mark_writer writer) { m_quotas.setMarkWriter(std::move(writer)); }
     slot_coordinator& slots() { return m_slots; }
+    stream_versions& streams() { return m_streams; }
     /// Names the route of a request to the service in its call to the owner of a pool; 0 if it is not needed.
     using route_marker = std::function<std::uint64_t(const service_id& service, const std::string& route)>;
     void setRouteMarker(route_marker marker) { m_routeMarker = std::move(marker); }
@@ -104,23 +106,34 @@
     gateway_metrics& metrics() { return m_metrics; }
 
 private:
-    /// A request that asks for a probe.
-    struct probe_candidate {
-        probe_candidate(http_request asked, std::shared_ptr<http_responder> caller, std::string id, memory_budget* memory,
-            std::function<void()> endForMemory);
+    /// What was decided on a request before it is admitted.
+    struct preliminary_decisions {
+        /// Software that began the stream which the caller takes up.
+        std::optional<streams::software_version> software;
+        /// Number of the request if it was granted a probe.
+        std::optional<std::uint64_t> probe;
+    };
+    /// A request that waits for such a decision.
+    struct held_request {
+        held_request(http_request asked, std::shared_ptr<http_responder> caller, std::string id, preliminary_decisions decided,
+            memory_budget* memory, std::function<void()> endForMemory);
 
         http_request request;
         std::shared_ptr<http_responder> responder;
         std::string attempt;
+        preliminary_decisions decisions;
         memory_budget::holding held;
     };
 
-    /// probe: number of the request if it was granted a probe.
-    void admit(http_request request, std::shared_ptr<http_responder> responder, std::optional<std::uint64_t> probe);
+    void admit(http_request request, std::shared_ptr<http_responder> responder, preliminary_decisions decisions);
+    /// Finds the version that began the stream which the caller takes up, and admits the request if that is known.
+    void bindStream(http_request request, std::shared_ptr<http_responder> responder, const request_metadata& metadata,
+        const routing::route& route, monotonic_time now);
+    void onStreamFound(std::uint64_t id, const std::string& resumedAttempt, std::uint64_t lastEvent, const stream_binding& binding);
     void reject(http_responder& responder, const std::string& attempt, unsigned status, std::string_view reason,
         std::optional<duration> retryAfter);
     void askForProbe(http_request request, std::shared_ptr<http_responder> responder, const std::string& attempt,
-        const prompt_quarantine::parts& probed, monotonic_time now);
+        preliminary_decisions decisions, const prompt_quarantine::parts& probed, monotonic_time now);
     void onProbeDecided(std::uint64_t id, bool isGranted);
     limits::retry_budget& retryBudget(const service_id& service);
     void logQuarantined(const request_metadata& metadata, const prompt_quarantine::parts& parts, monotonic_time now);
@@ -145,6 +158,7 @@
     random_source m_random;
     node_id m_self;
     slot_coordinator m_slots;
+    stream_versions m_streams;
     team_quotas m_quotas;
     prompt_quarantine m_quarantine;
     crash_detector m_crashes;
@@ -155,7 +169,8 @@
     /// Not set where orders of roll-outs are not in force.
     route_marker m_routeMarker;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
-    std::map<std::uint64_t, probe_candidate> m_waitingForProbe;
+    std::map<std::uint64_t, held_request> m_waitingForProbe;
+    std::map<std::uint64_t, held_request> m_waitingForVersion;
     fleet_size m_fleet;
     std::uint64_t m_nextId = 1;
     monotonic_time m_drainStartedAt {};
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -29,6 +29,8 @@
     { store_topic::quarantine, "quarantine" },
     { store_topic::quotas, "quotas" },
     { store_topic::status, "status" },
+    { store_topic::stream_bases, "stream_bases" },
+    { store_topic::stream_starts, "stream_starts" },
 });
 
 } // namespace
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -23,6 +23,8 @@
 // The quarantine is read for what was known before this process started; later changes come from the other nodes.
 constexpr auto quarantineInterval = std::chrono::minutes(5);
 // Only what was written before this process started matters.
+// Bases move seldom; who needs the present ones reads them at once.
+constexpr auto streamBaseInterval = std::chrono::minutes(5);
 constexpr auto quotaMarkInterval = std::chrono::minutes(5);
 // A node that hears of nothing for this long no longer relies on updates to tell it of a new configuration.
 constexpr auto maxUpdateSilence = std::chrono::seconds(2);
@@ -39,6 +41,8 @@
 constexpr auto publishTimeout = std::chrono::seconds(2);
 constexpr auto publishRetryDelay = std::chrono::milliseconds(500);
 constexpr std::size_t maxPublishResponseBytes = 65536;
+// Before the version in a record of a base, since a record without a value drops its key.
+constexpr std::string_view baseMark = "=";
 
 std::uint32_t ageInMilliseconds(monotonic_time asOf, monotonic_time now)
 {
@@ -103,6 +107,12 @@
         { [this](const auto& records) { onQuarantineSnapshot(records); }, m_handlers.onQuarantine, [](duration) {} });
     m_quotaFollower
         = follower({ store_topic::quotas, {}, quotaMarkInterval }, { m_handlers.onQuotaMarks, [](const auto&) {}, [](duration) {} });
+    m_baseFollower = follower({ store_topic::stream_bases, {}, streamBaseInterval },
+        { [this](const auto& records) {
+             m_streamBases.clear();
+             onStreamBaseRecords(records);
+         },
+            [this](const auto& records) { onStreamBaseRecords(records); }, [](duration) {} });
     if (!m_settings.rollouts)
         return;
     const auto applyStatuses = [this](const std::vector<store_record>& records) { onStatusRecords(records); };
@@ -121,6 +131,41 @@
     applyConfiguration(record, configuration_source::read, m_self);
 }
 
+void store_sync::onStreamBaseRecords(const std::vector<store_record>& records)
+{
+    for (const auto& record : records) {
+        const service_id service { record.key };
+        if (record.value && record.value->starts_with(baseMark))
+            m_streamBases[service] = record.value->substr(baseMark.size());
+        else
+            m_streamBases.erase(service);
+    }
+}
+
+void store_sync::reportStreamBases()
+{
+    if (!m_baseFollower || !m_baseFollower->isLoaded() || m_baseFollower->asOf() == m_streamBasesAsOf)
+        return;
+    m_streamBasesAsOf = m_baseFollower->asOf();
+    m_handlers.onStreamBases(m_streamBases, m_streamBasesAsOf);
+}
+
+void store_sync::writeStreamBase(const service_id& service, const std::string& version, std::function<void(bool)> onDone)
+{
+    http_call_options options;
+    options.idleTimeout = appendTimeout;
+    options.totalTimeout = appendTimeout;
+    options.maxBodyBytes = maxPublishResponseBytes;
+    const store_record record { service.value, std::string(baseMark) + version };
+    m_client.send(m_settings.storeAddress, m_codec.append(store_topic::stream_bases, record, m_baseFollower->position().offset), options,
+        [onDone = std::move(onDone)](const http_result& result) { onDone(result.ok() && result.response.status == statusOk); });
+}
+
+void store_sync::readStreamBases()
+{
+    m_baseFollower->readNow();
+}
+
 void store_sync::onStatusRecords(const std::vector<store_record>& records)
 {
     for (const auto& record : records) {
@@ -182,6 +227,7 @@
         if (follower)
             follower->enterHistory(history);
     }
+    m_handlers.onHistoryChanged();
 }
 
 // The followers take turns while the store fails; what one topic was answered, the others are likely to be answered as well.
@@ -330,6 +376,7 @@
     }
     if (m_isReader && m_endpoints.isLoaded() && now - m_lastUpdateAt >= updateInterval)
         sendUpdate(now);
+    reportStreamBases();
     readMissingConfiguration(now);
     if ((!reachesStore() || needsConfigurationFromPeers(now)) && now - m_lastCopyRequestAt >= copyRequestInterval)
         requestCopyFromAny(now);
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -38,6 +38,11 @@
         std::function<void(const std::vector<store_record>&)> onQuarantineLost;
         /// Teams whose usage before the start of this process was not even.
         std::function<void(const std::vector<store_record>&)> onQuotaMarks;
+        /// Base versions of the services as of a read that began then.
+        std::function<void(const std::map<service_id, std::string>& bases, monotonic_time asOf)> onStreamBases
+            = [](const std::map<service_id, std::string>&, monotonic_time) {};
+        /// The store has come back from an older copy.
+        std::function<void()> onHistoryChanged = [] {};
         std::function<void(std::span<const node_id>, peer::envelopeT)> send;
         std::function<config_version()> version;
         /// An order of a roll-out, or its withdrawal; also older ones again.
@@ -72,6 +77,10 @@
     status_position statusPosition() const;
     /// Reads the statuses now.
     void readStatus();
+    /// Writes the base version of a service if no other node has written one since the last read; reports whether it did.
+    void writeStreamBase(const service_id& service, const std::string& version, std::function<void(bool)> onDone);
+    /// Reads the base versions now.
+    void readStreamBases();
     /// Adjusts the reads to what the peers deliver; call every few tens of milliseconds.
     void tick(monotonic_time now);
     void receive(const node_id& sender, const peer::store_updateT& update);
@@ -89,9 +98,10 @@
 
     void follow();
     /// The followers of all topics; those that do not exist yet are null.
-    std::array<std::shared_ptr<store_follower>, 6> followers() const
+    std::array<std::shared_ptr<store_follower>, 7> followers() const
     {
-        return { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_quotaFollower, m_statusFollower };
+        return { m_configurationFollower, m_endpointFollower, m_nodeFollower, m_quarantineFollower, m_quotaFollower, m_statusFollower,
+            m_baseFollower };
     }
     /// Where a record of the configuration came from.
     enum class configuration_source { read, copy };
@@ -105,6 +115,9 @@
     void onEndpointRecords(const std::vector<store_record>& records);
     void onOperatorRecord(const store_record& record);
     void onStatusRecords(const std::vector<store_record>& records);
+    void onStreamBaseRecords(const std::vector<store_record>& records);
+    /// Tells of the base versions after each read, also of one that brought nothing.
+    void reportStreamBases();
     void onNodeRecords(const std::vector<store_record>& records);
     void onNodeSnapshot(const std::vector<store_record>& records);
     void onQuarantineSnapshot(const std::vector<store_record>& records);
@@ -160,6 +173,9 @@
     std::shared_ptr<store_follower> m_quotaFollower;
     /// Only where orders of roll-outs are in force.
     std::shared_ptr<store_follower> m_statusFollower;
+    std::shared_ptr<store_follower> m_baseFollower;
+    std::map<service_id, std::string> m_streamBases;
+    monotonic_time m_streamBasesAsOf {};
     endpoint_registry m_endpoints;
     store_readers m_readers;
     store_record m_configurationRecord;
--- a/libs/gateway/tests/gateway_test_fixture.h
+++ b/libs/gateway/tests/gateway_test_fixture.h
@@ -73,6 +73,7 @@
     snapshot_page decodeSnapshot(const http_response&) const override { return {}; }
     log_page decodeLog(const http_response&) const override { return {}; }
     bool isOffsetExpired(const http_response&) const override { return false; }
+    std::optional<std::uint64_t> firstOffset(const http_response&) const override { return std::nullopt; }
     std::optional<std::uint64_t> storeHistory(const http_response& response) const override
     {
         const auto history = response.header("history");
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -71,6 +71,8 @@
     bool startsByFloor = false;
     /// Hash of the route's name while an order of a roll-out is in progress; 0 otherwise.
     std::uint64_t route = 0;
+    /// Version of the software that must answer; nullopt for any.
+    std::optional<std::string> version;
 };
 
 /// Why a request waits: number of endpoints that cannot take it, counted by the first reason that applies.
@@ -108,12 +110,15 @@
     queue,
     /// The service has no usable endpoint.
     no_endpoint,
+    /// No endpoint of the version that must answer is in service.
+    version_gone,
 };
 
 inline constexpr auto refusalCauseNames = enumTable<refusal_cause>({
     { refusal_cause::deadline, "deadline" },
     { refusal_cause::queue, "queue" },
     { refusal_cause::no_endpoint, "no_endpoint" },
+    { refusal_cause::version_gone, "version_gone" },
 });
 
 struct refusal {
@@ -266,6 +271,10 @@
     std::vector<replica_id> withNotice(monotonic_time now) const;
     /// Start of the endpoint's process in Unix milliseconds, as registered last; 0 for an unknown endpoint.
     std::int64_t startOf(const replica_id& replica) const;
+    /// Whether the endpoint is known to run this version.
+    bool runsVersion(const replica_id& replica, const std::string& version) const;
+    /// Whether any listed endpoint of the version accepts requests.
+    bool acceptsVersion(const std::string& version) const;
     /// Number of listed endpoints that say that they leave, and that rest for any node.
     notice_counts countNotices(monotonic_time now) const;
 
@@ -412,7 +421,7 @@
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request, tokens work) const;
-    /// Whether the request was sent there before, or the endpoint asked its sender for rest.
+    /// Whether the request was sent there before or needs another version, or the endpoint asked its sender for rest.
     bool isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     /// Time at which the first endpoint accepts requests of the sender again; nullopt if none asked it for rest.
     std::optional<monotonic_time> firstRestEnd(const waiting_request& request, monotonic_time now) const;
--- a/libs/placement/include/placement/slot_client.h
+++ b/libs/placement/include/placement/slot_client.h
@@ -107,7 +107,9 @@
     };
 
     std::uint32_t poolOfReplica(const replica_id& replica) const;
-    std::optional<std::uint32_t> choosePool() const;
+    std::optional<std::uint32_t> choosePool(const waiting_request& request) const;
+    /// Of the pools with a usable owner and endpoints of the version, the one with most of them.
+    std::optional<std::uint32_t> choosePoolOf(const std::string& version) const;
     bool isUsable(const owner_link& link) const { return link.owner && !link.isSilent; }
     void enqueue(waiting_request request, monotonic_time now);
     void enqueueLocally(waiting_request request);
@@ -128,6 +130,8 @@
     void startOwn(const grant& granted);
     /// Adds the grant to the decisions if it can be used; otherwise its slot is given back.
     void accept(std::uint32_t pool, const slot_grant& entry, pool_decisions& decisions, monotonic_time now);
+    /// Why this node does not use a grant of the endpoint; nullopt if it does.
+    std::optional<unusable_reason> whyDeclined(const replica_id& replica, const waiting_request& request, monotonic_time now) const;
     /// Does not use the grant of a waiting request, tells the owner why, and lets the request wait for another endpoint.
     void decline(std::uint32_t pool, const declined_grant& declined, monotonic_time now);
     /// Tells the owner of the endpoint's pool with the next call what the endpoint has said of itself.
@@ -149,6 +153,8 @@
     service_pool m_local;
     std::vector<owner_link> m_links;
     std::map<replica_id, std::uint32_t> m_poolByReplica;
+    /// Number of endpoints that accept requests, by version and pool.
+    std::map<std::string, std::vector<std::size_t>> m_endpointsByVersion;
     std::unordered_map<std::uint64_t, waiting_entry> m_waiting;
     std::unordered_map<std::uint64_t, running_entry> m_running;
     std::vector<received_decisions> m_received;
--- a/libs/placement/src/service_pool_placement.cpp
+++ b/libs/placement/src/service_pool_placement.cpp
@@ -135,6 +135,8 @@
 
 bool service_pool::isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const
 {
+    if (request.version && *request.version != endpoint.record.version)
+        return true;
     return endpoint.notice.restUntil(request.sender, now)
         || std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
 }
--- a/libs/placement/src/service_pool_refusal.cpp
+++ b/libs/placement/src/service_pool_refusal.cpp
@@ -59,6 +59,9 @@
 
 std::optional<refusal> service_pool::checkRefusal(const waiting_request& request, const queue_position& position, monotonic_time now)
 {
+    // A version that has left does not come back in time, and the caller can start anew.
+    if (request.version && !acceptsVersion(*request.version))
+        return refusal { request.id, refusal_cause::version_gone, {}, position.ahead };
     if (request.responseStarted)
         return std::nullopt;
     const auto wait = expectedWait(request, position, now);
--- a/libs/placement/src/service_pool_versions.cpp
+++ b/libs/placement/src/service_pool_versions.cpp
@@ -65,6 +65,20 @@
     return static_cast<double>(counts.target + 1) <= m_versionSplit->share * static_cast<double>(counts.all + 1) + firstRequestCredit;
 }
 
+bool service_pool::runsVersion(const replica_id& replica, const std::string& version) const
+{
+    const auto found = m_endpoints.find(replica);
+    return found != m_endpoints.end() && found->second.record.version == version;
+}
+
+bool service_pool::acceptsVersion(const std::string& version) const
+{
+    return std::ranges::any_of(m_endpoints, [&](const auto& entry) {
+        const auto& endpoint = entry.second;
+        return endpoint.record.version == version && endpoint.isListed && !whyUnusable(endpoint);
+    });
+}
+
 void service_pool::countSent(const waiting_request& request, const endpoint_state& endpoint, monotonic_time now)
 {
     if (!m_versionRules.isInProgress() || !m_versionSplit)
--- a/libs/placement/src/slot_client.cpp
+++ b/libs/placement/src/slot_client.cpp
@@ -41,8 +41,14 @@
     m_local.setEndpoints(records, now);
     const auto count = poolCount(records.size());
     m_poolByReplica.clear();
-    for (const auto& record : records)
-        m_poolByReplica.emplace(record.id, poolOf(record.id, count));
+    m_endpointsByVersion.clear();
+    for (const auto& record : records) {
+        const auto pool = poolOf(record.id, count);
+        m_poolByReplica.emplace(record.id, pool);
+        auto& endpoints = m_endpointsByVersion[record.version];
+        endpoints.resize(count);
+        endpoints[pool] += record.draining ? 0 : 1;
+    }
     if (count == m_links.size())
         return;
     m_links.assign(count, {});
@@ -105,9 +111,11 @@
 
 // Nodes are spread evenly over the pools by rank. Each also uses a second pool, which differs between the nodes of one primary pool, so
 // that the load of a full pool spreads over all others.
-std::optional<std::uint32_t> slot_client::choosePool() const
+std::optional<std::uint32_t> slot_client::choosePool(const waiting_request& request) const
 {
     const auto count = m_links.size();
+    if (request.version && count > 1)
+        return choosePoolOf(*request.version);
     const auto primary = m_rank % count;
     if (count == 1)
         return isUsable(m_links[0]) ? std::optional(std::uint32_t { 0 }) : std::nullopt;
@@ -124,6 +132,20 @@
     return std::nullopt;
 }
 
+std::optional<std::uint32_t> slot_client::choosePoolOf(const std::string& version) const
+{
+    const auto found = m_endpointsByVersion.find(version);
+    if (found == m_endpointsByVersion.end())
+        return std::nullopt;
+    const auto& endpoints = found->second;
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t pool = 0; pool < std::min<std::size_t>(endpoints.size(), m_links.size()); ++pool) {
+        if (endpoints[pool] > 0 && isUsable(m_links[pool]) && (!best || endpoints[pool] > endpoints[*best]))
+            best = pool;
+    }
+    return best;
+}
+
 void slot_client::submit(waiting_request request, monotonic_time now)
 {
     request.domain = m_domain;
@@ -134,7 +156,7 @@
 
 void slot_client::enqueue(waiting_request request, monotonic_time now)
 {
-    const auto pool = choosePool();
+    const auto pool = choosePool(request);
     if (!pool) {
         enqueueLocally(std::move(request));
         return;
@@ -179,9 +201,12 @@
     if (pools() < 2 || now - m_lastRebalanceAt < rebalanceInterval)
         return;
     m_lastRebalanceAt = now;
-    const auto chosen = choosePool();
     const auto found = std::ranges::find_if(m_waiting, [&](const auto& entry) {
-        return chosen && entry.second.pool && entry.second.pool != chosen && now - entry.second.since > rebalanceInterval;
+        const auto& [request, pool, since] = entry.second;
+        if (!pool || now - since <= rebalanceInterval)
+            return false;
+        const auto chosen = choosePool(request);
+        return chosen && chosen != pool;
     });
     if (found == m_waiting.end())
         return;
@@ -373,8 +398,13 @@
         for (const auto& refused : received.refusals) {
             if (!isWaitingIn(pool, refused.id))
                 continue;
+            auto request = std::move(m_waiting.at(refused.id).request);
             m_waiting.erase(refused.id);
-            decisions.refusals.push_back(refused);
+            // The owner does not know the endpoints of the version yet.
+            if (refused.cause == refusal_cause::version_gone && request.version && m_local.acceptsVersion(*request.version))
+                enqueueLocally(std::move(request));
+            else
+                decisions.refusals.push_back(refused);
         }
         std::ranges::copy_if(received.waitReports, std::back_inserter(decisions.waitReports),
             [&](const wait_report& report) { return isWaitingIn(pool, report.id); });
@@ -388,7 +418,7 @@
         rejectGrant(pool, granted.id);
         return;
     }
-    if (const auto reason = m_local.whyUnusable(granted.replica, {}, now)) {
+    if (const auto reason = whyDeclined(granted.replica, m_waiting.at(granted.id).request, now)) {
         decisions.declined.push_back({ granted.id, granted.replica, *reason });
         decline(pool, decisions.declined.back(), now);
         return;
@@ -406,6 +436,15 @@
     decisions.grants.push_back(granted);
 }
 
+// An owner that does not know of versions grants any endpoint.
+std::optional<unusable_reason> slot_client::whyDeclined(const replica_id& replica, const waiting_request& request, monotonic_time now) const
+{
+    if (const auto reason = m_local.whyUnusable(replica, {}, now))
+        return reason;
+    const bool isOtherVersion = request.version && !m_local.runsVersion(replica, *request.version);
+    return isOtherVersion ? std::optional(unusable_reason::version) : std::nullopt;
+}
+
 // The owner does not know yet what this node does. Excluding the endpoint keeps an owner that never learns it from granting it again; one
 // that only rests is excluded the second time, since the request may run there later. An endpoint that this node does not know cannot be
 // named to the owner.
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -60,6 +60,22 @@
         return request.id;
     }
 
+    /// Submits a request that endpoints of this version only may answer.
+    std::uint64_t submitBound(std::size_t node, const std::string& version)
+    {
+        waiting_request request;
+        request.id = m_nextId++;
+        request.prompt = tokens { 100 };
+        request.output = tokens { 90 };
+        request.arrived = now;
+        request.target = now + 2s;
+        request.deadline = now + 8s;
+        request.version = version;
+        m_home[request.id] = node;
+        m_nodes[node]->client.submit(request, now);
+        return request.id;
+    }
+
     /// Submits a request again that is running or was granted before, without its previous endpoint.
     void resubmit(std::uint64_t id, const replica_id& previous)
     {
--- a/libs/routing/include/routing/fleet_configuration.h
+++ b/libs/routing/include/routing/fleet_configuration.h
@@ -43,6 +43,8 @@
 
     /// True if a request may be retried after it may have been executed.
     bool isSafeToRetry() const { return idempotent || (streaming && resumable); }
+    /// True if a stream that has begun may go on at another endpoint.
+    bool mayGoOnElsewhere() const { return streaming && isSafeToRetry(); }
 };
 
 /// Capacity of the model engines of a service.
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -33,4 +34,10 @@
 /// Selects a destination of the route by weight. randomValue: uniformly distributed.
 const service_id& chooseService(const route& route, std::uint64_t randomValue);
 
+/// Whether the service is a destination of the route.
+bool usesService(const route& route, const service_id& service);
+
+/// Services with streams that may go on at another endpoint.
+std::set<service_id> resumableServices(const fleet_configuration& configuration);
+
 } // namespace carawaylink::routing
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -71,4 +71,21 @@
     return route.services.front().service;
 }
 
+bool usesService(const route& route, const service_id& service)
+{
+    return std::ranges::find(route.services, service, &weighted_service::service) != route.services.end();
+}
+
+std::set<service_id> resumableServices(const fleet_configuration& configuration)
+{
+    std::set<service_id> result;
+    for (const auto& route : configuration.routes) {
+        if (!route.mayGoOnElsewhere())
+            continue;
+        for (const auto& destination : route.services)
+            result.insert(destination.service);
+    }
+    return result;
+}
+
 } // namespace carawaylink::routing
