Do not block endpoints by the failures of a sender that reaches none

What callers saw: nodes that reached all endpoints refused half of their requests while other nodes were cut off from the endpoints.

Cause: the owner of a pool mixed the outcomes of all senders, so that each failure of a node without a path blocked an endpoint for everybody, for 0.4 to 3.2 s. Reachability is a fact of a sender and an endpoint.

Change: a failure to reach an endpoint, or its silence, counts against it unless its sender failed at another endpoint before and none has answered it since.

Evidence: sender_path_test failed before and passes.

--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -12,6 +12,7 @@
 #include "placement/prefill_cost_model.h"
 #include "placement/prefix_belief.h"
 #include "placement/request_limit.h"
+#include "placement/sender_paths.h"
 #include "placement/tier_floor.h"
 #include "placement/version_rules.h"
 
@@ -477,6 +478,7 @@
     pool_limits m_limits;
     prefill_cost_model m_prefillCost;
     connection_estimate m_connections;
+    sender_paths m_senderPaths;
     monotonic_time m_connectionsExpiredAt {};
     std::map<replica_id, endpoint_state> m_endpoints;
     std::unordered_map<std::uint64_t, running_request> m_running;
