Withdraw a node that has lost its path to all endpoints

Cause: nothing in a node told "no endpoint answers me" from "this endpoint does not answer". It was in the directory, said that it was ready, was granted slots, and each send waited for its timeout.

Change: a node doubts its path when all endpoints are silent while requests wait, or when several endpoints in a row cannot be reached; it then connects to some of them, twice, and asks peers to do the same. If it reaches none and a peer does, it refuses connections, leaves the directory and readiness, gives its slots back and ends what gets no answer with what is true of it. Two rounds of connections later it is back. While in doubt, its failures count neither against endpoints nor as crashes for the quarantine. If no peer can connect either, it is the endpoints, and nothing moves. Answers of the directory hold for 1 s instead of 2 s, so that callers leave such a node in time.

--- a/libs/gateway/include/gateway/gateway_node.h
+++ b/libs/gateway/include/gateway/gateway_node.h
@@ -45,7 +45,7 @@
     /// Processor capacity of this vm in thousandths of a core; 0 if unknown.
     unsigned processorCapacity = 0;
     /// TTL of directory responses, at most the longest that callers honor.
-    duration directoryTtl = std::chrono::seconds(2);
+    duration directoryTtl = std::chrono::seconds(1);
     /// Set if orders of roll-outs are in force.
     std::optional<rollout::exposure_bound> rollouts;
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -33,6 +33,8 @@
 constexpr auto replacementInterval = std::chrono::milliseconds(400);
 // A retry with less time left than this is unlikely to succeed.
 constexpr auto minRetryTime = std::chrono::milliseconds(60);
+// Where no endpoint can be reached, an answer that pauses for this long does not go on.
+constexpr auto pathSilence = std::chrono::milliseconds(600);
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(300);
 // Events wait no longer than this for the record of their stream's start.
 constexpr auto startRecordTimeout = std::chrono::milliseconds(700);
@@ -281,6 +283,7 @@
     m_head = head;
     m_lastProgressAt = std::chrono::steady_clock::now();
     m_headMetadata = m_dispatcher.codec().decodeResponse(head, m_admitted.metadata.attempt);
+    m_dispatcher.recordPathAnswer(m_connection.earlierRequests == 0);
     if (m_headMetadata.isMismatched) {
         attemptFailed(placement::outcome::invalid, "response to another attempt");
         return;
@@ -307,6 +310,7 @@
 void exchange::onResponseData(std::string_view bytes)
 {
     const auto now = std::chrono::steady_clock::now();
+    m_dispatcher.recordPathAnswer(false);
     if (m_state == state::buffering) {
         m_lastProgressAt = now;
         cancelReplacement();
@@ -543,6 +547,8 @@
 void exchange::attemptFailed(placement::outcome result, const std::string& detail)
 {
     cancelReplacement();
+    if (result == placement::outcome::unreachable)
+        m_dispatcher.recordPathFailure(m_grant);
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
     recordProof(result);
@@ -704,6 +710,18 @@
         endNow(reason, retryAfter);
 }
 
+void exchange::endWithoutPath(monotonic_time now)
+{
+    const bool isAnswered = m_state != state::waiting && now - m_lastProgressAt <= pathSilence;
+    if (m_state != state::done && !isAnswered)
+        endNow("no_path_to_endpoints", defaultRetryAfter);
+}
+
+std::optional<monotonic_time> exchange::waitsAtEndpointSince() const
+{
+    return m_state == state::sent ? std::optional(m_sentAt) : std::nullopt;
+}
+
 void exchange::endForMemory()
 {
     const auto self = shared_from_this();
@@ -724,6 +742,11 @@
 
 void exchange::recordOutcome(placement::outcome result)
 {
+    // It tells nothing of the endpoint while this node may have lost its path to all of them.
+    const bool isPathFailure
+        = result == placement::outcome::unreachable || result == placement::outcome::timed_out || result == placement::outcome::broken;
+    if (isPathFailure && m_dispatcher.isPathDoubtful())
+        result = placement::outcome::cancelled;
     m_dispatcher.finishAttempt(*this, result, eventsOfAttempt());
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -59,6 +59,10 @@
     void endUnanswered(std::string_view reason, duration retryAfter);
     /// Ends the request because its messages hold the most memory while the node holds too much.
     void endForMemory();
+    /// Ends the request unless an endpoint has answered it lately, since none can be reached from this node.
+    void endWithoutPath(monotonic_time now);
+    /// Since when the request waits for the first part of an answer; nullopt if it does not.
+    std::optional<monotonic_time> waitsAtEndpointSince() const;
     /// Aborts the request immediately; used when a drain reaches its deadline.
     void terminate();
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_node.h"
 
+#include "base/error.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "exchange.h"
@@ -224,6 +225,7 @@
             store.publish(store_topic::quotas, team.value, isMarked ? "ahead" : "");
         });
         dispatcher.streams().setStore(streamStoreAccess());
+        dispatcher.setOnPathChanged([this](bool isLost) { onPathChanged(isLost); });
         startMembership();
         store.start();
         tick();
@@ -305,7 +307,33 @@
             rollouts->receive(*report, std::chrono::steady_clock::now());
     }
 
-    bool isReady() const { return dispatcher.isConfigured() && store.isLoaded() && !isDraining; }
+    // Callers that cannot connect turn to another node at once, and do not come back until the directory names this one again.
+    void onPathChanged(bool isLost)
+    {
+        if (isLost) {
+            isReturning = false;
+            hasPath = false;
+            frontend.pause();
+            membership.setHttpAddress({});
+        } else {
+            isReturning = true;
+        }
+    }
+
+    void resumeCallers()
+    {
+        if (!isReturning)
+            return;
+        try {
+            frontend.resume(settings.frontendAddress);
+            hasPath = true;
+            isReturning = false;
+        } catch (const error& failure) {
+            log.event("frontend_unavailable").field("error", '"' + std::string(failure.what()) + '"');
+        }
+    }
+
+    bool isReady() const { return dispatcher.isConfigured() && store.isLoaded() && !isDraining && hasPath; }
 
     void answerOperator(const http_request& request, http_responder& responder)
     {
@@ -365,6 +393,7 @@
     void tick()
     {
         const auto now = std::chrono::steady_clock::now();
+        resumeCallers();
         announceReadiness();
         if (std::exchange(appliedMembers, members.version()) != members.version())
             dispatcher.setMembers(members);
@@ -449,6 +478,10 @@
     /// Version of the members that the dispatcher knows.
     std::uint64_t appliedMembers = 0;
     bool isDraining = false;
+    /// Endpoints can be reached from this node.
+    bool hasPath = true;
+    /// The path is back, and callers are accepted from the next tick on.
+    bool isReturning = false;
     monotonic_time drainStartedAt {};
     monotonic_time drainDeadline {};
     monotonic_time lastFlushAt {};
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "request_dispatcher.h"
 
 #include "base/time.h"
+#include "endpoint_probe.h"
 #include "exchange.h"
 #include "placement_query.h"
 
@@ -19,6 +20,12 @@
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(500);
 // Of a stream whose version the store does not tell now.
 constexpr auto unknownVersionRetryAfter = std::chrono::milliseconds(700);
+// Above a round trip on a loaded link, and short enough that callers leave a node without a path in time.
+constexpr auto pathProbeTimeout = std::chrono::milliseconds(250);
+// Nodes that are asked whether they can connect to endpoints.
+constexpr std::size_t pathPeers = 4;
+// Endpoints to which a node connects for one that asks.
+constexpr std::size_t probesForPeer = 2;
 constexpr auto maxQuotaRetryAfter = std::chrono::seconds(5);
 // Retry-After of requests refused while the node drains, and lower bound of the Retry-After of an exceeded quota.
 constexpr auto minRetryAfter = std::chrono::milliseconds(50);
@@ -82,8 +89,13 @@
     , m_quarantine(m_self, log, [this](const node_id& node, peer::envelopeT message) { send(node, std::move(message)); })
     , m_crashes(context,
           [this](const discovery::replica_id& replica, const service_id& service, const lost_requests& lost) {
-              m_quarantine.recordCrash(service, replica, lost.unansweredParts, std::chrono::steady_clock::now(), lost.requests);
+              // An endpoint that refuses connections may have lost its path to this node only.
+              if (!m_path.isDoubtful())
+                  m_quarantine.recordCrash(service, replica, lost.unansweredParts, std::chrono::steady_clock::now(), lost.requests);
           })
+    , m_path(m_random())
+    , m_context(context)
+    , m_alive(std::make_shared<request_dispatcher*>(this))
     , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
 {
     setPeerHandlers([](const node_id&, const peer::envelopeT&) {}, [](const node_id&) {});
@@ -204,6 +216,10 @@
         refuse(statusUnavailable, "no_configuration", notReadyRetryAfter);
         return;
     }
+    if (m_path.state() == path_state::lost) {
+        refuse(statusUnavailable, "no_path_to_endpoints", minRetryAfter);
+        return;
+    }
     const auto* route = m_routes->find(request.header("Host").value_or(""), request.target);
     if (!route || route->services.empty()) {
         refuse(statusNotFound, "no_route", std::nullopt);
@@ -348,8 +364,13 @@
 void request_dispatcher::setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records)
 {
     streams::base_versions::endpoints_by_service byService;
-    for (const auto& [id, record] : records)
+    std::vector<endpoint_id> accepting;
+    for (const auto& [id, record] : records) {
         byService[record.service].push_back(record);
+        if (!record.draining)
+            accepting.push_back(record.address);
+    }
+    m_path.setEndpoints(std::move(accepting));
     m_streams.setEndpoints(byService, std::chrono::steady_clock::now());
     m_slots.setEndpoints(records);
 }
@@ -415,6 +436,10 @@
         m_quotas.receive(sender, *report, now);
     else if (const auto* totals = message.body.Asquota_totals())
         m_quotas.receive(sender, *totals, now);
+    else if (message.body.Aspath_query())
+        answerPathQuery(sender);
+    else if (message.body.Aspath_reply())
+        m_path.recordPeer();
     else if (!m_streams.receive(sender, message, now))
         return m_quarantine.receive(sender, message, now);
     return true;
@@ -443,11 +468,83 @@
     m_quotas.tick(*m_members, now);
     m_quarantine.tick(*m_members, now);
     m_streams.tick(*m_members, now);
+    updatePath(now);
     m_metrics.setWaiting(m_slots.waitingCount());
     m_slots.tick();
     m_metrics.setActive(m_exchanges.size());
 }
 
+void request_dispatcher::recordPathAnswer(bool isNewConnection)
+{
+    m_path.recordAnswer(isNewConnection, std::chrono::steady_clock::now());
+}
+
+void request_dispatcher::updatePath(monotonic_time now)
+{
+    std::optional<monotonic_time> waitingSince;
+    for (const auto& [id, entry] : m_exchanges) {
+        if (const auto since = entry->waitsAtEndpointSince(); since && (!waitingSince || *since < *waitingSince))
+            waitingSince = since;
+    }
+    m_path.setWaitingSince(waitingSince);
+    for (const auto& address : m_path.takeProbes(now)) {
+        probePath(m_context, address, pathProbeTimeout, [this, alive = std::weak_ptr(m_alive)](bool isConnected) {
+            if (!alive.expired())
+                m_path.recordProbe(isConnected, std::chrono::steady_clock::now());
+        });
+    }
+    if (m_path.takePeerQuery())
+        askPeersForPath();
+    if (const auto before = std::exchange(m_knownPath, m_path.state()); before != m_knownPath) {
+        m_log.event("path_changed", pathStateNames.name(m_knownPath))
+            .field("state", pathStateNames.name(m_knownPath))
+            .field("before", pathStateNames.name(before))
+            .field("answered_ms", wholeMilliseconds(m_path.answeredAgo(now).value_or(duration { -1 })))
+            .field("waiting_ms", waitingSince ? wholeMilliseconds(now - *waitingSince) : -1)
+            .field("active", m_exchanges.size());
+        const bool isLost = m_knownPath == path_state::lost;
+        if (isLost || before == path_state::lost)
+            m_onPathChanged(isLost);
+    }
+    if (m_knownPath == path_state::lost)
+        endWithoutPath(now);
+}
+
+void request_dispatcher::askPeersForPath()
+{
+    auto nodes = m_members->reachable();
+    std::erase(nodes, m_self);
+    std::ranges::shuffle(nodes, m_random);
+    nodes.resize(std::min(nodes.size(), pathPeers));
+    for (const auto& node : nodes) {
+        peer::envelopeT message;
+        message.body.Set(peer::path_queryT {});
+        send(node, std::move(message));
+    }
+}
+
+void request_dispatcher::answerPathQuery(const node_id& node)
+{
+    for (const auto& address : m_path.sample(probesForPeer)) {
+        probePath(m_context, address, pathProbeTimeout, [this, node, alive = std::weak_ptr(m_alive)](bool isConnected) {
+            if (alive.expired() || !isConnected)
+                return;
+            peer::envelopeT message;
+            message.body.Set(peer::path_replyT {});
+            send(node, std::move(message));
+        });
+    }
+}
+
+void request_dispatcher::endWithoutPath(monotonic_time now)
+{
+    std::vector<std::shared_ptr<exchange>> running;
+    for (const auto& [id, entry] : m_exchanges)
+        running.push_back(entry);
+    for (const auto& entry : running)
+        entry->endWithoutPath(now);
+}
+
 void request_dispatcher::updateGauges()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -8,6 +8,7 @@
 #include "http/server.h"
 #include "limits/retry_budget.h"
 #include "metrics.h"
+#include "path_monitor.h"
 #include "prompt_quarantine.h"
 #include "routing/route_table.h"
 #include "slot_coordinator.h"
@@ -56,6 +57,8 @@
     /// Names the route of a request to the service in its call to the owner of a pool; 0 if it is not needed.
     using route_marker = std::function<std::uint64_t(const service_id& service, const std::string& route)>;
     void setRouteMarker(route_marker marker) { m_routeMarker = std::move(marker); }
+    /// Called when this node loses its path to all endpoints, and when it is back.
+    void setOnPathChanged(std::function<void(bool isLost)> handler) { m_onPathChanged = std::move(handler); }
     void setQuarantineStore(prompt_quarantine::store_writer writer) { m_quarantine.setStore(std::move(writer)); }
     /// A node's process has ended.
     void removeNode(const node_id& node);
@@ -85,6 +88,10 @@
     /// What else the endpoint's answer says of it.
     void recordNotice(const exchange& source, const placement::grant& grant, const response_metadata& answer);
     duration firstEventTimeout(const exchange& source) const;
+    /// An endpoint sent part of a response, or could not be reached.
+    void recordPathAnswer(bool isNewConnection);
+    void recordPathFailure(const placement::grant& grant) { m_path.recordUnreachable(grant.address); }
+    bool isPathDoubtful() const { return m_path.isDoubtful(); }
     bool tryTakeRetry(const service_id& service);
     /// An endpoint began to answer.
     void recordAnswer(const exchange& source);
@@ -145,6 +152,11 @@
     std::shared_ptr<exchange> findExchange(std::uint64_t id, std::string_view decision);
     void logDeclined(const placement::declined_grant& declined);
     void logWait(const placement::wait_report& wait);
+    /// Finds out whether endpoints can be reached from this node, and ends what waits for them in vain if they cannot.
+    void updatePath(monotonic_time now);
+    void askPeersForPath();
+    void answerPathQuery(const node_id& node);
+    void endWithoutPath(monotonic_time now);
     /// Ends the requests whose prompt parts are quarantined.
     void endQuarantined();
 
@@ -162,6 +174,12 @@
     team_quotas m_quotas;
     prompt_quarantine m_quarantine;
     crash_detector m_crashes;
+    path_monitor m_path;
+    path_state m_knownPath = path_state::working;
+    std::function<void(bool isLost)> m_onPathChanged = [](bool) {};
+    boost::asio::io_context& m_context;
+    /// Expires with this object, before the work that the event loop still holds.
+    std::shared_ptr<request_dispatcher*> m_alive;
     fleet_members m_noMembers;
     const fleet_members* m_members = &m_noMembers;
     std::map<service_id, limits::retry_budget> m_retryBudgets;
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -67,6 +67,11 @@
     void closeAfterResponses();
     /// Stops accepting connections. Responses in progress continue, and their connections close afterwards.
     void stopAccepting();
+    /// Refuses new connections until resume(); those that wait for a request are closed, the others after their responses. Only for servers
+    /// with a single thread, and to be called there.
+    void pause();
+    /// Listens again. Throws error(unavailable) if binding fails.
+    void resume(const std::string& address);
     std::size_t connections() const;
     /// Number of responses, complete or not, with bytes that are not written to their sockets yet. Thread-safe.
     std::size_t unwrittenResponses() const;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/log.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
@@ -12,6 +13,8 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <optional>
+#include <unordered_map>
+#include <vector>
 
 namespace carawaylink {
 
@@ -42,8 +45,18 @@
     std::atomic<std::size_t> unwrittenResponses = 0;
     std::atomic<bool> stopping = false;
     std::atomic<bool> closing = false;
+    std::atomic<bool> paused = false;
+    /// Closes a connection that waits for a request, by connection; of servers with a single thread.
+    std::unordered_map<const void*, std::function<void()>> closeIfIdle;
 
-    bool shouldCloseConnections() const { return stopping || closing; }
+    bool shouldCloseConnections() const { return stopping || closing || paused; }
+    void closeIdleConnections()
+    {
+        std::vector<std::function<void()>> closers;
+        for (const auto& entry : closeIfIdle)
+            closers.push_back(entry.second);
+        std::ranges::for_each(closers, [](const auto& close) { close(); });
+    }
     std::size_t nextThread = 0;
 };
 
@@ -120,15 +133,33 @@
     {
         ++m_state->connections;
     }
-    ~connection() { --m_state->connections; }
+    ~connection()
+    {
+        --m_state->connections;
+        m_state->closeIfIdle.erase(this);
+    }
 
     void start()
     {
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
+        if (m_state->threads.size() == 1) {
+            m_state->closeIfIdle[this] = [self = weak_from_this()] {
+                if (const auto alive = self.lock())
+                    alive->closeIfIdle();
+            };
+        }
         readHead(m_state->limits.headerTimeout);
     }
 
+    void closeIfIdle()
+    {
+        const bool isIdle = m_phase == phase::head && m_buffer.size() == 0 && m_exchange > 0;
+        boost::system::error_code status;
+        if (isIdle && m_socket.available(status) == 0)
+            close();
+    }
+
     void sendResponse(http_response response)
     {
         if (m_closed || m_started)
@@ -633,6 +664,8 @@
     const auto parsed = parseAddress(address);
     const tcp::endpoint endpoint(asio::ip::make_address(parsed.ip), parsed.port);
     try {
+        boost::system::error_code ignored;
+        m_state->acceptor.close(ignored);
         m_state->acceptor.open(endpoint.protocol());
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true));
         // Connections inherit it. By itself the buffer may grow to several megabytes a connection.
@@ -669,6 +702,27 @@
     m_state->closing = true;
 }
 
+void http_server::pause()
+{
+    if (m_state->paused.exchange(true))
+        return;
+    m_state->threads.post(0, [state = m_state] {
+        if (!state->paused)
+            return;
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+        state->acceptRetryTimer.cancel();
+        state->closeIdleConnections();
+    });
+}
+
+void http_server::resume(const std::string& address)
+{
+    if (m_state->paused && !m_state->stopping && !m_state->acceptor.is_open())
+        listen(address);
+    m_state->paused = false;
+}
+
 std::size_t http_server::unwrittenResponses() const
 {
     return m_state->unwrittenResponses;
