Keep apart which sender reaches which endpoint, and which service a node reaches

Cause: with the failures of one sender no longer counted against the endpoints, a sender that reaches a part of them was granted the others again and again, and a node that had lost one service of two could not be told from a sound one.

Change: the owner keeps for each pair of sender and endpoint when the sender may try it again; the path is watched for each service; a node without a path to one service refuses its requests at once, and leaves the directory only if it can serve no service. It announces an address where nobody can connect, because the failure detector takes an empty one for unknown: until now other nodes went on naming it. A node that is left alone takes callers again.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -283,7 +283,7 @@
     m_head = head;
     m_lastProgressAt = std::chrono::steady_clock::now();
     m_headMetadata = m_dispatcher.codec().decodeResponse(head, m_admitted.metadata.attempt);
-    m_dispatcher.recordPathAnswer(m_connection.earlierRequests == 0);
+    m_dispatcher.recordPathAnswer(m_admitted.service, m_connection.earlierRequests == 0);
     if (m_headMetadata.isMismatched) {
         attemptFailed(placement::outcome::invalid, "response to another attempt");
         return;
@@ -310,7 +310,7 @@
 void exchange::onResponseData(std::string_view bytes)
 {
     const auto now = std::chrono::steady_clock::now();
-    m_dispatcher.recordPathAnswer(false);
+    m_dispatcher.recordPathAnswer(m_admitted.service, false);
     if (m_state == state::buffering) {
         m_lastProgressAt = now;
         cancelReplacement();
@@ -548,7 +548,7 @@
 {
     cancelReplacement();
     if (result == placement::outcome::unreachable)
-        m_dispatcher.recordPathFailure(m_grant);
+        m_dispatcher.recordPathFailure(m_admitted.service, m_grant);
     recordOutcome(result);
     const auto now = std::chrono::steady_clock::now();
     recordProof(result);
@@ -745,7 +745,7 @@
     // It tells nothing of the endpoint while this node may have lost its path to all of them.
     const bool isPathFailure
         = result == placement::outcome::unreachable || result == placement::outcome::timed_out || result == placement::outcome::broken;
-    if (isPathFailure && m_dispatcher.isPathDoubtful())
+    if (isPathFailure && m_dispatcher.isPathDoubtful(m_admitted.service))
         result = placement::outcome::cancelled;
     m_dispatcher.finishAttempt(*this, result, eventsOfAttempt());
 }
--- a/libs/gateway/src/fleet_members.cpp
+++ b/libs/gateway/src/fleet_members.cpp
@@ -1,6 +1,7 @@
 #include "fleet_members.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -10,9 +11,20 @@
 
 // A node that was lost may still serve callers behind a network partition and use the quotas there.
 constexpr auto possibleNodeTimeout = std::chrono::seconds(20);
+constexpr std::string_view noPort = ":0";
 
 } // namespace
 
+std::string addressWithoutCallers(const std::string& frontend)
+{
+    return frontend.substr(0, frontend.rfind(':')) + std::string(noPort);
+}
+
+bool acceptsCallers(const std::string& announced)
+{
+    return !announced.empty() && !announced.ends_with(noPort);
+}
+
 fleet_members::fleet_members(node_id self, unsigned capacity, monotonic_time now)
     : m_self(std::move(self))
     , m_capacity(capacity)
--- a/libs/gateway/src/fleet_members.h
+++ b/libs/gateway/src/fleet_members.h
@@ -24,6 +24,11 @@
     friend bool operator==(const fleet_size&, const fleet_size&) = default;
 };
 
+/// What a node announces as its address while it turns callers away. The failure detector takes an empty one for unknown, and a node of an
+/// older version lists this one, where nobody can connect.
+std::string addressWithoutCallers(const std::string& frontend);
+bool acceptsCallers(const std::string& announced);
+
 /// The other nodes of the fleet, from the changes that the failure detector reports. Does no I/O and reads no clock.
 class fleet_members {
 public:
@@ -57,7 +62,7 @@
         monotonic_time since {};
 
         bool isReachable() const { return info.state == member_state::alive || info.state == member_state::suspect; }
-        bool isServing() const { return isReachable() && !info.draining && !info.httpAddress.empty(); }
+        bool isServing() const { return isReachable() && !info.draining && acceptsCallers(info.httpAddress); }
     };
 
     node_id m_self;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -28,6 +28,8 @@
 constexpr auto minDrainTime = std::chrono::milliseconds(3500);
 // Active requests are aborted after this fraction of the grace period, before the process is killed.
 constexpr double usableGraceFraction = 0.93;
+// A node that withdraws hears of others that do so by then.
+constexpr auto minWithdrawal = std::chrono::seconds(1);
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
@@ -313,16 +315,19 @@
         if (isLost) {
             isReturning = false;
             hasPath = false;
+            withdrawnAt = std::chrono::steady_clock::now();
             frontend.pause();
-            membership.setHttpAddress({});
+            membership.setHttpAddress(addressWithoutCallers(settings.frontendAddress));
         } else {
             isReturning = true;
         }
     }
 
-    void resumeCallers()
+    void resumeCallers(monotonic_time now)
     {
-        if (!isReturning)
+        // Where no other node is left, callers are better off here.
+        const bool isAlone = !hasPath && now - withdrawnAt > minWithdrawal && members.frontends().empty();
+        if (!isReturning && !isAlone)
             return;
         try {
             frontend.resume(settings.frontendAddress);
@@ -393,7 +398,7 @@
     void tick()
     {
         const auto now = std::chrono::steady_clock::now();
-        resumeCallers();
+        resumeCallers(now);
         announceReadiness();
         if (std::exchange(appliedMembers, members.version()) != members.version())
             dispatcher.setMembers(members);
@@ -424,7 +429,7 @@
     void announceReadiness()
     {
         members.setSelfServing(isReady());
-        if (isReady() && membership.self().httpAddress.empty())
+        if (isReady() && membership.self().httpAddress != settings.frontendAddress)
             membership.setHttpAddress(settings.frontendAddress);
     }
 
@@ -482,6 +487,7 @@
     bool hasPath = true;
     /// The path is back, and callers are accepted from the next tick on.
     bool isReturning = false;
+    monotonic_time withdrawnAt {};
     monotonic_time drainStartedAt {};
     monotonic_time drainDeadline {};
     monotonic_time lastFlushAt {};
--- a/libs/gateway/src/path_monitor.cpp
+++ b/libs/gateway/src/path_monitor.cpp
@@ -46,13 +46,13 @@
 bool path_monitor::isSuspicious(monotonic_time now) const
 {
     const bool isSilent = m_waitingSince && now - std::max(*m_waitingSince, m_answeredAt.value_or(monotonic_time {})) > suspiciousSilence;
-    return isSilent || m_unreachable.size() >= maxUnreachable || m_unconnectable.size() >= maxUnconnectable;
+    return m_isSuspected || isSilent || m_unreachable.size() >= maxUnreachable || m_unconnectable.size() >= maxUnconnectable;
 }
 
 std::vector<endpoint_id> path_monitor::takeProbes(monotonic_time now)
 {
     // A single endpoint cannot be told from the path to it.
-    if (m_addresses.size() < 2 || m_pendingProbes > 0 || now < m_nextRoundAt)
+    if (!canLose() || m_pendingProbes > 0 || now < m_nextRoundAt)
         return {};
     if (m_state == path_state::working) {
         if (!isSuspicious(now))
@@ -113,6 +113,7 @@
         m_unreachable.clear();
         m_unconnectable.clear();
     }
+    m_isSuspected = false;
     if (state == path_state::doubtful) {
         m_needsPeers = true;
         m_isPeerConnected = false;
--- a/libs/gateway/src/path_monitor.h
+++ b/libs/gateway/src/path_monitor.h
@@ -10,7 +10,7 @@
 
 namespace carawaylink::gateway {
 
-/// Whether endpoints can be reached from this node.
+/// Whether endpoints of a service can be reached from this node.
 enum class path_state {
     working,
     /// Endpoints fail or are silent, and probes find out whether all of them are.
@@ -25,8 +25,8 @@
     { path_state::lost, "lost" },
 });
 
-/// Tells a node that has lost its own path to all endpoints from endpoints that are down or pause. Only a node that reaches none by several
-/// connections, while a peer is answered, has lost its path. Does no I/O and reads no clock.
+/// Tells a node that has lost its own path to all endpoints of a service from endpoints that are down or pause. Only a node that reaches
+/// none by several connections, while a peer is answered, has lost its path. Does no I/O and reads no clock.
 class path_monitor {
 public:
     explicit path_monitor(std::uint64_t seed)
@@ -45,6 +45,11 @@
     /// A peer has just connected to an endpoint.
     void recordPeer() { m_isPeerConnected = true; }
 
+    /// The path to other endpoints is lost, so that this one is to be looked at too.
+    void suspect() { m_isSuspected = true; }
+    /// Whether it can be told from its endpoints.
+    bool canLose() const { return m_addresses.size() > 1; }
+
     /// Endpoints to connect to now; the result of each is due with recordProbe().
     std::vector<endpoint_id> takeProbes(monotonic_time now);
     void recordProbe(bool isConnected, monotonic_time now);
@@ -78,6 +83,7 @@
     unsigned m_connectedRounds = 0;
     unsigned m_pendingProbes = 0;
     unsigned m_connectedProbes = 0;
+    bool m_isSuspected = false;
     bool m_needsPeers = false;
     bool m_isPeerConnected = false;
 };
--- a/libs/gateway/src/request_dispatcher.cpp
+++ b/libs/gateway/src/request_dispatcher.cpp
@@ -21,7 +21,7 @@
 // Of a stream whose version the store does not tell now.
 constexpr auto unknownVersionRetryAfter = std::chrono::milliseconds(700);
 // Above a round trip on a loaded link, and short enough that callers leave a node without a path in time.
-constexpr auto pathProbeTimeout = std::chrono::milliseconds(250);
+constexpr auto pathProbeTimeout = std::chrono::milliseconds(150);
 // Nodes that are asked whether they can connect to endpoints.
 constexpr std::size_t pathPeers = 4;
 // Endpoints to which a node connects for one that asks.
@@ -90,10 +90,9 @@
     , m_crashes(context,
           [this](const discovery::replica_id& replica, const service_id& service, const lost_requests& lost) {
               // An endpoint that refuses connections may have lost its path to this node only.
-              if (!m_path.isDoubtful())
+              if (!isPathDoubtful(service))
                   m_quarantine.recordCrash(service, replica, lost.unansweredParts, std::chrono::steady_clock::now(), lost.requests);
           })
-    , m_path(m_random())
     , m_context(context)
     , m_alive(std::make_shared<request_dispatcher*>(this))
     , m_noMembers(m_self, 0, std::chrono::steady_clock::now())
@@ -216,7 +215,7 @@
         refuse(statusUnavailable, "no_configuration", notReadyRetryAfter);
         return;
     }
-    if (m_path.state() == path_state::lost) {
+    if (m_isPathLost) {
         refuse(statusUnavailable, "no_path_to_endpoints", minRetryAfter);
         return;
     }
@@ -264,6 +263,10 @@
         refuse(statusUnavailable, "stopping", minRetryAfter);
         return;
     }
+    if (pathTo(admitted.service).state() == path_state::lost) {
+        refuse(statusUnavailable, "no_path_to_endpoints", minRetryAfter);
+        return;
+    }
     admitted.promptParts = placement::significantParts(metadata.promptParts);
     admitted.sharedParts = prompt_quarantine::partsOf(admitted.service, metadata.sharedParts);
     admitted.identity = prompt_quarantine::identityOf(admitted.service, request, team ? team->name.value : metadata.key);
@@ -364,13 +367,16 @@
 void request_dispatcher::setEndpoints(const std::map<discovery::replica_id, discovery::endpoint_record>& records)
 {
     streams::base_versions::endpoints_by_service byService;
-    std::vector<endpoint_id> accepting;
+    std::map<service_id, std::vector<endpoint_id>> accepting;
+    for (const auto& [name, path] : m_paths)
+        accepting[name];
     for (const auto& [id, record] : records) {
         byService[record.service].push_back(record);
         if (!record.draining)
-            accepting.push_back(record.address);
+            accepting[record.service].push_back(record.address);
     }
-    m_path.setEndpoints(std::move(accepting));
+    for (auto& [name, addresses] : accepting)
+        pathTo(name).setEndpoints(std::move(addresses));
     m_streams.setEndpoints(byService, std::chrono::steady_clock::now());
     m_slots.setEndpoints(records);
 }
@@ -436,10 +442,10 @@
         m_quotas.receive(sender, *report, now);
     else if (const auto* totals = message.body.Asquota_totals())
         m_quotas.receive(sender, *totals, now);
-    else if (message.body.Aspath_query())
-        answerPathQuery(sender);
-    else if (message.body.Aspath_reply())
-        m_path.recordPeer();
+    else if (const auto* query = message.body.Aspath_query())
+        answerPathQuery(sender, service_id { query->service });
+    else if (const auto* answer = message.body.Aspath_reply())
+        pathTo(service_id { answer->service }).recordPeer();
     else if (!m_streams.receive(sender, message, now))
         return m_quarantine.receive(sender, message, now);
     return true;
@@ -468,79 +474,128 @@
     m_quotas.tick(*m_members, now);
     m_quarantine.tick(*m_members, now);
     m_streams.tick(*m_members, now);
-    updatePath(now);
+    updatePaths(now);
     m_metrics.setWaiting(m_slots.waitingCount());
     m_slots.tick();
     m_metrics.setActive(m_exchanges.size());
 }
 
-void request_dispatcher::recordPathAnswer(bool isNewConnection)
+path_monitor& request_dispatcher::pathTo(const service_id& service)
+{
+    const auto found = m_paths.find(service);
+    return found != m_paths.end() ? found->second : m_paths.try_emplace(service, m_random()).first->second;
+}
+
+void request_dispatcher::recordPathAnswer(const service_id& service, bool isNewConnection)
 {
-    m_path.recordAnswer(isNewConnection, std::chrono::steady_clock::now());
+    pathTo(service).recordAnswer(isNewConnection, std::chrono::steady_clock::now());
 }
 
-void request_dispatcher::updatePath(monotonic_time now)
+void request_dispatcher::updatePaths(monotonic_time now)
 {
-    std::optional<monotonic_time> waitingSince;
+    std::map<service_id, monotonic_time> waitingSince;
     for (const auto& [id, entry] : m_exchanges) {
-        if (const auto since = entry->waitsAtEndpointSince(); since && (!waitingSince || *since < *waitingSince))
-            waitingSince = since;
+        if (const auto since = entry->waitsAtEndpointSince()) {
+            const auto [position, inserted] = waitingSince.try_emplace(entry->service(), *since);
+            position->second = std::min(position->second, *since);
+        }
+    }
+    for (auto& [service, path] : m_paths) {
+        const auto found = waitingSince.find(service);
+        updatePath(service, path, found == waitingSince.end() ? std::nullopt : std::optional(found->second), now);
     }
-    m_path.setWaitingSince(waitingSince);
-    for (const auto& address : m_path.takeProbes(now)) {
-        probePath(m_context, address, pathProbeTimeout, [this, alive = std::weak_ptr(m_alive)](bool isConnected) {
+    const auto isLost = [](const auto& entry) { return entry.second.state() == path_state::lost; };
+    const auto lost = std::ranges::count_if(m_paths, isLost);
+    const auto known = std::ranges::count_if(m_paths, [](const auto& entry) { return entry.second.canLose(); });
+    // Callers do not know the services: a node leaves them only if it can serve none of them.
+    const bool isPathLost = lost > 0 && lost == known;
+    if (lost > 0 && !isPathLost) {
+        for (auto& [service, path] : m_paths)
+            path.suspect();
+    }
+    if (std::exchange(m_isPathLost, isPathLost) != isPathLost)
+        m_onPathChanged(isPathLost);
+}
+
+void request_dispatcher::updatePath(
+    const service_id& service, path_monitor& path, std::optional<monotonic_time> waitingSince, monotonic_time now)
+{
+    const auto before = path.state();
+    path.setWaitingSince(waitingSince);
+    probe(path.takeProbes(now), [this, service](bool isConnected) {
+        const auto known = pathTo(service).state();
+        pathTo(service).recordProbe(isConnected, std::chrono::steady_clock::now());
+        logPath(service, known);
+    });
+    if (path.takePeerQuery())
+        askPeersForPath(service);
+    logPath(service, before);
+    if (path.state() == path_state::lost)
+        endWithoutPath(service, now);
+}
+
+void request_dispatcher::logPath(const service_id& service, path_state before)
+{
+    const auto& path = pathTo(service);
+    if (path.state() == before)
+        return;
+    const auto answered = path.answeredAgo(std::chrono::steady_clock::now());
+    m_log.event("path_changed", pathStateNames.name(path.state()))
+        .field("service", service)
+        .field("state", pathStateNames.name(path.state()))
+        .field("before", pathStateNames.name(before))
+        .field("answered_ms", answered ? wholeMilliseconds(*answered) : -1)
+        .field("active", m_exchanges.size());
+}
+
+void request_dispatcher::probe(const std::vector<endpoint_id>& addresses, std::function<void(bool isConnected)> onResult)
+{
+    for (const auto& address : addresses) {
+        probePath(m_context, address, pathProbeTimeout, [alive = std::weak_ptr(m_alive), onResult](bool isConnected) {
             if (!alive.expired())
-                m_path.recordProbe(isConnected, std::chrono::steady_clock::now());
+                onResult(isConnected);
         });
     }
-    if (m_path.takePeerQuery())
-        askPeersForPath();
-    if (const auto before = std::exchange(m_knownPath, m_path.state()); before != m_knownPath) {
-        m_log.event("path_changed", pathStateNames.name(m_knownPath))
-            .field("state", pathStateNames.name(m_knownPath))
-            .field("before", pathStateNames.name(before))
-            .field("answered_ms", wholeMilliseconds(m_path.answeredAgo(now).value_or(duration { -1 })))
-            .field("waiting_ms", waitingSince ? wholeMilliseconds(now - *waitingSince) : -1)
-            .field("active", m_exchanges.size());
-        const bool isLost = m_knownPath == path_state::lost;
-        if (isLost || before == path_state::lost)
-            m_onPathChanged(isLost);
-    }
-    if (m_knownPath == path_state::lost)
-        endWithoutPath(now);
 }
 
-void request_dispatcher::askPeersForPath()
+void request_dispatcher::askPeersForPath(const service_id& service)
 {
     auto nodes = m_members->reachable();
     std::erase(nodes, m_self);
     std::ranges::shuffle(nodes, m_random);
     nodes.resize(std::min(nodes.size(), pathPeers));
     for (const auto& node : nodes) {
+        peer::path_queryT query;
+        query.service = service.value;
         peer::envelopeT message;
-        message.body.Set(peer::path_queryT {});
+        message.body.Set(std::move(query));
         send(node, std::move(message));
     }
 }
 
-void request_dispatcher::answerPathQuery(const node_id& node)
+void request_dispatcher::answerPathQuery(const node_id& node, const service_id& service)
 {
-    for (const auto& address : m_path.sample(probesForPeer)) {
-        probePath(m_context, address, pathProbeTimeout, [this, node, alive = std::weak_ptr(m_alive)](bool isConnected) {
-            if (alive.expired() || !isConnected)
-                return;
-            peer::envelopeT message;
-            message.body.Set(peer::path_replyT {});
-            send(node, std::move(message));
-        });
-    }
+    const auto path = m_paths.find(service);
+    if (path == m_paths.end())
+        return;
+    probe(path->second.sample(probesForPeer), [this, node, service](bool isConnected) {
+        if (!isConnected)
+            return;
+        peer::path_replyT reply;
+        reply.service = service.value;
+        peer::envelopeT message;
+        message.body.Set(std::move(reply));
+        send(node, std::move(message));
+    });
 }
 
-void request_dispatcher::endWithoutPath(monotonic_time now)
+void request_dispatcher::endWithoutPath(const service_id& service, monotonic_time now)
 {
     std::vector<std::shared_ptr<exchange>> running;
-    for (const auto& [id, entry] : m_exchanges)
-        running.push_back(entry);
+    for (const auto& [id, entry] : m_exchanges) {
+        if (entry->service() == service)
+            running.push_back(entry);
+    }
     for (const auto& entry : running)
         entry->endWithoutPath(now);
 }
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -88,10 +88,11 @@
     /// What else the endpoint's answer says of it.
     void recordNotice(const exchange& source, const placement::grant& grant, const response_metadata& answer);
     duration firstEventTimeout(const exchange& source) const;
-    /// An endpoint sent part of a response, or could not be reached.
-    void recordPathAnswer(bool isNewConnection);
-    void recordPathFailure(const placement::grant& grant) { m_path.recordUnreachable(grant.address); }
-    bool isPathDoubtful() const { return m_path.isDoubtful(); }
+    /// An endpoint of the service sent part of a response, or could not be reached.
+    void recordPathAnswer(const service_id& service, bool isNewConnection);
+    void recordPathFailure(const service_id& service, const placement::grant& grant) { pathTo(service).recordUnreachable(grant.address); }
+    /// Whether failures at endpoints of the service may be those of the path from this node.
+    bool isPathDoubtful(const service_id& service) { return pathTo(service).isDoubtful(); }
     bool tryTakeRetry(const service_id& service);
     /// An endpoint began to answer.
     void recordAnswer(const exchange& source);
@@ -152,11 +153,16 @@
     std::shared_ptr<exchange> findExchange(std::uint64_t id, std::string_view decision);
     void logDeclined(const placement::declined_grant& declined);
     void logWait(const placement::wait_report& wait);
+    path_monitor& pathTo(const service_id& service);
     /// Finds out whether endpoints can be reached from this node, and ends what waits for them in vain if they cannot.
-    void updatePath(monotonic_time now);
-    void askPeersForPath();
-    void answerPathQuery(const node_id& node);
-    void endWithoutPath(monotonic_time now);
+    void updatePaths(monotonic_time now);
+    void updatePath(const service_id& service, path_monitor& path, std::optional<monotonic_time> waitingSince, monotonic_time now);
+    void logPath(const service_id& service, path_state before);
+    void askPeersForPath(const service_id& service);
+    void answerPathQuery(const node_id& node, const service_id& service);
+    /// Connects to endpoints of the service; reports for each whether that succeeded.
+    void probe(const std::vector<endpoint_id>& addresses, std::function<void(bool isConnected)> onResult);
+    void endWithoutPath(const service_id& service, monotonic_time now);
     /// Ends the requests whose prompt parts are quarantined.
     void endQuarantined();
 
@@ -174,8 +180,9 @@
     team_quotas m_quotas;
     prompt_quarantine m_quarantine;
     crash_detector m_crashes;
-    path_monitor m_path;
-    path_state m_knownPath = path_state::working;
+    /// By service: a node may have lost its path to the endpoints of one of them only.
+    std::map<service_id, path_monitor> m_paths;
+    bool m_isPathLost = false;
     std::function<void(bool isLost)> m_onPathChanged = [](bool) {};
     boost::asio::io_context& m_context;
     /// Expires with this object, before the work that the event loop still holds.
--- a/libs/gateway/tests/fleet_members_tests.cpp
+++ b/libs/gateway/tests/fleet_members_tests.cpp
@@ -39,6 +39,25 @@
     EXPECT_TRUE(m_members.frontends().empty());
 }
 
+// Callers were directed to nodes that had withdrawn, since the failure detector takes an empty address for an unknown one.
+TEST_F(fleet_members_test, nodeThatTurnsCallersAway_isInNoDirectoryUntilItAnnouncesItsAddressAgain)
+{
+    m_members.setSelfServing(true);
+    auto withdrawn = member("10.0.0.1:80");
+    withdrawn.httpAddress = "10.0.0.1:80";
+    m_members.apply(withdrawn, m_now);
+    ASSERT_EQ(m_members.frontends().size(), 1U);
+    const auto version = m_members.version();
+    withdrawn.httpAddress = addressWithoutCallers("10.0.0.1:80");
+    m_members.apply(withdrawn, m_now);
+    EXPECT_TRUE(m_members.frontends().empty());
+    EXPECT_EQ(m_members.serving().size(), 1U);
+    EXPECT_GT(m_members.version(), version);
+    withdrawn.httpAddress = "10.0.0.1:80";
+    m_members.apply(withdrawn, m_now);
+    EXPECT_EQ(m_members.frontends().size(), 1U);
+}
+
 TEST_F(fleet_members_test, nodeWithOnlySuspects_namesThem)
 {
     // A node that cannot serve yet and suspects all others is probably cut off itself; an empty answer would help no caller.
--- a/libs/placement/include/placement/service_pool.h
+++ b/libs/placement/include/placement/service_pool.h
@@ -422,7 +422,7 @@
     bool isStalled(const endpoint_state& endpoint, monotonic_time now) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request) const;
     bool keepsEventGap(const endpoint_state& endpoint, const waiting_request& request, tokens work) const;
-    /// Whether the request was sent there before or needs another version, or the endpoint asked its sender for rest.
+    /// Whether the request was sent there before or needs another version, or its sender cannot use the endpoint now.
     bool isExcluded(const endpoint_state& endpoint, const waiting_request& request, monotonic_time now) const;
     /// Time at which the first endpoint accepts requests of the sender again; nullopt if none asked it for rest.
     std::optional<monotonic_time> firstRestEnd(const waiting_request& request, monotonic_time now) const;
--- a/libs/placement/src/service_pool.cpp
+++ b/libs/placement/src/service_pool.cpp
@@ -217,7 +217,7 @@
         return;
     }
     running.firstEventAt = now;
-    m_senderPaths.recordAnswer(running.sender);
+    m_senderPaths.recordAnswer(running.sender, running.replica);
     observe(version_event::first_event, id, running, endpoint->second.isTarget, now - running.sent, {});
     endpoint->second.load.pendingPrefill.value -= running.work.value;
     updateModels(endpoint->second, running, now - running.sent);
@@ -245,9 +245,7 @@
         endpoint.lastProgress = now;
     if (result == outcome::completed && running.firstEventAt && events > 1 && !running.isAdopted)
         endpoint.model.recordEvents(events - 1, now - *running.firstEventAt);
-    if (result == outcome::completed || result == outcome::rejected || result == outcome::failed)
-        m_senderPaths.recordAnswer(running.sender);
-    if (m_senderPaths.tellsOfEndpoint(running.sender, running.replica, result)) {
+    if (m_senderPaths.record(running.sender, running.replica, result, now)) {
         endpoint.health.record(result, now);
         forgetAfter(result, endpoint, running, now);
     }
--- a/libs/placement/src/service_pool_placement.cpp
+++ b/libs/placement/src/service_pool_placement.cpp
@@ -137,7 +137,7 @@
 {
     if (request.version && *request.version != endpoint.record.version)
         return true;
-    return endpoint.notice.restUntil(request.sender, now)
+    return endpoint.notice.restUntil(request.sender, now) || m_senderPaths.isBlocked(request.sender, endpoint.record.id, now)
         || std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
 }
 
--- a/libs/placement/tests/sender_path_tests.cpp
+++ b/libs/placement/tests/sender_path_tests.cpp
@@ -24,7 +24,11 @@
         request.deadline = m_now + 8s;
         m_pool.submit(request);
         const auto decisions = m_pool.decide(m_now);
-        return decisions.grants.empty() ? std::nullopt : std::optional(decisions.grants.front().replica);
+        if (!decisions.grants.empty())
+            return decisions.grants.front().replica;
+        // Each test decides on one request at a time.
+        m_pool.withdraw(id);
+        return std::nullopt;
     }
 
     void answer(std::uint64_t id)
@@ -72,6 +76,27 @@
     }
 }
 
+// An endpoint that one sender cannot reach is no endpoint for it, whatever the others reach.
+TEST_F(sender_path_test, endpointThatASenderCannotReach_isGrantedToOthersOnly)
+{
+    std::set<replica_id> unreachable;
+    for (std::uint64_t id = 1; id < endpoints; ++id) {
+        const auto replica = send(m_cut, id);
+        ASSERT_TRUE(replica);
+        EXPECT_TRUE(unreachable.insert(*replica).second);
+        m_pool.recordOutcome(id, outcome::unreachable, 0, m_now);
+    }
+    const auto last = send(m_cut, 10);
+    ASSERT_TRUE(last);
+    EXPECT_FALSE(unreachable.contains(*last));
+    std::set<replica_id> used;
+    for (std::uint64_t id = 20; id < 20 + slots * endpoints; ++id) {
+        if (const auto replica = send(m_other, id))
+            used.insert(*replica);
+    }
+    EXPECT_GE(used.size(), endpoints - 1);
+}
+
 // Guards against an endpoint that stays in use though several senders cannot reach it.
 TEST_F(sender_path_test, endpointThatEndsWhileItsSenderIsAnsweredByOthers_isBlocked)
 {
--- a/scripts/run_sanitizers.sh
+++ b/scripts/run_sanitizers.sh
@@ -6,7 +6,7 @@
 [ $# -gt 0 ] || set -- thread address
 # The decision libraries start no thread: thread sanitizer would only make their thousands of schedules slow.
 thread_parts=(base http node gateway)
-address_parts=(base wire http node placement gateway)
+address_parts=(base wire http node placement streams gateway)
 # liburcu is not instrumented; base/rcu_cell tells thread sanitizer of the order that a grace period gives, so that it needs no
 # suppression. glog calls tzset() for every line; glibc guards it with a lock that thread sanitizer does not see.
 mkdir -p build-thread
