--- a/libs/http/src/response_parser.cpp
+++ b/libs/http/src/response_parser.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr unsigned statusContinue = 100;
 constexpr unsigned statusSwitchingProtocols = 101;
 constexpr unsigned statusOk = 200;
 
@@ -62,7 +63,10 @@
             return fail("the head exceeds " + std::to_string(maxResponseHeaderBytes) + " bytes");
         if (!isHeadDone)
             return step::needs_bytes;
-        if (!isInterim(m_parser->get().result_int()))
+        const auto code = m_parser->get().result_int();
+        if (code < statusContinue)
+            return fail("the status " + std::to_string(code) + " belongs to no class");
+        if (!isInterim(code))
             return completeHead();
         if (++m_interimResponses > maxInterimResponses)
             return fail("more than " + std::to_string(maxInterimResponses) + " interim responses");
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -369,5 +369,48 @@
     EXPECT_TRUE(call(server.address(), "/").ok());
 }
 
+/// A peer that answers with the beginning of a response without length and resets the connection while the request is still written.
+class early_answer_test : public testing::Test {
+protected:
+    http_result upload(std::size_t bytes, bool readsFirst)
+    {
+        tcp::acceptor acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+        tcp::socket peer(m_context);
+        std::string request;
+        const auto answer = [&] {
+            asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+            peer.set_option(asio::socket_base::linger(true, 0));
+            peer.close();
+        };
+        acceptor.async_accept(peer, [&](boost::system::error_code) {
+            if (readsFirst)
+                asio::async_read_until(
+                    peer, asio::dynamic_buffer(request), "\r\n\r\n", [&](boost::system::error_code, std::size_t) { answer(); });
+            else
+                answer();
+        });
+        std::optional<http_result> result;
+        http_stream_handlers handlers;
+        handlers.onDone = [&](const http_result& done) { result = done; };
+        const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        const auto call = m_client.stream(address, { "POST", "/", {}, std::string(bytes, 'x') }, {}, std::move(handlers));
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!result && m_context.run_one_until(end) > 0) { }
+        return result.value_or(http_result {});
+    }
+
+    asio::io_context m_context { 1 };
+    http_client m_client { m_context };
+};
+
+// Guards against a part of a response that passes for a complete one, since its end and the reset look alike.
+TEST_F(early_answer_test, responseCutByAReset_isNotComplete)
+{
+    for (const std::size_t bytes : { 100U, 100'000U, 16'000'000U }) {
+        for (const bool readsFirst : { false, true })
+            EXPECT_NE(upload(bytes, readsFirst).failure, http_failure::none) << bytes << ' ' << readsFirst;
+    }
+}
+
 } // namespace
 } // namespace carawaylink
--- a/libs/http/tests/response_parser_tests.cpp
+++ b/libs/http/tests/response_parser_tests.cpp
@@ -84,6 +84,17 @@
     }
 };
 
+// The status 000 counted as one of an interim response, so that the body of the failure was parsed as the next response and could pass for
+// a success.
+TEST_F(response_parser_test, statusBelowAllClasses_isInvalid)
+{
+    const std::string body = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    for (const std::string status : { "000", "099" }) {
+        const auto bytes = "HTTP/1.1 " + status + " S\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        EXPECT_EQ(parsePieces(bytes, { pieceBytes }).end, response_parser::step::invalid) << status;
+    }
+}
+
 // Guards against memory that fills up with one part of a response that has no end, in whichever part of it.
 TEST_F(response_parser_test, endlessPart_ofEachKind_endsAtItsLimitWithAFaultThatNamesIt)
 {
