--- a/libs/cli/src/request_story.cpp
+++ b/libs/cli/src/request_story.cpp
@@ -110,6 +110,15 @@
     return text;
 }
 
+std::string concludeStream(const logged_decision& line)
+{
+    std::string text = "; it takes up the stream of " + line.field("resumes") + " after event " + line.field("after_event");
+    if (line.field("known_from") == "unknown")
+        return text + ", whose version could not be found";
+    return text + ", which began at version " + line.field("version") + " of " + line.field("service") + " (known from "
+        + line.field("known_from") + ", " + line.field("age_ms") + " ms old; " + line.field("endpoints") + " endpoints of it)";
+}
+
 std::string describe(const logged_decision& line)
 {
     std::string text = line.event;
@@ -120,6 +129,24 @@
     return text;
 }
 
+std::string concludeDecision(const logged_decision& line)
+{
+    if (line.event == "quota_exceeded")
+        return concludeQuota(line);
+    if (line.event == "prompt_quarantined")
+        return concludeQuarantine(line);
+    if (line.event == "request_rejected")
+        return concludeRejection(line);
+    if (line.event == "request_refused")
+        return concludeRefusal(line);
+    if (line.event == "attempt_failed")
+        return "failed at " + line.field("replica") + " after " + line.field("after_ms") + " ms: " + line.field("outcome") + ", "
+            + line.field("detail");
+    if (line.event == "request_ended")
+        return concludeEnd(line);
+    return "not known: the logs hold no end of the request";
+}
+
 } // namespace
 
 std::string logged_decision::field(std::string_view name) const
@@ -147,21 +174,8 @@
     const auto index = deciding();
     if (!index)
         return "no line of the logs names the request";
-    const auto& line = decisions[*index];
-    if (line.event == "quota_exceeded")
-        return concludeQuota(line);
-    if (line.event == "prompt_quarantined")
-        return concludeQuarantine(line);
-    if (line.event == "request_rejected")
-        return concludeRejection(line);
-    if (line.event == "request_refused")
-        return concludeRefusal(line);
-    if (line.event == "attempt_failed")
-        return "failed at " + line.field("replica") + " after " + line.field("after_ms") + " ms: " + line.field("outcome") + ", "
-            + line.field("detail");
-    if (line.event == "request_ended")
-        return concludeEnd(line);
-    return "not known: the logs hold no end of the request";
+    const auto takenUp = std::ranges::find(decisions, "stream_taken_up", &logged_decision::event);
+    return concludeDecision(decisions[*index]) + (takenUp == decisions.end() ? std::string {} : concludeStream(*takenUp));
 }
 
 void story_reader::read(std::istream& log)
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -277,6 +277,9 @@
       "event=grant_declined time_ms=980 node=edge-b request=rest1 replica=i-4 reason=resting\n"
       "event=request_refused time_ms=990 node=edge-b request=rest1 route=r cause=no_endpoint ahead=0 waited_ms=300 retry_after_ms=900 "
       "leaving=1 resting=2 replaces=0\n"
+      "event=stream_taken_up time_ms=985 node=edge-b request=resumed1 resumes=first1 after_event=4 service=llm version=v1.1 "
+      "known_from=record age_ms=0 endpoints=0\n"
+      "event=request_rejected time_ms=985 node=edge-b request=resumed1 status=503 reason=stream_version_gone configuration=5\n"
       "event=lines_left_out time_ms=1000 node=edge-a of=request_sent count=12\n"
       "event=request_sent time_ms=800 node=edge-a request=late10 replica=i-9 attempt=1\n";
 
@@ -308,6 +311,8 @@
     EXPECT_THAT(storyOf("refused2").conclusion(),
         AllOf(HasSubstr("part 12ca of its prompt crashed endpoints"), HasSubstr("41000 ms"), HasSubstr("part=a7576c512f390022")));
     EXPECT_THAT(storyOf("rest1").conclusion(), AllOf(HasSubstr("no_endpoint"), HasSubstr("1 said that they leave and 2 rested")));
+    EXPECT_THAT(storyOf("resumed1").conclusion(),
+        AllOf(HasSubstr("stream_version_gone"), HasSubstr("stream of first1 after event 4"), HasSubstr("version v1.1 of llm")));
     EXPECT_THAT(reportStory(storyOf("rest1"), output_format::text), HasSubstr("grant_declined replica=i-4 reason=resting"));
     const auto lost = storyOf("lost1");
     EXPECT_THAT(lost.conclusion(), HasSubstr("failed at i-3 after 518 ms: broken"));
