Count held requests as unanswered, and doubt a path with one probe first

A stopping node waited for admitted requests only, not for those whose version or probe is still being decided. A refusal by a pool that was told to use the base only is an ordinary one. Most doubts of a path are wrong, so that the first round is one connection instead of three; new connections are priced.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -264,7 +264,7 @@
         abortResponse("broken_off");
         return;
     }
-    if (refusal.cause == placement::refusal_cause::version_gone) {
+    if (refusal.cause == placement::refusal_cause::version_gone && m_streamVersion) {
         endVersionGone();
         return;
     }
--- a/libs/gateway/src/path_monitor.cpp
+++ b/libs/gateway/src/path_monitor.cpp
@@ -13,8 +13,9 @@
 // Different endpoints that fail one after the other, without an answer, or without a new connection, between.
 constexpr std::size_t maxUnreachable = 2;
 constexpr std::size_t maxUnconnectable = 4;
-// Endpoints of the first round, and of the others, which find out whether none can be reached and whether some can again.
-constexpr std::size_t probesOfFirstRound = 3;
+// Endpoints of the first round, since most doubts are wrong, and of the others, which find out whether none can be reached and whether
+// some can again.
+constexpr std::size_t probesOfFirstRound = 1;
 constexpr std::size_t probesOfRound = 6;
 constexpr unsigned roundsUntilLost = 2;
 constexpr unsigned roundsUntilBack = 2;
--- a/libs/gateway/src/request_dispatcher.h
+++ b/libs/gateway/src/request_dispatcher.h
@@ -74,7 +74,8 @@
     void releaseUnknownSlots();
     bool isConfigured() const { return m_routes != nullptr; }
     config_version version() const;
-    std::size_t active() const { return m_exchanges.size(); }
+    /// Requests that are not answered yet.
+    std::size_t active() const { return m_exchanges.size() + m_waitingForVersion.size() + m_waitingForProbe.size(); }
     const routing::route_table* routes() const { return m_routes.get(); }
     // Called by exchanges.
     void submit(const std::shared_ptr<exchange>& source, placement::waiting_request request);
--- a/libs/placement/src/service_pool_refusal.cpp
+++ b/libs/placement/src/service_pool_refusal.cpp
@@ -61,7 +61,7 @@
 {
     // A version that has left does not come back in time, and the caller can start anew.
     if (request.version && !acceptsVersion(*request.version))
-        return refusal { request.id, refusal_cause::version_gone, {}, position.ahead };
+        return refusal { request.id, refusal_cause::version_gone, minRetryAfter, position.ahead };
     if (request.responseStarted)
         return std::nullopt;
     const auto wait = expectedWait(request, position, now);
