--- a/libs/cli/include/cli/commands.h
+++ b/libs/cli/include/cli/commands.h
@@ -5,7 +5,7 @@
 #include "cli/documents.h"
 #include "cli/exit_code.h"
 #include "cli/report.h"
-#include "cli/request_story.h"
+#include "cli/request_log.h"
 #include "config/difference.h"
 #include "config/record.h"
 
@@ -84,14 +84,14 @@
     {
         if (m_request.logFiles.empty())
             return print(reportExplanation(m_client.get("/admin/explain/" + m_request.requestId), m_request.output));
-        story_reader reader(m_request.requestId);
+        request_log_reader reader(m_request.requestId);
         for (const auto& file : m_request.logFiles) {
             std::istringstream log(readFile(file));
             reader.read(log);
         }
-        const auto story = reader.finish();
-        print(reportStory(story, m_request.output));
-        return story.decisions.empty() ? exit_code::failed : exit_code::done;
+        const auto log = reader.finish();
+        print(reportRequestLog(log, m_request.output));
+        return log.decisions.empty() ? exit_code::failed : exit_code::done;
     }
 
     exit_code print(const std::string& text)
--- a/libs/cli/include/cli/request_story.h
+++ b/libs/cli/include/cli/request_log.h
@@ -22,7 +22,7 @@
 };
 
 /// What the nodes logged about one request, in order of time, and how it ended.
-struct request_story {
+struct request_log {
     std::string request;
     std::vector<logged_decision> decisions;
     /// Lines of the nodes that took part which were left out of the logs while the request ran, one second around it included.
@@ -35,17 +35,17 @@
 };
 
 /// Collects the lines of a request from logs of any number of nodes, read one after the other.
-class story_reader {
+class request_log_reader {
 public:
-    explicit story_reader(std::string request) { m_story.request = std::move(request); }
+    explicit request_log_reader(std::string request) { m_log.request = std::move(request); }
     void read(std::istream& log);
-    request_story finish();
+    request_log finish();
 
 private:
-    request_story m_story;
+    request_log m_log;
     std::vector<logged_decision> m_leftOut;
 };
 
-std::string reportStory(const request_story& story, output_format output);
+std::string reportRequestLog(const request_log& log, output_format output);
 
 } // namespace carawaylink
--- a/libs/cli/src/request_story.cpp
+++ b/libs/cli/src/request_log.cpp
@@ -1,4 +1,4 @@
-#include "cli/request_story.h"
+#include "cli/request_log.h"
 
 #include <algorithm>
 #include <array>
@@ -155,7 +155,7 @@
     return found == fields.end() ? std::string() : found->second;
 }
 
-std::optional<std::size_t> request_story::deciding() const
+std::optional<std::size_t> request_log::deciding() const
 {
     if (decisions.empty())
         return std::nullopt;
@@ -169,7 +169,7 @@
     return decisions.size() - 1;
 }
 
-std::string request_story::conclusion() const
+std::string request_log::conclusion() const
 {
     const auto index = deciding();
     if (!index)
@@ -178,61 +178,61 @@
     return concludeDecision(decisions[*index]) + (takenUp == decisions.end() ? std::string {} : concludeStream(*takenUp));
 }
 
-void story_reader::read(std::istream& log)
+void request_log_reader::read(std::istream& log)
 {
     for (std::string line; std::getline(log, line);) {
         const bool isLeftOut = line.find("event=lines_left_out") != std::string::npos;
-        if (!isLeftOut && line.find("request=" + m_story.request) == std::string::npos)
+        if (!isLeftOut && line.find("request=" + m_log.request) == std::string::npos)
             continue;
         auto decision = parseLine(line);
         if (!decision)
             continue;
         if (isLeftOut)
             m_leftOut.push_back(std::move(*decision));
-        else if (decision->field("request") == m_story.request)
-            m_story.decisions.push_back(std::move(*decision));
+        else if (decision->field("request") == m_log.request)
+            m_log.decisions.push_back(std::move(*decision));
     }
 }
 
-request_story story_reader::finish()
+request_log request_log_reader::finish()
 {
-    auto& decisions = m_story.decisions;
+    auto& decisions = m_log.decisions;
     std::ranges::stable_sort(decisions, {}, &logged_decision::timeMs);
     for (const auto& line : m_leftOut) {
         const bool isOfNode = std::ranges::find(decisions, line.node, &logged_decision::node) != decisions.end();
         if (isOfNode && line.timeMs >= decisions.front().timeMs - leftOutMarginMs
             && line.timeMs <= decisions.back().timeMs + leftOutMarginMs)
-            m_story.linesLeftOut += static_cast<std::uint64_t>(number(line.field("count")));
+            m_log.linesLeftOut += static_cast<std::uint64_t>(number(line.field("count")));
     }
-    return std::move(m_story);
+    return std::move(m_log);
 }
 
-std::string reportStory(const request_story& story, output_format output)
+std::string reportRequestLog(const request_log& log, output_format output)
 {
-    const auto deciding = story.deciding();
+    const auto deciding = log.deciding();
     if (output == output_format::json) {
         json::array lines;
-        for (const auto& line : story.decisions) {
+        for (const auto& line : log.decisions) {
             json::object entry { { "time_ms", line.timeMs }, { "node", line.node }, { "event", line.event } };
             for (const auto& [name, value] : line.fields)
                 entry[name] = value;
             lines.push_back(std::move(entry));
         }
-        json::object result { { "request", story.request }, { "conclusion", story.conclusion() }, { "lines", std::move(lines) },
-            { "lines_left_out", story.linesLeftOut } };
+        json::object result { { "request", log.request }, { "conclusion", log.conclusion() }, { "lines", std::move(lines) },
+            { "lines_left_out", log.linesLeftOut } };
         if (deciding)
             result["deciding"] = *deciding;
         return json::serialize(result) + "\n";
     }
     std::ostringstream out;
-    for (std::size_t i = 0; i < story.decisions.size(); ++i) {
-        const auto& line = story.decisions[i];
-        out << (i == deciding ? "* " : "  ") << '+' << line.timeMs - story.decisions.front().timeMs << " ms " << line.node << ' '
+    for (std::size_t i = 0; i < log.decisions.size(); ++i) {
+        const auto& line = log.decisions[i];
+        out << (i == deciding ? "* " : "  ") << '+' << line.timeMs - log.decisions.front().timeMs << " ms " << line.node << ' '
             << describe(line) << '\n';
     }
-    out << "request " << story.request << ": " << story.conclusion() << '\n';
-    if (story.linesLeftOut > 0)
-        out << story.linesLeftOut << " lines of these nodes were left out at that time; the story may have gaps\n";
+    out << "request " << log.request << ": " << log.conclusion() << '\n';
+    if (log.linesLeftOut > 0)
+        out << log.linesLeftOut << " lines of these nodes were left out at that time; the log may have gaps\n";
     return out.str();
 }
 
--- a/libs/cli/tests/cli_tests.cpp
+++ b/libs/cli/tests/cli_tests.cpp
@@ -1,5 +1,5 @@
 #include "cli/commands.h"
-#include "cli/request_story.h"
+#include "cli/request_log.h"
 #include "fake_fleet.h"
 
 #include <fstream>
@@ -283,42 +283,42 @@
       "event=lines_left_out time_ms=1000 node=edge-a of=request_sent count=12\n"
       "event=request_sent time_ms=800 node=edge-a request=late10 replica=i-9 attempt=1\n";
 
-request_story storyOf(const std::string& request)
+request_log requestLogOf(const std::string& request)
 {
-    story_reader reader(request);
+    request_log_reader reader(request);
     std::istringstream log(recordedLogs);
     reader.read(log);
     return reader.finish();
 }
 
-// Guards against a story that mixes requests, or tells them in the order of the files.
-TEST(request_story, lines_of_all_nodes_are_in_order_of_time)
+// Guards against an account that mixes requests, or tells them in the order of the files.
+TEST(request_log, lines_of_all_nodes_are_in_order_of_time)
 {
-    const auto story = storyOf("late1");
-    ASSERT_EQ(story.decisions.size(), 3U);
-    EXPECT_EQ(story.decisions.front().event, "request_sent");
-    EXPECT_EQ(story.decisions[1].field("detail"), "\"partial message\"");
-    EXPECT_EQ(story.linesLeftOut, 0U);
+    const auto found = requestLogOf("late1");
+    ASSERT_EQ(found.decisions.size(), 3U);
+    EXPECT_EQ(found.decisions.front().event, "request_sent");
+    EXPECT_EQ(found.decisions[1].field("detail"), "\"partial message\"");
+    EXPECT_EQ(found.linesLeftOut, 0U);
 }
 
 // Guards against a wrong line being named as the reason: the three kinds of failed request.
-TEST(request_story, deciding_line_tells_why_the_request_ended)
+TEST(request_log, deciding_line_tells_why_the_request_ended)
 {
-    EXPECT_THAT(
-        storyOf("late1").conclusion(), AllOf(HasSubstr("504 ms until it was sent, 173 ms at i-2, where 93"), HasSubstr("pause 40 ms")));
-    EXPECT_THAT(storyOf("refused1").conclusion(),
+    EXPECT_THAT(requestLogOf("late1").conclusion(),
+        AllOf(HasSubstr("504 ms until it was sent, 173 ms at i-2, where 93"), HasSubstr("pause 40 ms")));
+    EXPECT_THAT(requestLogOf("refused1").conclusion(),
         AllOf(HasSubstr("6893 units of its quota available, 26185 were needed: 16185 and"), HasSubstr("3 of 4 nodes")));
-    EXPECT_THAT(storyOf("refused2").conclusion(),
+    EXPECT_THAT(requestLogOf("refused2").conclusion(),
         AllOf(HasSubstr("part 12ca of its prompt crashed endpoints"), HasSubstr("41000 ms"), HasSubstr("part=a7576c512f390022")));
-    EXPECT_THAT(storyOf("rest1").conclusion(), AllOf(HasSubstr("no_endpoint"), HasSubstr("1 said that they leave and 2 rested")));
-    EXPECT_THAT(storyOf("resumed1").conclusion(),
+    EXPECT_THAT(requestLogOf("rest1").conclusion(), AllOf(HasSubstr("no_endpoint"), HasSubstr("1 said that they leave and 2 rested")));
+    EXPECT_THAT(requestLogOf("resumed1").conclusion(),
         AllOf(HasSubstr("stream_version_gone"), HasSubstr("stream of first1 after event 4"), HasSubstr("version v1.1 of llm")));
-    EXPECT_THAT(reportStory(storyOf("rest1"), output_format::text), HasSubstr("grant_declined replica=i-4 reason=resting"));
-    const auto lost = storyOf("lost1");
+    EXPECT_THAT(reportRequestLog(requestLogOf("rest1"), output_format::text), HasSubstr("grant_declined replica=i-4 reason=resting"));
+    const auto lost = requestLogOf("lost1");
     EXPECT_THAT(lost.conclusion(), HasSubstr("failed at i-3 after 518 ms: broken"));
     EXPECT_EQ(lost.linesLeftOut, 12U);
-    EXPECT_THAT(reportStory(lost, output_format::text), AllOf(HasSubstr("* +0 ms edge-a attempt_failed"), HasSubstr("12 lines")));
-    EXPECT_THAT(storyOf("absent").conclusion(), HasSubstr("no line"));
+    EXPECT_THAT(reportRequestLog(lost, output_format::text), AllOf(HasSubstr("* +0 ms edge-a attempt_failed"), HasSubstr("12 lines")));
+    EXPECT_THAT(requestLogOf("absent").conclusion(), HasSubstr("no line"));
 }
 
 // Guards against a command that asks a node although the logs are at hand, and against a missing file that reads as an empty log.
