--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -639,6 +639,11 @@
 void exchange::endNow(std::string_view reason, duration retryAfter)
 {
     abandonAttempt();
+    refuse(reason, retryAfter);
+}
+
+void exchange::refuse(std::string_view reason, std::optional<duration> retryAfter)
+{
     if (m_headForwarded)
         abortResponse(reason);
     else if (m_sends.mayHaveExecuted())
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -107,8 +107,10 @@
     void recordAnswer();
     /// Counts the bytes that the request and its response hold.
     void countMemory();
-    /// Ends the request now with what is true of it: aborts a response that has begun, else says whether the request may have run.
+    /// Cancels the attempt and refuses the request.
     void endNow(std::string_view reason, duration retryAfter);
+    /// Ends the request with what is true of it: aborts a response that has begun, else says whether the request may have run.
+    void refuse(std::string_view reason, std::optional<duration> retryAfter);
     /// Cancels the attempt, or withdraws the request while it waits.
     void abandonAttempt();
     /// Records that the latest send was not executed, if the outcome proves it.
@@ -122,10 +124,9 @@
     void onStartUnrecorded(monotonic_time now);
     /// Version of the software that the request must go to; nullopt for any.
     std::optional<std::string> requiredVersion() const;
-    streams::software_version sendSoftware() const;
     /// The version that began the stream has no endpoint any more.
     bool isVersionGone() const;
-    void endVersionGone();
+    void endVersionGone() { refuse("stream_version_gone", std::nullopt); }
     /// Forgets the events of the stream, of which the caller has none.
     void forgetStream();
     /// Passes on the events that have waited for the record of their start.
--- a/libs/gateway/src/exchange_streams.cpp
+++ b/libs/gateway/src/exchange_streams.cpp
@@ -7,13 +7,6 @@
 // How a stream keeps to the software version that began it.
 namespace carawaylink::gateway {
 
-namespace {
-
-constexpr unsigned statusBadGateway = 502;
-constexpr unsigned statusUnavailable = 503;
-
-} // namespace
-
 void exchange::recordStart()
 {
     const auto& attempt = m_admitted.metadata.attempt;
@@ -22,7 +15,7 @@
         return;
     const auto number = ++m_startNumber;
     m_isStartRecorded = m_dispatcher.streams().begin(
-        { stream_versions::idOf(attempt), number, sendSoftware() },
+        { stream_versions::idOf(attempt), number, { m_admitted.service, m_sendVersion } },
         [self = weak_from_this(), number] {
             if (const auto alive = self.lock(); alive && alive->m_startNumber == number)
                 alive->onStartRecorded();
@@ -42,9 +35,8 @@
 
 void exchange::onStartUnrecorded(monotonic_time now)
 {
-    const auto base = m_dispatcher.streams().baseOf(m_admitted.service);
-    const bool hasBase = base && m_dispatcher.streams().endpointsOf({ m_admitted.service, *base }) > 0;
-    const bool beginsAnew = hasBase && !m_isStreamComplete && canRetry(placement::outcome::cancelled, now) && tryTakeRetry();
+    const auto base = m_dispatcher.streams().servedBase(m_admitted.service);
+    const bool beginsAnew = base && !m_isStreamComplete && canRetry(placement::outcome::cancelled, now) && tryTakeRetry();
     m_dispatcher.log()
         .event("stream_start_unrecorded")
         .field("request", m_admitted.metadata.attempt)
@@ -52,8 +44,8 @@
         .field("base", base.value_or(""))
         .field("waited_ms", wholeMilliseconds(now - m_eventsWaitSince))
         .field("begins_anew", beginsAnew);
-    m_dispatcher.metrics().streamStart(beginsAnew ? "begun_anew" : hasBase ? "given_up" : "unrecorded");
-    if (!hasBase) {
+    m_dispatcher.metrics().streamStart(beginsAnew ? "begun_anew" : base ? "given_up" : "unrecorded");
+    if (!base) {
         onStartRecorded();
         return;
     }
@@ -75,20 +67,13 @@
     countMemory();
 }
 
-streams::software_version exchange::sendSoftware() const
-{
-    return { m_admitted.service, m_sendVersion };
-}
-
 std::optional<std::string> exchange::requiredVersion() const
 {
     if (m_streamVersion || !m_admitted.route.mayGoOnElsewhere())
         return m_streamVersion;
     // While the store takes no records, streams can begin only where none is needed.
-    auto& known = m_dispatcher.streams();
-    const auto base = known.baseOf(m_admitted.service);
-    const bool needsBase = base && known.isDelayed() && known.endpointsOf({ m_admitted.service, *base }) > 0;
-    return needsBase ? base : std::nullopt;
+    const auto& known = m_dispatcher.streams();
+    return known.isDelayed() ? known.servedBase(m_admitted.service) : std::nullopt;
 }
 
 bool exchange::isVersionGone() const
@@ -96,15 +81,4 @@
     return m_streamVersion && m_dispatcher.streams().endpointsOf({ m_admitted.service, *m_streamVersion }) == 0;
 }
 
-void exchange::endVersionGone()
-{
-    constexpr std::string_view reason = "stream_version_gone";
-    if (m_headForwarded)
-        abortResponse(reason);
-    else if (m_sends.mayHaveExecuted())
-        respond(refusalResponse(statusBadGateway, "unknown", std::nullopt), reason);
-    else
-        respond(refusalResponse(statusUnavailable, reason, std::nullopt), reason);
-}
-
 } // namespace carawaylink::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -239,7 +239,7 @@
         result.append
             = [this](const std::string& record, std::function<void(bool)> onDone) { streamStore.append(record, std::move(onDone)); };
         result.read = [this](std::function<void(const start_records&)> onDone) { streamStore.read(std::move(onDone)); };
-        result.writeBase = [this](const streams::software_version& base, std::function<void(bool)> onDone) {
+        result.writeBase = [this](const streams::software_version& base, std::function<void()> onDone) {
             store.writeStreamBase(base.service, base.version, std::move(onDone));
         };
         result.readBases = [this] { store.readStreamBases(); };
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -150,15 +150,10 @@
     m_handlers.onStreamBases(m_streamBases, m_streamBasesAsOf);
 }
 
-void store_sync::writeStreamBase(const service_id& service, const std::string& version, std::function<void(bool)> onDone)
+void store_sync::writeStreamBase(const service_id& service, const std::string& version, std::function<void()> onDone)
 {
-    http_call_options options;
-    options.idleTimeout = appendTimeout;
-    options.totalTimeout = appendTimeout;
-    options.maxBodyBytes = maxPublishResponseBytes;
-    const store_record record { service.value, std::string(baseMark) + version };
-    m_client.send(m_settings.storeAddress, m_codec.append(store_topic::stream_bases, record, m_baseFollower->position().offset), options,
-        [onDone = std::move(onDone)](const http_result& result) { onDone(result.ok() && result.response.status == statusOk); });
+    append(store_topic::stream_bases, { service.value, std::string(baseMark) + version }, m_baseFollower->position().offset,
+        [onDone = std::move(onDone)](const std::optional<append_result>&) { onDone(); });
 }
 
 void store_sync::readStreamBases()
@@ -196,14 +191,19 @@
 
 void store_sync::appendStatus(const service_status& status, std::uint64_t at, const route_name_source& routeName,
     std::function<void(std::optional<append_result>)> onDone)
+{
+    append(store_topic::status, m_codec.encodeStatus(status, routeName), at, std::move(onDone));
+}
+
+void store_sync::append(
+    store_topic topic, const store_record& record, std::uint64_t at, std::function<void(std::optional<append_result>)> onDone)
 {
     http_call_options options;
     options.idleTimeout = appendTimeout;
     options.totalTimeout = appendTimeout;
     options.maxBodyBytes = maxPublishResponseBytes;
-    const auto record = m_codec.encodeStatus(status, routeName);
-    m_client.send(m_settings.storeAddress, m_codec.append(store_topic::status, record, at), options,
-        [this, onDone = std::move(onDone)](const http_result& result) {
+    m_client.send(
+        m_settings.storeAddress, m_codec.append(topic, record, at), options, [this, onDone = std::move(onDone)](const http_result& result) {
             std::optional<append_result> appended;
             try {
                 if (result.ok())
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -77,8 +77,8 @@
     status_position statusPosition() const;
     /// Reads the statuses now.
     void readStatus();
-    /// Writes the base version of a service if no other node has written one since the last read; reports whether it did.
-    void writeStreamBase(const service_id& service, const std::string& version, std::function<void(bool)> onDone);
+    /// Writes the base version of a service if no other node has written one since the last read.
+    void writeStreamBase(const service_id& service, const std::string& version, std::function<void()> onDone);
     /// Reads the base versions now.
     void readStreamBases();
     /// Adjusts the reads to what the peers deliver; call every few tens of milliseconds.
@@ -97,6 +97,8 @@
     static constexpr auto copyRequestInterval = std::chrono::milliseconds(400);
 
     void follow();
+    /// Appends a record if the topic's log ends there. nullopt: the result is unknown.
+    void append(store_topic topic, const store_record& record, std::uint64_t at, std::function<void(std::optional<append_result>)> onDone);
     /// The followers of all topics; those that do not exist yet are null.
     std::array<std::shared_ptr<store_follower>, 7> followers() const
     {
--- a/libs/gateway/src/stream_versions.cpp
+++ b/libs/gateway/src/stream_versions.cpp
@@ -75,6 +75,12 @@
     }
 }
 
+std::optional<std::string> stream_versions::servedBase(const service_id& service) const
+{
+    auto base = m_bases.baseOf(service);
+    return base && endpointsOf({ service, *base }) > 0 ? std::move(base) : std::nullopt;
+}
+
 bool stream_versions::begin(const streams::stream_start& start, std::function<void()> onRecorded, monotonic_time now)
 {
     if (!m_store)
@@ -233,7 +239,7 @@
             .field("before", m_bases.baseOf(base.service).value_or(""))
             .field("endpoints", m_bases.endpointsOf(base));
         // Another node may have written first; either way the read tells what holds.
-        m_store->writeBase(base, [this, alive = std::weak_ptr(m_alive)](bool) {
+        m_store->writeBase(base, [this, alive = std::weak_ptr(m_alive)] {
             if (!alive.expired())
                 m_store->readBases();
         });
--- a/libs/gateway/src/stream_versions.h
+++ b/libs/gateway/src/stream_versions.h
@@ -58,12 +58,13 @@
 class stream_versions {
 public:
     using sender = std::function<void(const node_id& node, peer::envelopeT message)>;
-    /// Calls to the store. Each reports once whether it succeeded.
+    /// Calls to the store. Each reports once.
     struct store_access {
         std::function<void(std::string record, std::function<void(bool)> onDone)> append;
         /// Reads the records since the last read.
         std::function<void(std::function<void(const start_records&)> onDone)> read;
-        std::function<void(const streams::software_version& base, std::function<void(bool)> onDone)> writeBase;
+        /// Also reports if another node wrote first.
+        std::function<void(const streams::software_version& base, std::function<void()> onDone)> writeBase;
         std::function<void()> readBases;
     };
     using binding_handler = std::function<void(const stream_binding&)>;
@@ -89,7 +90,8 @@
 
     /// Whether starts wait for the store for too long.
     bool isDelayed() const { return m_isDelayed; }
-    std::optional<std::string> baseOf(const service_id& service) const { return m_bases.baseOf(service); }
+    /// Base version of the service; nullopt if it is unknown or no endpoint of it accepts requests.
+    std::optional<std::string> servedBase(const service_id& service) const;
     /// Number of listed endpoints of the version that accept requests.
     std::size_t endpointsOf(const streams::software_version& software) const { return m_bases.endpointsOf(software); }
 
--- a/libs/gateway/tests/stream_versions_tests.cpp
+++ b/libs/gateway/tests/stream_versions_tests.cpp
@@ -20,7 +20,7 @@
                                 m_appends.push_back(std::move(onDone));
                             },
             [this](std::function<void(const start_records&)> onDone) { m_reads.push_back(std::move(onDone)); },
-            [](const streams::software_version&, const std::function<void(bool)>&) {}, [] {} });
+            [](const streams::software_version&, const std::function<void()>&) {}, [] {} });
         m_streams.setServices({ service });
         std::vector<discovery::endpoint_record> records;
         for (const auto* version : { "v1", "v2" }) {
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -50,6 +50,12 @@
     std::unordered_map<const void*, std::function<void()>> closeIfIdle;
 
     bool shouldCloseConnections() const { return stopping || closing || paused; }
+    void closeAcceptor()
+    {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        acceptRetryTimer.cancel();
+    }
     void closeIdleConnections()
     {
         std::vector<std::function<void()>> closers;
@@ -685,11 +691,7 @@
 {
     if (m_state->stopping.exchange(true))
         return;
-    m_state->threads.post(0, [state = m_state] {
-        boost::system::error_code ignored;
-        state->acceptor.close(ignored);
-        state->acceptRetryTimer.cancel();
-    });
+    m_state->threads.post(0, [state = m_state] { state->closeAcceptor(); });
 }
 
 void http_server::setLimits(http_server_limits limits)
@@ -709,9 +711,7 @@
     m_state->threads.post(0, [state = m_state] {
         if (!state->paused)
             return;
-        boost::system::error_code ignored;
-        state->acceptor.close(ignored);
-        state->acceptRetryTimer.cancel();
+        state->closeAcceptor();
         state->closeIdleConnections();
     });
 }
--- a/libs/placement/tests/bound_request_tests.cpp
+++ b/libs/placement/tests/bound_request_tests.cpp
@@ -19,13 +19,7 @@
 
     waiting_request request(std::uint64_t id, const std::string& version) const
     {
-        waiting_request result;
-        result.id = id;
-        result.prompt = tokens { 100 };
-        result.output = tokens { 90 };
-        result.arrived = m_now;
-        result.target = m_now + 2s;
-        result.deadline = m_now + 8s;
+        auto result = engineRequest(id, tokens { 100 }, m_now);
         result.version = version;
         return result;
     }
--- a/libs/placement/tests/sender_path_tests.cpp
+++ b/libs/placement/tests/sender_path_tests.cpp
@@ -14,14 +14,8 @@
 
     std::optional<replica_id> send(const node_id& sender, std::uint64_t id)
     {
-        waiting_request request;
-        request.id = id;
+        auto request = engineRequest(id, tokens { 100 }, m_now);
         request.sender = sender;
-        request.prompt = tokens { 100 };
-        request.output = tokens { 90 };
-        request.arrived = m_now;
-        request.target = m_now + 2s;
-        request.deadline = m_now + 8s;
         m_pool.submit(request);
         const auto decisions = m_pool.decide(m_now);
         if (!decisions.grants.empty())
--- a/libs/placement/tests/slot_test_fleet.h
+++ b/libs/placement/tests/slot_test_fleet.h
@@ -33,6 +33,18 @@
     return records;
 }
 
+inline waiting_request engineRequest(std::uint64_t id, tokens prompt, monotonic_time now, duration target = 2s, duration deadline = 8s)
+{
+    waiting_request request;
+    request.id = id;
+    request.prompt = prompt;
+    request.output = tokens { 90 };
+    request.arrived = now;
+    request.target = now + target;
+    request.deadline = now + deadline;
+    return request;
+}
+
 /// Nodes and owners in one process: messages arrive after a fixed delay, unless their sender or receiver is cut off. Time is virtual.
 class slot_test_fleet {
 public:
@@ -47,45 +59,23 @@
     /// Submits a request with the tier at a node; returns its id, which is unique in the fleet.
     std::uint64_t submit(std::size_t node, std::uint8_t level = 0, duration target = 2s, duration deadline = 8s)
     {
-        waiting_request request;
-        request.id = m_nextId++;
+        auto request = engineRequest(m_nextId++, tokens { 1000 }, now, target, deadline);
         request.tier = tier { level };
-        request.prompt = tokens { 1000 };
-        request.output = tokens { 90 };
-        request.arrived = now;
-        request.target = now + target;
-        request.deadline = now + deadline;
-        m_home[request.id] = node;
-        m_nodes[node]->client.submit(request, now);
-        return request.id;
+        return submit(node, std::move(request));
     }
 
     /// Submits a request that endpoints of this version only may answer.
     std::uint64_t submitBound(std::size_t node, const std::string& version)
     {
-        waiting_request request;
-        request.id = m_nextId++;
-        request.prompt = tokens { 100 };
-        request.output = tokens { 90 };
-        request.arrived = now;
-        request.target = now + 2s;
-        request.deadline = now + 8s;
+        auto request = engineRequest(m_nextId++, tokens { 100 }, now);
         request.version = version;
-        m_home[request.id] = node;
-        m_nodes[node]->client.submit(request, now);
-        return request.id;
+        return submit(node, std::move(request));
     }
 
     /// Submits a request again that is running or was granted before, without its previous endpoint.
     void resubmit(std::uint64_t id, const replica_id& previous)
     {
-        waiting_request request;
-        request.id = id;
-        request.prompt = tokens { 1000 };
-        request.output = tokens { 90 };
-        request.arrived = now;
-        request.target = now + 2s;
-        request.deadline = now + 8s;
+        auto request = engineRequest(id, tokens { 1000 }, now);
         request.excluded = { previous };
         m_nodes[m_home.at(id)]->client.submit(request, now);
     }
@@ -208,6 +198,13 @@
     std::function<void(slot_call& call)> beforeCall = [](slot_call&) {};
 
 private:
+    std::uint64_t submit(std::size_t node, waiting_request request)
+    {
+        m_home[request.id] = node;
+        m_nodes[node]->client.submit(request, now);
+        return request.id;
+    }
+
     struct node_state {
         node_state(node_id name, std::size_t seed)
             : id(std::move(name))
--- a/libs/streams/include/streams/base_versions.h
+++ b/libs/streams/include/streams/base_versions.h
@@ -40,8 +40,7 @@
 
 private:
     struct listed_version {
-        std::size_t endpoints = 0;
-        /// Of them, those that accept requests.
+        /// Endpoints that accept requests.
         std::size_t accepting = 0;
         /// Since when it is listed without a gap.
         monotonic_time since;
--- a/libs/streams/include/streams/start_table.h
+++ b/libs/streams/include/streams/start_table.h
@@ -21,7 +21,6 @@
     void expire(monotonic_time now);
     /// All known starts, in no particular order.
     std::vector<stream_start> all() const;
-    std::size_t size() const { return m_starts.size(); }
 
 private:
     struct known_start {
--- a/libs/streams/src/base_versions.cpp
+++ b/libs/streams/src/base_versions.cpp
@@ -44,7 +44,6 @@
         if (const auto found = endpoints.find(service); found != endpoints.end()) {
             for (const auto& record : found->second) {
                 auto& entry = listed[record.version];
-                ++entry.endpoints;
                 entry.accepting += record.draining ? 0 : 1;
                 const auto before = state.listed.find(record.version);
                 entry.since = before == state.listed.end() ? now : before->second.since;
